Judge an ejected endpoint by its probes only, and probe it at an even pace

Probes doubled from 0.5 to 8 s, so an endpoint that was slow for 4 s was out for 7.5 s. Besides, ends of long work counted as probes: work begun before the slow time restored a slow endpoint, and work begun in it kept a healthy one out or ejected it again; a withdrawn probe beside other uses stopped all probing.

Change: only the probe in flight tells of an ejected endpoint, and work begun before its return tells nothing after it. Probes come after 2 s, then after half of the time for which the endpoint has been slow. A sixth of the slots is kept from new long work instead of an eighth. TestSlowEndpoint has three new cases, which failed before.

--- a/internal/coordination/group/judge.go
+++ b/internal/coordination/group/judge.go
@@ -5,7 +5,12 @@
 	"time"
 )
 
-func (q *Queue) observe(now time.Time, s *seat, ratio float64) {
+// observe takes what a use shows of its endpoint's pace, as far as that tells how fast the endpoint is now: long work ends long after
+// its endpoint has become slow, or well again.
+func (q *Queue) observe(now time.Time, s *seat, u *use, ratio float64) {
+	if u.started.Before(s.restoredAt) || s.ejected && u != s.probe {
+		return
+	}
 	s.observe(now, ratio)
 	if s.ejected {
 		q.probed(now, s, ratio)
@@ -16,13 +21,13 @@
 
 // probed restores an ejected endpoint after a probe at a healthy pace.
 func (q *Queue) probed(now time.Time, s *seat, ratio float64) {
-	s.probing = false
-	s.probeWait = min(2*s.probeWait, maxProbeWait)
-	s.probeAt = now.Add(s.probeWait)
+	s.probe = nil
+	s.probeAt = now.Add(s.probeWait(now))
 	if ratio > restoreRatio*q.typicalPace(now) {
 		return
 	}
 	s.ejected = false
+	s.restoredAt = now
 	s.ratio, s.observedAt = ratio, now
 }
 
@@ -35,9 +40,9 @@
 		return
 	}
 	s.ejected = true
-	s.probing = false
-	s.probeWait = minProbeWait
-	s.probeAt = now.Add(s.probeWait)
+	s.probe = nil
+	s.ejectedAt = now
+	s.probeAt = now.Add(s.probeWait(now))
 }
 
 func (q *Queue) inUse() int {
--- a/internal/coordination/group/queue.go
+++ b/internal/coordination/group/queue.go
@@ -32,7 +32,7 @@
 }
 
 // keptShare is the number of a group's slots of which one is kept free of new long work.
-const keptShare = 8
+const keptShare = 6
 
 // maxContexts is the most conversations whose last endpoint a queue remembers.
 const maxContexts = 4096
@@ -108,7 +108,9 @@
 // Done ends a grant and takes the quotient of real and expected service time; zero is no observation.
 func (q *Queue) Done(now time.Time, id AskID, ratio float64) []Action {
 	if s := q.seats[q.running[id]]; s != nil && ratio > 0 {
-		q.observe(now, s, ratio)
+		if u := s.uses[id]; u != nil {
+			q.observe(now, s, u, ratio)
+		}
 	}
 	return q.release(now, id)
 }
@@ -118,9 +120,9 @@
 	if s := q.seats[q.running[id]]; s != nil {
 		if u := s.uses[id]; u != nil {
 			u.progressed = true
-		}
-		if ratio > 0 {
-			q.observe(now, s, ratio)
+			if ratio > 0 {
+				q.observe(now, s, u, ratio)
+			}
 		}
 	}
 	return q.grant(now)
@@ -289,13 +291,14 @@
 
 func (q *Queue) use(now time.Time, s *seat, a *Ask) {
 	id := AskID{Entry: a.Entry, ID: a.ID}
-	s.uses[id] = &use{ask: *a, started: now}
+	u := &use{ask: *a, started: now}
+	s.uses[id] = u
 	q.running[id] = s.Name
 	if a.Context != "" {
 		q.contexts.Add(a.Context, s.Name)
 	}
 	if s.ejected {
-		s.probing = true
+		s.probe = u
 	}
 }
 
@@ -315,8 +318,8 @@
 	if s == nil {
 		return
 	}
-	delete(s.uses, id)
-	if len(s.uses) == 0 {
-		s.probing = false
+	if s.probe == s.uses[id] {
+		s.probe = nil
 	}
+	delete(s.uses, id)
 }
--- a/internal/coordination/group/queue_test.go
+++ b/internal/coordination/group/queue_test.go
@@ -178,6 +178,62 @@
 			So(grants["e0"], ShouldBeGreaterThan, 0)
 		})
 	})
+	Convey("an ejected endpoint", t, func() {
+		q := newQueue(5, 4)
+		now := start
+		expectGrant(q.Add(now, ask(1, group.ClassLong)), 1, "e0")
+		next := uint64(10)
+		// slow has an endpoint end short work after five times what was expected, until it is ejected.
+		slow := func() {
+			for range 8 {
+				a := ask(next, group.ClassShort)
+				q.Adopt(now, a, "e0")
+				now = now.Add(100 * time.Millisecond)
+				q.Done(now, id(next), 5)
+				next++
+			}
+		}
+		grantsTo := func(endpoint string) bool {
+			granted := false
+			for range 10 {
+				a := ask(next, group.ClassShort)
+				a.Deadline = now.Add(10 * time.Second)
+				granted = granted || q.Add(now, a)[0].Endpoint == endpoint
+				next++
+			}
+			for n := next - 10; n < next; n++ {
+				q.Withdraw(now, id(n))
+			}
+			return granted
+		}
+		slow()
+		So(grantsTo("e0"), ShouldBeFalse)
+		Convey("isn't taken to be well because of work that ran before it became slow", func() {
+			q.Done(now, id(1), 1)
+			So(grantsTo("e0"), ShouldBeFalse)
+		})
+		Convey("is probed again when a probe was withdrawn", func() {
+			now = now.Add(3 * time.Second)
+			So(grantsTo("e0"), ShouldBeTrue)
+			So(grantsTo("e0"), ShouldBeTrue)
+		})
+		Convey("that is well again isn't taken to be slow because of work that ran before", func() {
+			now = now.Add(3 * time.Second)
+			probe := uint64(0)
+			for probe == 0 {
+				a := ask(next, group.ClassShort)
+				a.Deadline = now.Add(10 * time.Second)
+				if q.Add(now, a)[0].Endpoint == "e0" {
+					probe = next
+				}
+				next++
+			}
+			q.Done(now, id(probe), 1)
+			So(grantsTo("e0"), ShouldBeTrue)
+			q.Done(now, id(1), 20)
+			So(grantsTo("e0"), ShouldBeTrue)
+		})
+	})
 	Convey("of two endpoints the one whose first token is overdue is avoided, before any token has come", t, func() {
 		q := newQueue(2, 4)
 		first := ask(1, group.ClassLong)
--- a/internal/coordination/group/seat.go
+++ b/internal/coordination/group/seat.go
@@ -22,10 +22,11 @@
 	ratio      float64
 	observedAt time.Time
 	ejected    bool
+	ejectedAt  time.Time
+	restoredAt time.Time
 	probeAt    time.Time
-	probing    bool
-	// probeWait is the time until the next probe; it doubles with each probe that finds the endpoint slow.
-	probeWait time.Duration
+	// probe is the use that tries an ejected endpoint, or nil.
+	probe *use
 }
 
 const (
@@ -35,8 +36,12 @@
 	healthyRatio  = 1.2
 	restoreRatio  = 1.5
 	demoteRatio   = 4.0
-	minProbeWait  = 500 * time.Millisecond
-	maxProbeWait  = 8 * time.Second
+	// minProbeWait and maxProbeWait bound the time between probes. Each costs a caller a slow answer; an endpoint that is well again and
+	// not yet probed costs all callers its slots.
+	minProbeWait = 2 * time.Second
+	maxProbeWait = 8 * time.Second
+	// probeShare is the share of the time for which an endpoint has been slow that passes before the next probe.
+	probeShare = 0.5
 	// ejectFloor is the least share of a group's endpoints that stays in use.
 	ejectFloor = 0.6
 	// minOverrun keeps small absolute delays of tiny requests from counting as slowness.
@@ -71,7 +76,7 @@
 func (s *seat) pace(now time.Time) float64 {
 	overdue, n := 0.0, 0
 	for _, u := range s.uses {
-		if late := u.overdue(now); late > 0 {
+		if late := u.overdue(now); late > 0 && !u.started.Before(s.restoredAt) {
 			overdue += late
 			n++
 		}
@@ -94,6 +99,11 @@
 	return 0
 }
 
+// probeWait returns the time until the next probe: most endpoints are slow for moments, and one that stays slow is tried less and less.
+func (s *seat) probeWait(now time.Time) time.Duration {
+	return min(max(minProbeWait, time.Duration(probeShare*float64(now.Sub(s.ejectedAt)))), maxProbeWait)
+}
+
 // load is the work on the endpoint for each of its slots, weighted by its pace.
 func (s *seat) load(now time.Time) float64 {
 	// Small differences of pace are noise; without the floor the fastest endpoint would take all that comes.
@@ -161,5 +171,5 @@
 
 // mayProbe lets one short ask at a time try an ejected endpoint.
 func (s *seat) mayProbe(now time.Time, a *Ask) bool {
-	return a.Class == ClassShort && !s.probing && !now.Before(s.probeAt)
+	return a.Class == ClassShort && s.probe == nil && !now.Before(s.probeAt)
 }
