Read on after rejecting a request whose body has not been read

Cause: TestRequests failed once beside six busy processes (status 0 instead of 413). The library closes a connection that the caller asked to close as soon as the answer is written; bytes of the body that it has not read turn that into a reset, and the caller loses the 413.

Ruled out: the test's client (a raw connection that writes on sees the same), the limit on bodies (the 413 was sent each time).

Change: the rejection goes out at once, then up to 1 MB of the body is read and dropped, for a second at most. TestRequests sends a body in pieces behind its rejection and failed before ("broken pipe").

Conclusion: a real fault that only showed when callers were slower than the entry.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -64,6 +64,7 @@
 	service   string
 	workspace *route.Workspace
 	body      []byte
+	bodyRead  bool
 	digest    string
 	deadline  clock.Instant
 	tries     retry.Request
@@ -176,7 +177,7 @@
 		}
 		return &refusal{http.StatusBadRequest, "body_broken", 0}
 	}
-	j.body = body
+	j.body, j.bodyRead = body, true
 	return nil
 }
 
@@ -320,10 +321,35 @@
 	}
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	control := http.NewResponseController(j.w)
+	// Without full duplex the library would read the body before the answer goes out, or close the connection behind it.
+	unread := !j.bodyRead && j.r.ContentLength != 0 && j.r.Header.Get("Expect") == "" && control.EnableFullDuplex() == nil
 	j.w.WriteHeader(refused.status)
 	// A caller that has gone needs no answer.
 	_, _ = j.w.Write(body)
 	j.end("refused", refused.reason, refused.status)
+	if unread {
+		j.discardBody(control)
+	}
+}
+
+const (
+	// discardBytes and discardSpan bound what is read of a body after its request has been rejected: most callers that send too much send
+	// little more, and send it at once.
+	discardBytes = 1 << 20
+	discardSpan  = time.Second
+)
+
+// discardBody reads on after an answer, since closing a connection with unread bytes resets it, and the caller loses the answer.
+func (j *job) discardBody(control *http.ResponseController) {
+	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(discardSpan)) != nil {
+		// The caller has gone.
+		return
+	}
+	if _, err := io.CopyN(io.Discard, j.r.Body, discardBytes); errors.Is(err, io.EOF) {
+		// Without a deadline again the connection serves on; the library closes one whose body was not read to its end.
+		_ = control.SetReadDeadline(time.Time{})
+	}
 }
 
 // end counts and logs the end of a request, with what decided it.
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -1,6 +1,10 @@
 package gateway_test
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -40,6 +44,25 @@
 		Convey("refuses a body over the limit", func() {
 			s.expectRefused(s.call(e, http.MethodPost, "/book/", strings.Repeat("x", 1<<17)), http.StatusRequestEntityTooLarge, 0)
 		})
+		Convey("lets a caller read that its body is over the limit while it sends it", func() {
+			conn, err := net.Dial("tcp", e.cfg.Callers)
+			So(err, ShouldBeNil)
+			defer func() { _ = conn.Close() }()
+			const pieces = 16
+			piece := strings.Repeat("x", 8<<10)
+			_, err = fmt.Fprintf(conn, "POST /book/ HTTP/1.1\r\nHost: %s\r\nRequest-Id: big\r\nCredential: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n",
+				testHost, testKey, pieces*len(piece))
+			So(err, ShouldBeNil)
+			for range pieces {
+				time.Sleep(5 * time.Millisecond)
+				_, err = io.WriteString(conn, piece)
+				So(err, ShouldBeNil)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, http.StatusRequestEntityTooLarge)
+			So(resp.Body.Close(), ShouldBeNil)
+		})
 		Convey("serves public routes without a key", func() { s.expectAnswered(s.call(e, http.MethodGet, "/public/", "", "Credential", "")) })
 		Convey("streams", func() {
 			a := s.call(e, http.MethodPost, "/redraft/", "plan")
