Leave a zone alone as a whole that can't be reached

Change: `placement.Reach`, shared by the pools of all services: two endpoints of a zone that can't be reached from another zone within a second stand for all of them; after 0.5 to 2 s one request tries the zone, and its first sign of life opens it. Fetches across such a way are not asked for either. Event 413 says so; the logs had nothing but addresses.

Dials still cost the first requests 150 ms each.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -82,6 +82,7 @@
 	p.commitFetch(now, a, &best)
 	best.choice.SaveTo = p.savePlaces(now, best.seat, a, &best.choice)
 	p.place(now, a, &best)
+	p.cfg.Reach.send(now, a.Zone, best.seat)
 	return best.choice, nil
 }
 
@@ -101,7 +102,7 @@
 			switch {
 			case s.changed < since:
 				busy = true
-			case pass == 0 && !s.usable(now), pass == 1 && now.Before(s.loading), contains(a.Avoid, s.ID), p.excluded(now, s, a):
+			case pass == 0 && (!s.usable(now) || p.cfg.Reach.cut(now, a.Zone, s.Zone)), pass == 1 && now.Before(s.loading), contains(a.Avoid, s.ID), p.excluded(now, s, a):
 			case w != nil && !p.mayAdmit(s, w):
 				busy = true
 			default:
--- a/internal/coordination/placement/fetch.go
+++ b/internal/coordination/placement/fetch.go
@@ -68,7 +68,7 @@
 	var best leg
 	for _, o := range p.index.holders[key] {
 		part := o.cache.find(now, key)
-		if o == s || part == nil || !part.ready || o.failures > 0 {
+		if o == s || part == nil || !part.ready || o.failures > 0 || p.cfg.Reach.cut(now, s.Zone, o.Zone) {
 			continue
 		}
 		transfer := transferTime(part.tokens, p.engine.TokenSeconds, o.Zone != s.Zone)
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -49,6 +49,9 @@
 
 // NewPool returns a pool without endpoints.
 func NewPool(cfg Config) *Pool {
+	if cfg.Reach == nil {
+		cfg.Reach = NewReach()
+	}
 	return &Pool{
 		cfg:    cfg,
 		seats:  make(map[string]*seat),
@@ -153,6 +156,7 @@
 		return
 	}
 	u.seat.hear(now)
+	p.cfg.Reach.hear(u.ask.Zone, u.seat)
 	u.seat.read(u)
 	p.noteRoom(u.seat)
 	u.seat.cache.ready(u.space, u.ask.Parts)
@@ -196,14 +200,17 @@
 	switch end {
 	case EndAnswered:
 		s.hear(now)
+		p.cfg.Reach.hear(u.ask.Zone, s)
 		s.failures = 0
 		s.observeError(false)
 	case EndFailed:
 		s.observeError(true)
 	case EndUnreachable:
 		s.failed(now)
+		p.cfg.Reach.fail(now, u.ask.Zone, s)
 	case EndRejected:
 		s.hear(now)
+		p.cfg.Reach.hear(u.ask.Zone, s)
 		s.restUntil = now.Add(fullRest)
 	case EndMisdirected:
 		s.restUntil = now.Add(maxRest)
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -109,6 +109,8 @@
 	ReadRate float64
 	// OldWeights is how long after newer weights were named older ones are used.
 	OldWeights time.Duration
+	// Reach is shared by the pools of all services; nil is one of its own.
+	Reach *Reach
 }
 
 // News is what a cache said behind an event's number.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -58,6 +58,7 @@
 	RegistrationChanged   Number = 410
 	RegistrationInvalid   Number = 411
 	EndpointSilent        Number = 412
+	PassageChanged        Number = 413
 	WeightsNamed          Number = 710
 	LeaderChanged         Number = 711
 	OrderEnded            Number = 712
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -25,6 +25,7 @@
 	last atomic.Uint64
 
 	mu     sync.Mutex
+	reach  *placement.Reach
 	pools  map[string]*placement.Pool
 	wanted map[string][]placement.Wanted
 	// waits holds where the grants of waiting asks go.
@@ -34,7 +35,7 @@
 }
 
 func newPlacer(n *Node) *placer {
-	return &placer{node: n, pools: make(map[string]*placement.Pool), wanted: make(map[string][]placement.Wanted), waits: make(map[placement.UseID]chan placement.Grant)}
+	return &placer{node: n, reach: placement.NewReach(), pools: make(map[string]*placement.Pool), wanted: make(map[string][]placement.Wanted), waits: make(map[placement.UseID]chan placement.Grant)}
 }
 
 // oldWeightsMargin is kept from the bound, for requests that wait at an engine before they begin.
@@ -44,7 +45,7 @@
 func (p *placer) pool(service string) *placement.Pool {
 	pool := p.pools[service]
 	if pool == nil {
-		pool = placement.NewPool(placement.Config{ReadRate: float64(p.node.cfg.ReadRate), OldWeights: p.node.cfg.OldWeights - oldWeightsMargin})
+		pool = placement.NewPool(placement.Config{ReadRate: float64(p.node.cfg.ReadRate), OldWeights: p.node.cfg.OldWeights - oldWeightsMargin, Reach: p.reach})
 		for model, list := range p.wanted {
 			for _, w := range list {
 				pool.SetWanted(model, w)
@@ -334,6 +335,10 @@
 			}
 			p.pump(pool, now)
 		}
+		for _, c := range p.reach.Changes() {
+			p.node.log.Info(event.PassageChanged, "zone reached or not", zap.String("from", c.From), zap.String("zone", c.To), zap.Bool("cut", c.Cut),
+				zap.Int64("rest_ms", max(0, c.Until.Sub(now)).Milliseconds()), zap.String("endpoint", c.Endpoint))
+		}
 	})
 }
 
