Keep the leader's lease over an outage of the store

The store was down, and kept the lease until 1.5 s after its return, so that nobody led meanwhile (36.8 s in the log), and the next leader knew no cache and listed all stores.

Ruled out: that the lease had lapsed (others saw the leader's key until then).

Change: a lease that can't be renewed is in doubt: nothing is done in its name, since `held` counts from the last renewal, but it is renewed when the store is back, until the store says that it has ended or another instance is seen to lead. Caches are followed meanwhile. The stand-in store keeps leases over its outages as the users' store does.

--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -60,7 +60,7 @@
 // step starts and stops following, as the lead, the endpoints and the configuration say.
 func (f *follower) step(ctx context.Context) {
 	wanted := make(map[followed]bool)
-	if f.node.tenure.held(clock.Now()) {
+	if f.node.tenure.leads() {
 		for _, t := range mostFollowed(f.node.placer.caches()) {
 			wanted[t] = true
 		}
--- a/internal/gateway/site_faults_test.go
+++ b/internal/gateway/site_faults_test.go
@@ -262,6 +262,26 @@
 	})
 }
 
+func TestLeaderKeepsLease(t *testing.T) {
+	Convey("a leader goes on leading after an outage of the store that is longer than its lease", t, func() {
+		s := startSite(3)
+		expectSoon("a leader", func() bool { return s.store.Value("gypsum/lead") != nil })
+		terms := s.store.Written("gypsum/lead")
+		for range 2 {
+			s.store.SetFault(hosted.StoreFault{Down: true})
+			time.Sleep(2500 * time.Millisecond)
+			s.store.SetFault(hosted.StoreFault{})
+			time.Sleep(2500 * time.Millisecond)
+		}
+		So(s.store.Value("gypsum/lead"), ShouldNotBeNil)
+		So(s.store.Written("gypsum/lead"), ShouldEqual, terms)
+		So(s.store.Put("op/version/"+testModel, map[string]any{"Model": testModel, "Version": 2}), ShouldBeNil)
+		expectSoon("version 2", func() bool {
+			return s.endpoints[2].Version() == 2 && s.endpoints[3].Version() == 2 && s.endpoints[4].Version() == 2
+		})
+	})
+}
+
 func TestStop(t *testing.T) {
 	Convey("a stopping entry", t, func() {
 		s := startSite(0)
--- a/internal/gateway/tenure.go
+++ b/internal/gateway/tenure.go
@@ -36,6 +36,9 @@
 	Name string `msgpack:"name"`
 }
 
+// errOtherLeads says that another instance has become the leader.
+var errOtherLeads = errors.New("another instance leads")
+
 // tenure is the duty that holds, or tries to take, the lease of the one instance that places requests, decides what stores keep
 // and gives weight orders.
 type tenure struct {
@@ -43,6 +46,9 @@
 
 	vacant  clock.Instant
 	nextTry clock.Instant
+	// nextRenewal is when the lease is renewed next, and doubt says that it may have ended.
+	nextRenewal clock.Instant
+	doubt       bool
 
 	mu      sync.Mutex
 	lease   kv.LeaseID
@@ -59,6 +65,13 @@
 	return t.lease != 0 && now.Sub(t.renewed) < leadTTL
 }
 
+// leads reports whether this instance has led and nobody is known to have followed, though its lease may have ended.
+func (t *tenure) leads() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lease != 0
+}
+
 // term returns the fencing number and the lease's end, and whether no other instance led just before.
 func (t *tenure) term() (fence uint64, until clock.Instant, alone bool) {
 	t.mu.Lock()
@@ -74,10 +87,15 @@
 func (t *tenure) step(ctx context.Context) {
 	now := clock.Now()
 	t.mu.Lock()
-	lease, renewed := t.lease, t.renewed
+	lease := t.lease
 	t.mu.Unlock()
 	if lease != 0 {
-		if now.Sub(renewed) >= renewPeriod {
+		if leader, _ := t.node.members.leader(); t.doubt && leader != "" && leader != t.node.cfg.Name {
+			t.lose(errOtherLeads)
+			return
+		}
+		if !now.Before(t.nextRenewal) {
+			t.nextRenewal = now.Add(renewPeriod)
 			t.renew(ctx, lease)
 		}
 		return
@@ -106,6 +124,8 @@
 	return maxCandidates
 }
 
+// renew renews the lease. While the store is away nothing is done in the lead's name, but the lease isn't given up: the store keeps leases
+// over its outages, and if this one still stands nobody else has led, and the new leader would have to learn anew what this one knows.
 func (t *tenure) renew(ctx context.Context, lease kv.LeaseID) {
 	ctx, cancel := context.WithTimeout(ctx, renewPeriod)
 	defer cancel()
@@ -117,15 +137,24 @@
 		t.mu.Lock()
 		t.renewed = sent
 		t.mu.Unlock()
-	case errors.Is(err, kv.ErrLeaseEnded), clock.Now().Sub(t.renewedAt()) > leadTTL:
+		t.setDoubt(false, nil)
+	case errors.Is(err, kv.ErrLeaseEnded):
 		t.lose(err)
+	case !t.held(clock.Now()):
+		t.setDoubt(true, err)
 	}
 }
 
-func (t *tenure) renewedAt() clock.Instant {
+// setDoubt notes whether the lease may have ended.
+func (t *tenure) setDoubt(doubt bool, err error) {
+	if t.doubt == doubt {
+		return
+	}
+	t.doubt = doubt
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.renewed
+	fence := t.fence
+	t.mu.Unlock()
+	t.node.log.Warn(event.LeaderChanged, "lead in doubt", zap.Bool("doubt", doubt), zap.Uint64("fence", fence), zap.Error(err))
 }
 
 func (t *tenure) lose(err error) {
@@ -133,6 +162,7 @@
 	fence := t.fence
 	t.lease = 0
 	t.mu.Unlock()
+	t.doubt = false
 	t.node.log.Warn(event.LeaderChanged, "lead lost", zap.Uint64("fence", fence), zap.Error(err))
 }
 
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -111,10 +111,26 @@
 	return nil
 }
 
+// Written returns the revision of a key's last write, or zero if it isn't there.
+func (s *Store) Written(key string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if item := s.items[key]; item != nil {
+		return item.Revision
+	}
+	return 0
+}
+
 // SetFault replaces the fault.
 func (s *Store) SetFault(f StoreFault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.fault.Down && !f.Down {
+		// Leases don't run out while the store is away, and run for their whole time after it.
+		for _, l := range s.leases {
+			l.deadline = time.Now().Add(l.span)
+		}
+	}
 	s.fault = f
 	s.wake()
 }
@@ -159,6 +175,9 @@
 
 // expire ends leases that have run out; the caller holds the lock.
 func (s *Store) expire(now time.Time) {
+	if s.fault.Down {
+		return
+	}
 	for id, l := range s.leases {
 		if now.After(l.deadline) {
 			s.endLease(id)
