Tidy what asks a relay, and name which endpoints may be used

Cause: read as a newcomer: a parameter that nothing used since relays are probed instead of resting until a time, a condition of four parts in one line, a comment beyond the line's width.

Ruled out: nothing to rule out, behaviour is the same. Change: names and layout only. Figures: tests of placement and group pass as before.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -102,7 +102,7 @@
 			switch {
 			case s.changed < since:
 				busy = true
-			case pass == 0 && (!s.usable(now) || p.cfg.Reach.cut(now, a.Zone, s.Zone)), pass == 1 && now.Before(s.loading), contains(a.Avoid, s.ID), p.excluded(now, s, a):
+			case pass == 0 && !p.mayUse(now, s, a), pass == 1 && now.Before(s.loading), contains(a.Avoid, s.ID), p.excluded(now, s, a):
 			case w != nil && !p.mayAdmit(s, w):
 				busy = true
 			default:
@@ -151,6 +151,11 @@
 	fetch  fetch
 }
 
+// mayUse reports whether an endpoint neither rests nor lies in a zone that seems cut off from the caller's.
+func (p *Pool) mayUse(now clock.Instant, s *seat, a *Ask) bool {
+	return s.usable(now) && !p.cfg.Reach.cut(now, a.Zone, s.Zone)
+}
+
 // excluded reports whether an endpoint's weights may not be used any more.
 func (p *Pool) excluded(now clock.Instant, s *seat, a *Ask) bool {
 	if a.Model == "" {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -79,7 +79,7 @@
 // readsAll reports whether this entry reads all pages of the store: as the relay of its zone, or since none has told it anything for
 // long.
 func (r *relay) readsAll(now clock.Instant) bool {
-	name := r.first(now)
+	name := r.first()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return name == r.node.cfg.Name || now.Sub(r.spared) > relayPatience
@@ -98,7 +98,7 @@
 
 func (r *relay) run(ctx context.Context) {
 	duty.Every(ctx, syncPause, func(ctx context.Context) {
-		name := r.choose(clock.Now())
+		name := r.choose()
 		if name != "" {
 			result := r.sync(ctx, name, r.maxHold())
 			r.judge(name, result == synced || result == reading && r.isNew(name) || ctx.Err() != nil)
@@ -158,15 +158,15 @@
 }
 
 // choose returns the zone's relay, or empty if that is this entry or nobody.
-func (r *relay) choose(now clock.Instant) string {
-	if name := r.first(now); name != r.node.cfg.Name {
+func (r *relay) choose() string {
+	if name := r.first(); name != r.node.cfg.Name {
 		return name
 	}
 	return ""
 }
 
 // first returns the first by rank of the zone's strongest entries that haven't failed since they last had news; empty is nobody.
-func (r *relay) first(now clock.Instant) string {
+func (r *relay) first() string {
 	names := r.node.members.strongest(r.node.cfg.Zone)
 	r.mu.Lock()
 	kept := names[:0]
@@ -273,7 +273,9 @@
 	seen := r.published
 	r.mu.Unlock()
 	now := clock.Now()
-	news := peer.News{Known: n.table.Load() != nil && n.discovery.known.Load(), Run: n.incarnation, Seen: seen, Held: now.Sub(asked), ConfirmAge: n.proof.Age(now)}
+	news := peer.News{
+		Known: n.table.Load() != nil && n.discovery.known.Load(), Run: n.incarnation, Seen: seen, Held: now.Sub(asked), ConfirmAge: n.proof.Age(now),
+	}
 	news.Operator, news.Items, news.Doubt = n.configuration.since(kv.Revision(ask.Operator))
 	var listAge time.Duration
 	news.Registrations, news.Changes, listAge = n.discovery.since(now, ask, n.incarnation)
@@ -348,8 +350,8 @@
 	ask.Sum, ask.Source, ask.Number = d.catalog.Sum(), d.source, d.number
 }
 
-// hear takes what a relay knows of registrations, told at an instant or later. The store's revision stands still while an entry lapses, so that among lists of one
-// revision the one read last counts.
+// hear takes what a relay knows of registrations, told at an instant or later. The store's revision stands still while an entry lapses,
+// so that among lists of one revision the one read last counts.
 func (d *discovery) hear(told clock.Instant, news *peer.News) {
 	read := told.Add(-news.Age)
 	revision := kv.Revision(news.Registrations)
