--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -11,6 +11,7 @@
 
 	"gypsumvale/internal/coordination/freshness"
 	"gypsumvale/internal/event"
+	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/state/clock"
 	"gypsumvale/internal/state/kv"
 )
@@ -171,3 +172,42 @@
 	}
 	return wanted
 }
+
+// hear takes what a relay knows of the operator's writes, told at an instant or later.
+func (c *configuration) hear(told clock.Instant, news *peer.News) {
+	c.take(fromPeer(news.Items))
+	c.mu.Lock()
+	complete := kv.Revision(news.Operator) >= c.newest
+	if complete && !news.Doubt {
+		// The relay knows all that was in force, and has sent it.
+		c.versions.Bridge(kv.Revision(news.Operator))
+	}
+	c.mu.Unlock()
+	if complete {
+		c.node.proof.Confirm(told.Add(-news.ConfirmAge))
+	}
+}
+
+// revision returns that from which on the operator's writes are to be asked for.
+func (c *configuration) revision() kv.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.versions.Asks(c.newest)
+}
+
+// since returns the operator's writes that are newer than a revision, and whether others may have been missed here.
+func (c *configuration) since(after kv.Revision) (uint64, []peer.Item, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var items []kv.Item
+	for _, item := range c.items {
+		if item.Revision > after {
+			items = append(items, item)
+		}
+	}
+	if held := c.items[c.readable.Key]; c.readable.Revision > after && held.Revision > c.readable.Revision {
+		items = append(items, c.readable)
+	}
+	_, _, doubt := c.versions.Gap()
+	return uint64(c.newest), toPeer(items), doubt
+}
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -3,11 +3,13 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
 	"gypsumvale/internal/coordination/registry"
 	"gypsumvale/internal/event"
+	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/state/clock"
 	"gypsumvale/internal/state/kv"
 	"gypsumvale/internal/state/registration"
@@ -127,3 +129,52 @@
 	}
 	return used
 }
+
+// describe says in a question which registrations are held here.
+func (d *discovery) describe(ask *peer.Sync) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ask.Sum, ask.Source, ask.Number = d.catalog.Sum(), d.source, d.number
+}
+
+// hear takes what a relay knows of registrations, told at an instant or later. The store's revision stands still while an entry lapses,
+// so that among lists of one revision the one read last counts.
+func (d *discovery) hear(told clock.Instant, news *peer.News) {
+	read := told.Add(-news.Age)
+	revision := kv.Revision(news.Registrations)
+	d.mu.Lock()
+	if revision < d.held || revision == d.held && read < d.read {
+		d.mu.Unlock()
+		return
+	}
+	var list []*registration.Registration
+	if news.Changes != nil {
+		d.source, d.number = news.Run, news.Changes.Number
+		if !d.catalog.Apply(news.Changes) {
+			// These were changes of another state; everything is asked for next.
+			d.source = ""
+			d.mu.Unlock()
+			return
+		}
+		list = d.catalog.List()
+	}
+	d.mu.Unlock()
+	d.apply(revision, list)
+	d.confirm(read)
+}
+
+// since returns the revision of the registrations and how old they are, and what differs from those that an asking instance holds.
+func (d *discovery) since(now clock.Instant, ask *peer.Sync, incarnation string) (uint64, *registry.Changes, time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	age := now.Sub(d.read)
+	if ask.Sum == d.catalog.Sum() {
+		return uint64(d.held), nil, age
+	}
+	number := uint64(0)
+	if ask.Source == incarnation {
+		number = ask.Number
+	}
+	changes := d.catalog.Since(number)
+	return uint64(d.held), &changes, age
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,13 +8,11 @@
 	"go.uber.org/zap"
 
 	"gypsumvale/internal/coordination/rank"
-	"gypsumvale/internal/coordination/registry"
 	"gypsumvale/internal/duty"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/state/clock"
 	"gypsumvale/internal/state/kv"
-	"gypsumvale/internal/state/registration"
 )
 
 const (
@@ -303,91 +301,3 @@
 	}
 	return list
 }
-
-// hear takes what a relay knows of the operator's writes, told at an instant or later.
-func (c *configuration) hear(told clock.Instant, news *peer.News) {
-	c.take(fromPeer(news.Items))
-	c.mu.Lock()
-	complete := kv.Revision(news.Operator) >= c.newest
-	if complete && !news.Doubt {
-		// The relay knows all that was in force, and has sent it.
-		c.versions.Bridge(kv.Revision(news.Operator))
-	}
-	c.mu.Unlock()
-	if complete {
-		c.node.proof.Confirm(told.Add(-news.ConfirmAge))
-	}
-}
-
-// revision returns that from which on the operator's writes are to be asked for.
-func (c *configuration) revision() kv.Revision {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.versions.Asks(c.newest)
-}
-
-// since returns the operator's writes that are newer than a revision, and whether others may have been missed here.
-func (c *configuration) since(after kv.Revision) (uint64, []peer.Item, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var items []kv.Item
-	for _, item := range c.items {
-		if item.Revision > after {
-			items = append(items, item)
-		}
-	}
-	if held := c.items[c.readable.Key]; c.readable.Revision > after && held.Revision > c.readable.Revision {
-		items = append(items, c.readable)
-	}
-	_, _, doubt := c.versions.Gap()
-	return uint64(c.newest), toPeer(items), doubt
-}
-
-// describe says in a question which registrations are held here.
-func (d *discovery) describe(ask *peer.Sync) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	ask.Sum, ask.Source, ask.Number = d.catalog.Sum(), d.source, d.number
-}
-
-// hear takes what a relay knows of registrations, told at an instant or later. The store's revision stands still while an entry lapses,
-// so that among lists of one revision the one read last counts.
-func (d *discovery) hear(told clock.Instant, news *peer.News) {
-	read := told.Add(-news.Age)
-	revision := kv.Revision(news.Registrations)
-	d.mu.Lock()
-	if revision < d.held || revision == d.held && read < d.read {
-		d.mu.Unlock()
-		return
-	}
-	var list []*registration.Registration
-	if news.Changes != nil {
-		d.source, d.number = news.Run, news.Changes.Number
-		if !d.catalog.Apply(news.Changes) {
-			// These were changes of another state; everything is asked for next.
-			d.source = ""
-			d.mu.Unlock()
-			return
-		}
-		list = d.catalog.List()
-	}
-	d.mu.Unlock()
-	d.apply(revision, list)
-	d.confirm(read)
-}
-
-// since returns the revision of the registrations and how old they are, and what differs from those that an asking instance holds.
-func (d *discovery) since(now clock.Instant, ask *peer.Sync, incarnation string) (uint64, *registry.Changes, time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	age := now.Sub(d.read)
-	if ask.Sum == d.catalog.Sum() {
-		return uint64(d.held), nil, age
-	}
-	number := uint64(0)
-	if ask.Source == incarnation {
-		number = ask.Number
-	}
-	changes := d.catalog.Since(number)
-	return uint64(d.held), &changes, age
-}
