Begin a leader's term with its lease, not with the first weights that are named

The planner heard of the term only once something was wanted, and so waited for orders of the leader before it from then on.

Ruled out: zones that rest (413 only from 34 on), the lease kept over outages (in doubt for 0.3 s at 10.7, and then renewed).

Change: the planner is told of the term at each step. The wait is as long as before and begins when the lease is taken, after which the leader before can't have sent anything. TestWeightsAfterChangeOfLeader: 3.35 s before (bound 3 s, the wait itself), passes now.

--- a/internal/gateway/site_faults_test.go
+++ b/internal/gateway/site_faults_test.go
@@ -267,6 +267,34 @@
 	})
 }
 
+func TestWeightsAfterChangeOfLeader(t *testing.T) {
+	Convey("a leader that has led for longer than orders of the one before can be under way sends orders at once", t, func() {
+		s := newSite()
+		s.operate(usualSpec())
+		s.addEndpoint(hosted.EndpointConfig{ID: "llm-0", Service: "llm", Model: testModel, Version: 1, Events: 6, Work: 5 * time.Millisecond})
+		const span = 3 * time.Second
+		for range 2 {
+			s.addEntryWith(func(cfg *settings.Hosted) { cfg.Lease = span })
+		}
+		for _, e := range s.entries {
+			e.expectReady(true)
+		}
+		leads := func(e *entry) bool { return strings.Contains(string(s.store.Value("gypsum/lead")), e.cfg.Name) }
+		expectSoon("a leader", func() bool { return leads(s.entries[0]) || leads(s.entries[1]) })
+		first, second := s.entries[0], s.entries[1]
+		if leads(second) {
+			first, second = second, first
+		}
+		first.stop()
+		expectSoon("another leader", func() bool { return leads(second) })
+		time.Sleep(span + 500*time.Millisecond)
+		named := time.Now()
+		So(s.store.Put("op/version/"+testModel, map[string]any{"Model": testModel, "Version": 2}), ShouldBeNil)
+		expectSoon("version 2", func() bool { return s.endpoints[0].Version() == 2 })
+		So(time.Since(named), ShouldBeLessThan, span)
+	})
+}
+
 func TestLeaderKeepsLease(t *testing.T) {
 	Convey("a leader goes on leading after an outage of the store that is longer than its lease", t, func() {
 		s := startSite(3)
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -100,17 +100,13 @@
 		w.mu.Unlock()
 		return
 	}
+	// The term begins now, though nothing may be wanted yet, so that what is named later doesn't wait for orders of the leader before.
+	w.hold(now)
 	replicas, targets, engines := w.survey()
 	if len(targets) == 0 {
 		return
 	}
-	fence, until, alone := w.node.tenure.term()
 	w.mu.Lock()
-	w.planner.Hold(boottime(now), fence, boottime(until))
-	if alone && w.fence != fence {
-		w.planner.SettleBy(boottime(now))
-	}
-	w.fence = fence
 	w.planner.SetMaxLoads(max(w.node.cfg.Loads, int(loadShare*float64(engines))))
 	orders := w.planner.Plan(boottime(now), replicas)
 	w.mu.Unlock()
@@ -120,6 +116,18 @@
 	}
 }
 
+// hold tells the planner of the lease.
+func (w *weights) hold(now clock.Instant) {
+	fence, until, alone := w.node.tenure.term()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.planner.Hold(boottime(now), fence, boottime(until))
+	if alone && w.fence != fence {
+		w.planner.SettleBy(boottime(now))
+	}
+	w.fence = fence
+}
+
 // boottime shows an instant of the boot clock to the planner, which compares times only.
 func boottime(i clock.Instant) time.Time { return time.Unix(0, int64(i)) }
 
