Let a watchdog keep the endpoint of its own attempt

Without the detector the check could have gone to the next attempt's endpoint, and ended the attempt by what that said.

Change: the watchdog has the endpoint and the address of its attempt.

Conclusion: fixed by construction; the race was seen once.

--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -30,6 +30,9 @@
 type watchdog struct {
 	job    *job
 	cancel context.CancelCauseFunc
+	// endpoint and address are those of the attempt; the job's own change with the next attempt, while a check may still be under way.
+	endpoint string
+	address  string
 
 	mu    sync.Mutex
 	span  time.Duration
@@ -42,7 +45,7 @@
 // watch begins to watch an attempt; its context ends with errSilent when the endpoint is gone.
 func (j *job) watch(ctx context.Context) (context.Context, *watchdog) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	d := &watchdog{job: j, cancel: cancel, span: max(leastSilence, silenceFactor*j.choice.Expected), heard: clock.Now()}
+	d := &watchdog{job: j, cancel: cancel, endpoint: j.choice.Endpoint, address: j.choice.Address, span: max(leastSilence, silenceFactor*j.choice.Expected), heard: clock.Now()}
 	if j.tries.Spare() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -87,7 +90,7 @@
 		silent := d.heardAgo()
 		if err := d.check(ctx); err != nil && ctx.Err() == nil {
 			n := d.job.node
-			n.log.Info(event.EndpointDown, "endpoint does not answer", zap.String("request", d.job.head.ID), zap.String("endpoint", d.job.choice.Endpoint),
+			n.log.Info(event.EndpointDown, "endpoint does not answer", zap.String("request", d.job.head.ID), zap.String("endpoint", d.endpoint),
 				zap.Int64("silent_ms", silent.Milliseconds()), zap.Error(err))
 			d.cancel(errSilent)
 			return
@@ -120,7 +123,7 @@
 func (d *watchdog) check(ctx context.Context) error {
 	var err error
 	for range checksInVain {
-		if err = d.job.node.endpoints.Check(ctx, d.job.choice.Address); err == nil {
+		if err = d.job.node.endpoints.Check(ctx, d.address); err == nil {
 			return nil
 		}
 	}
