--- a/cmd/gypsum-entry/main.go
+++ b/cmd/gypsum-entry/main.go
@@ -81,7 +81,7 @@
 		return nil
 	}
 	runtime.GOMAXPROCS(cfg.Threads)
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(cfg.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(int64(memoryLimitShare * cfg.MemoryMB * (1 << 20)))
 	log, err := event.New(cfg.LogLevel, cfg.LogFormat, cfg.Name)
 	if err != nil {
 		return fmt.Errorf("log: %w", err)
--- a/internal/gateway/retry_budgets.go
+++ b/internal/gateway/retry_budgets.go
@@ -25,9 +25,9 @@
 	byService map[string]*allowance.AttemptBudget
 }
 
-func newRetryBudgets(share float64, reserve int) *retryBudgets {
+func newRetryBudgets(share, reserve float64) *retryBudgets {
 	return &retryBudgets{
-		share: share * retryMargin, reserve: float64(reserve) * retryMargin, instances: minInstances,
+		share: share * retryMargin, reserve: reserve * retryMargin, instances: minInstances,
 		byService: make(map[string]*allowance.AttemptBudget),
 	}
 }
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -45,14 +45,14 @@
 	// RetryShare and RetryReserve limit the retries of all instances together: RetryShare as a share of all requests, and RetryReserve as
 	// a number that is allowed on top in each window.
 	RetryShare   float64
-	RetryReserve int
+	RetryReserve float64
 
 	// PrefillRate is the prefill rate of a healthy engine, in prompt tokens per second.
 	PrefillRate int
 	// MaxLoads limits the weight orders in progress at the same time in a small service. In a large one the limit is a share of its engines.
 	MaxLoads int
 	// MemoryMB is the memory limit of the process, in MiB.
-	MemoryMB int
+	MemoryMB float64
 	// Threads is the number of operating system threads that execute Go code at the same time (GOMAXPROCS).
 	Threads int
 	// CPUCores is the CPU time available to this instance, in cores. Instances with the highest value are preferred as leader.
@@ -109,10 +109,10 @@
 		Lease:              r.duration("bounds", "lease", time.Second, time.Minute, 3*time.Second),
 		OldWeightsGrace:    r.duration("bounds", "old_weights", 2*time.Second, time.Hour, 8*time.Second),
 		RetryShare:         r.float("bounds", "retry_share", 0, 1, 0.2),
-		RetryReserve:       r.integer("bounds", "retry_slack", 0, 1000000, 100),
+		RetryReserve:       r.float("bounds", "retry_slack", 0, 1000000, 100),
 		PrefillRate:        r.integer("engine", "prefill_tokens_per_second", 1, 100000000, 20000),
 		MaxLoads:           r.integer("engine", "loads", 1, 1000, 3),
-		MemoryMB:           r.integer("process", "memory", 16, 1<<20, 128),
+		MemoryMB:           r.float("process", "memory", 16, 1<<20, 128),
 		Threads:            r.integer("process", "threads", 1, 1024, 1),
 		CPUCores:           r.float("process", "processor", 0.001, 1024, 1),
 		LinkMbps:           r.float("process", "link", 0.001, 1e6, 1000),
