Try a capacity change on what waits with one check each, and sample engines that have capacity

For each end and first event the leader then went through the whole queue and gathered 33 and more engines for each request: 14,486 checks and 0.7 ms of processor time a request in the new test, 14 s for 13 s of load on a leader that has 0.8 cores. So placements were delayed, and from second 14 on entries got no answer from the leader and placed alone (first events then after 1.1 s at the median). And of more than 96 engines 32 were looked at whether they had capacity or not.

Change: the pool keeps the engines whose capacity changed since the queue was processed last; a queued request is checked against these, against all engines once when it is new and once each 40 ms. Late requests are searched for each 20 ms. The sample of a large fleet skips engines without capacity. The sums for the expected wait are kept by priority.

Found on the way: an assignment that ends on a removed endpoint must not make it a candidate; a test for it.

Conclusion: the leader's work for what waits no longer feeds on itself.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -53,12 +54,16 @@
 
 // choose places a request. A request that may wait (q is not nil) goes only to an endpoint that has capacity for it.
 func (p *Pool) choose(now clock.Instant, req *Request, q *queuedRequest) (Choice, error) {
-	mayWait := q != nil
+	eligible, busy := p.eligibleEndpoints(now, req, q)
+	return p.chooseFrom(now, req, eligible, busy, q != nil)
+}
+
+// chooseFrom places a request on the endpoint with the lowest cost; busy is true if endpoints were left out because they are busy.
+func (p *Pool) chooseFrom(now clock.Instant, req *Request, eligible []*endpointState, busy, mayWait bool) (Choice, error) {
 	if p.assignments[req.ID] != nil {
 		p.Done(now, req.ID, OutcomeWithdrawn)
 	}
 	var best candidate
-	eligible, busy := p.eligibleEndpoints(now, req, q)
 	if len(eligible) > 0 {
 		home, known := p.homeEndpoint(req), p.knownTokens(req, p.newestSeen[req.Model])
 		meanErrorRate := p.meanErrorRate()
@@ -91,64 +96,89 @@
 	return best.choice, nil
 }
 
-// eligibleEndpoints returns the endpoints that may run a request, and reports whether others were left out because they are busy.
-// Unresponsive endpoints and those in backoff or in a zone that seems unreachable are the last resort. Endpoints where the request has
-// failed, that load weights or whose weights have expired are never returned.
-func (p *Pool) eligibleEndpoints(now clock.Instant, req *Request, q *queuedRequest) (eligible []*endpointState, busy bool) {
-	since := uint64(0)
-	if q != nil {
-		since = q.beginScan(now, p.capacityChanges)
-	}
-	for pass := 0; pass < 2 && len(eligible) == 0 && !busy; pass++ {
-		list := p.endpointList
-		if pass == 0 {
-			list = p.candidateEndpoints(req)
-		}
-		for _, s := range list {
-			switch {
-			case s.lastChange < since:
-				busy = true
-			case pass == 0 && !p.available(now, s, req), pass == 1 && now.Before(s.loadingUntil), contains(req.Avoid, s.ID),
-				p.weightsExpired(now, s, req):
-			case q != nil && !p.mayHaveCapacity(s, q):
-				busy = true
-			default:
-				eligible = append(eligible, s)
-			}
-		}
-	}
-	return eligible, busy
-}
-
 const (
-	// maxFullScan is the fleet size up to which every endpoint is considered for each request.
+	// maxFullScan is the fleet size up to which every endpoint is evaluated for each request.
 	maxFullScan = 96
-	// sampleSize is how many endpoints of a larger fleet are considered, besides the holders of the request's context. With 32 sampled in
-	// turn, the best of them is among the best 5% of the fleet four times in five, at a cost that doesn't grow with the fleet.
+	// sampleSize is how many endpoints of a larger fleet are evaluated, besides the holders of the request's context: the next ones in turn
+	// that may have capacity. With 32, the best of them is among the best 5% four times in five, at a cost that doesn't grow with the fleet.
 	sampleSize = 32
 	// maxHolders is the most holders of a context that are considered.
 	maxHolders = 16
 )
 
-// candidateEndpoints returns the endpoints to consider for a request: all of a small fleet; of a large one, the holders of the request's
-// context and a rotating sample.
-func (p *Pool) candidateEndpoints(req *Request) []*endpointState {
+// scanLimit returns how many endpoints are evaluated for a request besides the holders of its context.
+func (p *Pool) scanLimit() int {
 	if len(p.endpointList) <= maxFullScan {
-		return p.endpointList
+		return len(p.endpointList)
+	}
+	return sampleSize
+}
+
+// eligibleEndpoints returns the endpoints to evaluate for a request, and reports whether there are others that are busy. Endpoints where the
+// request has failed, that load weights or whose weights have expired are never returned.
+func (p *Pool) eligibleEndpoints(now clock.Instant, req *Request, q *queuedRequest) (eligible []*endpointState, busy bool) {
+	if len(p.endpointList) > maxFullScan {
+		preferred := p.holders(req)
+		if home := p.endpoints[p.homeEndpoint(req)]; home != nil {
+			preferred = append(preferred, home)
+		}
+		eligible = p.selectEligible(now, req, q, nil, preferred, len(preferred))
 	}
-	var candidates []*endpointState
-	if shared := req.sharedParts(); len(shared) > 0 {
-		holders := p.index.holders[cacheKey{cacheSpace(p.newestSeen[req.Model], req.IsolationKey), shared[len(shared)-1].ID}]
-		candidates = append(candidates, holders[:min(len(holders), maxHolders)]...)
+	if eligible = p.selectEligible(now, req, q, eligible, p.endpointList, p.scanLimit()); len(eligible) > 0 {
+		return eligible, true
 	}
-	if home := p.endpoints[p.homeEndpoint(req)]; home != nil {
-		candidates = append(candidates, home)
+	return p.lastResort(now, req, q)
+}
+
+// holders returns endpoints that are believed to hold the request's whole shared context.
+func (p *Pool) holders(req *Request) []*endpointState {
+	shared := req.sharedParts()
+	if len(shared) == 0 {
+		return nil
+	}
+	list := p.index.holders[cacheKey{cacheSpace(p.newestSeen[req.Model], req.IsolationKey), shared[len(shared)-1].ID}]
+	return slices.Clone(list[:min(len(list), maxHolders)])
+}
+
+// selectEligible appends up to limit endpoints of a list, the next ones in turn that may run a request now.
+func (p *Pool) selectEligible(
+	now clock.Instant, req *Request, q *queuedRequest, eligible, list []*endpointState, limit int,
+) []*endpointState {
+	oldest := p.oldestUsableVersion(now, req.Model)
+	first := 0
+	if limit < len(list) {
+		first = p.sampleNext
+	}
+	for i := 0; i < len(list) && limit > 0; i++ {
+		s := list[(first+i)%len(list)]
+		p.checks++
+		p.sampleNext++
+		if p.available(now, s, req) && s.version[req.Model] >= oldest && !contains(req.Avoid, s.ID) && (q == nil || p.mayHaveCapacity(s, q)) {
+			eligible = append(eligible, s)
+			limit--
+		}
 	}
-	for range sampleSize {
-		p.sampleNext = (p.sampleNext + 1) % len(p.endpointList)
-		candidates = append(candidates, p.endpointList[p.sampleNext])
+	return eligible
+}
+
+// lastResort returns the endpoints for a request that finds none with capacity: none if others will have some, or else the unresponsive
+// ones, those in backoff and those in a zone that seems unreachable.
+func (p *Pool) lastResort(now clock.Instant, req *Request, q *queuedRequest) (eligible []*endpointState, busy bool) {
+	oldest := p.oldestUsableVersion(now, req.Model)
+	for _, s := range p.endpointList {
+		p.checks++
+		switch {
+		case s.version[req.Model] < oldest || contains(req.Avoid, s.ID):
+		case p.available(now, s, req):
+			return nil, true
+		case now.Before(s.loadingUntil):
+		case q != nil && !p.mayHaveCapacity(s, q):
+			busy = true
+		default:
+			eligible = append(eligible, s)
+		}
 	}
-	return candidates
+	return eligible, busy
 }
 
 type candidate struct {
@@ -163,17 +193,19 @@
 	return s.usable(now) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone)
 }
 
-// weightsExpired reports whether newer target weights were announced too long ago for the endpoint's weights to be used.
-func (p *Pool) weightsExpired(now clock.Instant, s *endpointState, req *Request) bool {
-	if req.Model == "" {
-		return false
-	}
-	for _, target := range p.targets[req.Model] {
-		if s.version[req.Model] < target.Version && now.Sub(target.AnnouncedAt) > p.cfg.OldWeightsGrace {
-			return true
+// oldestUsableVersion returns the oldest weight version of a model that may still be used: a newer target version than older ones was
+// announced too long ago. Zero allows all.
+func (p *Pool) oldestUsableVersion(now clock.Instant, model string) int {
+	oldest := 0
+	if model == "" {
+		return oldest
+	}
+	for _, target := range p.targets[model] {
+		if now.Sub(target.AnnouncedAt) > p.cfg.OldWeightsGrace {
+			oldest = max(oldest, target.Version)
 		}
 	}
-	return false
+	return oldest
 }
 
 // evaluate estimates the time to the first event on one endpoint, and the cost by which endpoints are compared.
--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -54,8 +54,8 @@
 	lastResponse      clock.Instant
 	unresponsiveSince clock.Instant
 
-	// lastChange is the number of the pool's last capacity change on this endpoint.
-	lastChange uint64
+	// changed is true if the pool has recorded a capacity change of this endpoint since its queue was last processed.
+	changed bool
 
 	failures     int
 	backoffUntil clock.Instant
--- a/internal/coordination/placement/load_test.go
+++ b/internal/coordination/placement/load_test.go
@@ -13,6 +13,7 @@
 	"gypsumvale/internal/coordination/placement"
 	"gypsumvale/internal/state/clock"
 	"gypsumvale/internal/state/prompt"
+	"gypsumvale/internal/state/registration"
 )
 
 // fleet simulates engines in virtual time. Each prefills one prompt at a time, the most urgent first, and requests sent to it take memory
@@ -23,15 +24,38 @@
 	events       eventHeap
 	requestCount uint64
 	engines      map[string]*engine
-	results      loadResult
-	waiting      map[placement.AssignmentID]*arrival
-	queued       bool
+	// byAddress holds the engines by their addresses, from which contexts are fetched.
+	byAddress map[string]*engine
+	load      peakLoad
+	results   loadResult
+	waiting   map[placement.AssignmentID]*arrival
+	queued    bool
 	// urgentReviews gives the reviews of some workspaces the same priority as questions.
 	urgentReviews bool
-	// reviewTime is the time between the end of a review's prefill and its last event.
-	reviewTime time.Duration
+	// questionTime and reviewTime are the times between the end of a prefill and the last event.
+	questionTime, reviewTime time.Duration
 }
 
+// peakLoad is a load of reviews that share long contexts, and three questions per review, of which some engines become unreachable.
+type peakLoad struct {
+	engines, slots, outageEngines    int
+	reviewContexts, questionContexts int
+	// interval is the time between two reviews.
+	interval, duration time.Duration
+}
+
+// smallSite is the load of a site with 18 engines, and largeSite the crest of a site with 256 engines and 2,500 requests a second.
+var (
+	smallSite = peakLoad{
+		engines: engineCount, slots: 32, outageEngines: outageEngines, reviewContexts: contextCount, questionContexts: 900,
+		interval: arrivalInterval, duration: peakDuration,
+	}
+	largeSite = peakLoad{
+		engines: 256, slots: 12, outageEngines: 64, reviewContexts: 4561, questionContexts: 14000,
+		interval: 1600 * time.Microsecond, duration: 8 * time.Second,
+	}
+)
+
 type loadResult struct {
 	requests, served, reviews, reviewsServed int
 	// questions are short; questionsLate counts those whose first event came later than firstEventTarget.
@@ -40,8 +64,8 @@
 	// them within recomputeWindow.
 	sharedTokens, recomputedTokens int
 	lastPrefilled                  map[string]clock.Instant
-	// evaluations is the number of evaluations of endpoints by the pool.
-	evaluations uint64
+	// evaluations is the number of evaluations of endpoints by the pool, and checks that of cheaper checks.
+	evaluations, checks uint64
 }
 
 // engine is one simulated endpoint.
@@ -105,6 +129,9 @@
 	// maxEvaluationsPerRequest bounds the evaluations of endpoints per request: at 5 us each, 300 requests a second may take half of the
 	// smallest leader (0.272 of a core).
 	maxEvaluationsPerRequest = 90
+	// maxChecksPerRequest bounds the cheaper checks: at 10 ns each, 2,500 requests a second may take a tenth of the largest leader (0.8 of a
+	// core).
+	maxChecksPerRequest = 3200
 	// One in urgentReviewPeriod requests comes from a workspace whose reviews have the priority of questions.
 	urgentReviewPeriod = 3
 	// questionTime is the time between the end of a question's prefill and its last event, and longReviewTime that for a review while the
@@ -115,36 +142,52 @@
 
 // newFleet returns engines under reviews that share long contexts, and three urgent questions per review. About a quarter of the
 // engines (outageEngines) is unreachable for a while, as on the users' worst day.
-func newFleet(queued bool) *fleet {
+func newFleet(queued bool) *fleet { return newFleetUnder(smallSite, queued) }
+
+func newFleetUnder(load peakLoad, queued bool) *fleet {
 	f := &fleet{
-		pool: newPool(engineCount), random: rand.New(rand.NewPCG(1, 2)), engines: map[string]*engine{},
-		waiting: map[placement.AssignmentID]*arrival{}, queued: queued, reviewTime: questionTime,
+		pool: newPool(load.engines), random: rand.New(rand.NewPCG(1, 2)), engines: map[string]*engine{}, byAddress: map[string]*engine{},
+		waiting: map[placement.AssignmentID]*arrival{}, queued: queued, load: load,
+		questionTime: questionTime, reviewTime: questionTime,
 		results: loadResult{lastPrefilled: map[string]clock.Instant{}},
 	}
-	for _, e := range endpoints(engineCount) {
+	list := f.endpoints()
+	f.pool.SetEndpoints(list)
+	for _, e := range list {
 		f.engines[e.ID] = &engine{cached: map[string]clock.Instant{}}
+		f.byAddress[e.Address] = f.engines[e.ID]
 	}
-	for at := start; at < start.Add(peakDuration); at = at.Add(arrivalInterval) {
+	end := start.Add(load.duration)
+	for at := start; at < end; at = at.Add(load.interval) {
 		f.at(at, func(now clock.Instant) { f.arrive(now, true) })
 		for range questionsPerReview {
-			f.at(at.Add(time.Duration(f.random.Int64N(int64(arrivalInterval)))), func(now clock.Instant) { f.arrive(now, false) })
+			f.at(at.Add(time.Duration(f.random.Int64N(int64(load.interval)))), func(now clock.Instant) { f.arrive(now, false) })
 		}
 	}
-	f.at(start.Add(outageStart), func(clock.Instant) { f.pool.SetEndpoints(endpoints(engineCount)[outageEngines:]) })
-	f.at(start.Add(outageStart+outageDuration), func(clock.Instant) { f.pool.SetEndpoints(endpoints(engineCount)) })
-	for at := start; at < start.Add(peakDuration+5*time.Second); at = at.Add(20 * time.Millisecond) {
+	f.at(start.Add(outageStart), func(clock.Instant) { f.pool.SetEndpoints(f.endpoints()[load.outageEngines:]) })
+	f.at(start.Add(outageStart+outageDuration), func(clock.Instant) { f.pool.SetEndpoints(f.endpoints()) })
+	for at := start; at < end.Add(5*time.Second); at = at.Add(20 * time.Millisecond) {
 		f.at(at, f.processQueue)
 	}
 	return f
 }
 
+// endpoints returns the registrations of the fleet's engines.
+func (f *fleet) endpoints() []*registration.Registration {
+	list := endpoints(f.load.engines)
+	for _, e := range list {
+		e.Slots = f.load.slots
+	}
+	return list
+}
+
 func (f *fleet) arrive(now clock.Instant, review bool) {
 	f.requestCount++
 	shared, unique, priority, output := questionTokens, 200, 1, 50
-	context := fmt.Sprint("q", f.random.IntN(900))
+	context := fmt.Sprint("q", f.random.IntN(f.load.questionContexts))
 	if review {
 		shared, unique, priority = contextTokens, 2900, 5
-		context = fmt.Sprint("r", f.random.IntN(contextCount))
+		context = fmt.Sprint("r", f.random.IntN(f.load.reviewContexts))
 		if f.urgentReviews && f.requestCount%urgentReviewPeriod == 0 {
 			priority = 1
 		}
@@ -226,7 +269,7 @@
 		f.prefillNext(now, e)
 	})
 	f.at(prefilled.Add(40*time.Millisecond), func(now clock.Instant) { f.firstEvent(now, p) })
-	answered := prefilled.Add(questionTime)
+	answered := prefilled.Add(f.questionTime)
 	if p.req.Prompt > contextTokens {
 		answered = prefilled.Add(f.reviewTime)
 	}
@@ -275,13 +318,12 @@
 	if c.FetchFrom == nil {
 		return false
 	}
-	for _, r := range endpoints(engineCount) {
-		if r.Address == c.FetchFrom[0] {
-			_, ok := f.engines[r.ID].cached[context]
-			return ok
-		}
+	source := f.byAddress[c.FetchFrom[0]]
+	if source == nil {
+		return false
 	}
-	return false
+	_, ok := source.cached[context]
+	return ok
 }
 
 func (f *fleet) simulate() loadResult {
@@ -289,13 +331,13 @@
 		e := heap.Pop(&f.events).(simEvent)
 		e.run(e.at)
 	}
-	f.results.evaluations = f.pool.Evaluations()
+	f.results.evaluations, f.results.checks = f.pool.Evaluations(), f.pool.Checks()
 	return f.results
 }
 
 func (r *loadResult) String() string {
-	return fmt.Sprintf("%d of %d served, %d of %d reviews; %d of %d questions late; %d of %d shared tokens recomputed; %d evaluations",
-		r.served, r.requests, r.reviewsServed, r.reviews, r.questionsLate, r.questions, r.recomputedTokens, r.sharedTokens, r.evaluations)
+	return fmt.Sprintf("%d of %d served, %d of %d reviews; %d of %d questions late; %d of %d shared tokens recomputed; %d evaluations, %d checks",
+		r.served, r.requests, r.reviewsServed, r.reviews, r.questionsLate, r.questions, r.recomputedTokens, r.sharedTokens, r.evaluations, r.checks)
 }
 
 func TestPeakLoadDuringOutage(t *testing.T) {
@@ -326,3 +368,22 @@
 		})
 	})
 }
+
+// At the crest of the large site's worst day requests are queued faster than slots become free. A leader that searched the whole queue and
+// a sample of all engines after each capacity change had no processor time left: all requests waited for 1.7 s, the urgent as long as the
+// others.
+func TestPeakLoadOnLargeFleet(t *testing.T) {
+	Convey("on 256 engines, a quarter of them unreachable, with more requests than slots", t, func() {
+		f := newFleetUnder(largeSite, true)
+		f.questionTime, f.reviewTime = 900*time.Millisecond, longReviewTime
+		r := f.simulate()
+		t.Logf("large site: %v", &r)
+		Convey("a request's evaluations and checks stay bounded, however many wait", func() {
+			So(r.evaluations, ShouldBeLessThanOrEqualTo, uint64(r.requests*maxEvaluationsPerRequest))
+			So(r.checks, ShouldBeLessThanOrEqualTo, uint64(r.requests*maxChecksPerRequest))
+		})
+		Convey("95 of 100 questions have their first event within the target", func() {
+			So(r.questionsLate*20, ShouldBeLessThanOrEqualTo, r.questions)
+		})
+	})
+}
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -33,8 +33,15 @@
 	// newestSeen is the newest weight version of each model that any endpoint has been seen to run.
 	newestSeen map[string]int
 	index      *index
-	// queue is ordered by priority, most urgent first, then by arrival.
-	queue []*queuedRequest
+	// queue is ordered by priority, most urgent first, then by arrival. queuedTokens holds the sum of its unique tokens by priority.
+	queue        []*queuedRequest
+	queuedTokens map[int]int
+	// newlyQueued is true if all engines have yet to be considered for some queued request.
+	newlyQueued   bool
+	lastFullScan  clock.Instant
+	lastRejection clock.Instant
+	// changed holds the engines that have ended or prefilled a request, or loaded weights, since the queue was last processed.
+	changed []*endpointState
 
 	// isOwner is true while this process alone grants endpoints, and saves and frees parts in the stores.
 	isOwner    bool
@@ -43,11 +50,9 @@
 	storeIndex storeIndex
 
 	// sampleNext is the index into endpointList from which a large fleet is sampled next.
-	sampleNext int
-	// capacityChanges counts events that freed capacity on an endpoint: ended assignments, prefilled prompts, completed weight loads.
-	capacityChanges uint64
-	evaluations     uint64
-	checks          uint64
+	sampleNext  int
+	evaluations uint64
+	checks      uint64
 }
 
 // NewPool returns a pool without endpoints.
@@ -64,6 +69,8 @@
 		index:       newIndex(),
 		stores:      make(map[string]*storeState),
 		storeIndex:  make(storeIndex),
+
+		queuedTokens: make(map[int]int),
 	}
 }
 
@@ -111,6 +118,9 @@
 		}
 	}
 	p.endpoints = kept
+	// Some of the changed engines may be gone, so all that remain are considered next.
+	p.clearChanged()
+	p.lastFullScan = 0
 }
 
 // CacheEvent reports how many tokens of a part a cache now holds.
@@ -147,10 +157,21 @@
 	}
 }
 
-// recordCapacityChange records that an endpoint may have capacity that it lacked before.
+// recordCapacityChange records that an endpoint may have capacity that it lacked before. Assignments may end on endpoints that were removed.
 func (p *Pool) recordCapacityChange(s *endpointState) {
-	p.capacityChanges++
-	s.lastChange = p.capacityChanges
+	if len(p.queue) > 0 && !s.changed && p.endpoints[s.ID] == s {
+		s.changed = true
+		p.changed = append(p.changed, s)
+	}
+}
+
+// clearChanged forgets the capacity changes recorded so far.
+func (p *Pool) clearChanged() {
+	for _, s := range p.changed {
+		s.changed = false
+	}
+	clear(p.changed)
+	p.changed = p.changed[:0]
 }
 
 // FirstEvent records that an assignment has produced its first event.
@@ -256,7 +277,9 @@
 	for _, q := range p.queue {
 		if q.req.ID.Entry != entry {
 			kept = append(kept, q)
+			continue
 		}
+		p.queuedTokens[q.req.Priority] -= q.uniqueTokens
 	}
 	clear(p.queue[len(kept):])
 	p.queue = kept
--- a/internal/coordination/placement/pool_test.go
+++ b/internal/coordination/placement/pool_test.go
@@ -192,6 +192,16 @@
 			grants := p.ProcessQueue(start.Add(700 * time.Millisecond))
 			So(grants[0].Request, ShouldEqual, quick)
 		})
+		Convey("a queued request is not granted an endpoint that was removed, even if an assignment ends there", func() {
+			expectError(p, start, newRequest("b", 9000), placement.ErrQueued)
+			p.SetEndpoints(endpoints(2)[1:])
+			p.WeightsLoading("e01", start.Add(time.Minute))
+			p.ProcessQueue(start)
+			answer(p, start.Add(10*time.Millisecond), first)
+			for _, g := range p.ProcessQueue(start.Add(10 * time.Millisecond)) {
+				So(g.Choice.Endpoint, ShouldNotEqual, "e00")
+			}
+		})
 		Convey("a queued request can be withdrawn", func() {
 			req := newRequest("b", 9000)
 			expectError(p, start, req, placement.ErrQueued)
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -27,32 +28,22 @@
 
 // queuedRequest is a request for which no endpoint had capacity.
 type queuedRequest struct {
-	req      *Request
-	queuedAt clock.Instant
-	// lastFullScan is when all engines were last considered. seenChanges is the pool's count of capacity changes at the last scan.
-	lastFullScan clock.Instant
-	seenChanges  uint64
+	req *Request
+	// uniqueTokens is the result of the request's method of that name.
+	uniqueTokens int
+	// scanned is true once all engines have been considered since the request was queued.
+	scanned bool
 	// knownByVersion caches knownTokens by weight version, as of the last full scan.
 	knownByVersion map[int]int
 }
 
-// fullScanPeriod is how often all engines are considered again for a queued request: links become free and caches fill without a capacity
-// change. Between full scans, only engines that have ended or prefilled a request are considered.
-const fullScanPeriod = 40 * time.Millisecond
-
-// dueForScan reports whether a scan may find an engine with capacity now.
-func (q *queuedRequest) dueForScan(now clock.Instant, changes uint64) bool {
-	return q.seenChanges < changes || now.Sub(q.lastFullScan) >= fullScanPeriod
-}
-
-// beginScan records a scan, and returns the number of the first capacity change that the scan has to consider; zero is a full scan.
-func (q *queuedRequest) beginScan(now clock.Instant, changes uint64) (since uint64) {
-	since, q.seenChanges = q.seenChanges+1, changes
-	if now.Sub(q.lastFullScan) >= fullScanPeriod {
-		q.lastFullScan, q.knownByVersion, since = now, nil, 0
-	}
-	return since
-}
+const (
+	// fullScanPeriod is how often all engines are considered again for what is queued: links become free and caches fill without a capacity
+	// change. Between full scans, only engines that have ended or prefilled a request are considered.
+	fullScanPeriod = 40 * time.Millisecond
+	// rejectPeriod is how often the queue is searched for requests that can't be placed before their callers give up.
+	rejectPeriod = 20 * time.Millisecond
+)
 
 // Grant ends a request's wait in the queue, with a choice or an error.
 type Grant struct {
@@ -71,12 +62,13 @@
 	if req.Uncoordinated || req.Model == "" || p.engine == nil {
 		return p.PlaceNow(now, req)
 	}
-	q := &queuedRequest{req: req, queuedAt: now}
+	q := &queuedRequest{req: req, uniqueTokens: req.uniqueTokens()}
 	if !p.queuedAhead(req) {
 		c, err := p.choose(now, req, q)
 		if !errors.Is(err, errAllBusy) {
 			return c, err
 		}
+		q.scanned = true
 	}
 	wait := p.expectedWait(now, req)
 	if late := now.Add(wait); req.FirstEventDeadline.Before(late) || len(p.queue) >= maxQueued {
@@ -85,9 +77,9 @@
 		}
 	}
 	i := sort.Search(len(p.queue), func(i int) bool { return p.queue[i].req.Priority > req.Priority })
-	p.queue = append(p.queue, nil)
-	copy(p.queue[i+1:], p.queue[i:])
-	p.queue[i] = q
+	p.queue = slices.Insert(p.queue, i, q)
+	p.queuedTokens[req.Priority] += q.uniqueTokens
+	p.newlyQueued = p.newlyQueued || !q.scanned
 	return Choice{}, ErrQueued
 }
 
@@ -102,11 +94,10 @@
 // expectedWait returns how long a request would wait behind those that are at least as urgent.
 func (p *Pool) expectedWait(now clock.Instant, req *Request) time.Duration {
 	tokens, rate := p.prefillBacklog(now, req)
-	for _, q := range p.queue {
-		if q.req.Priority > req.Priority {
-			break
+	for priority, queued := range p.queuedTokens {
+		if priority <= req.Priority {
+			tokens += queued
 		}
-		tokens += q.req.uniqueTokens()
 	}
 	return prefillTime(tokens, rate)
 }
@@ -114,8 +105,10 @@
 // prefillBacklog returns the prompt tokens that the endpoints eligible for a request still have to prefill, and their combined rate in
 // tokens per second.
 func (p *Pool) prefillBacklog(now clock.Instant, req *Request) (tokens int, rate float64) {
+	oldest := p.oldestUsableVersion(now, req.Model)
+	p.checks += uint64(len(p.endpointList))
 	for _, s := range p.endpointList {
-		if s.usable(now) && !p.weightsExpired(now, s, req) {
+		if s.usable(now) && s.version[req.Model] >= oldest {
 			tokens += s.prefillTokens
 			rate += p.cfg.PrefillRate * prefillRateShare
 		}
@@ -143,53 +136,136 @@
 
 // ProcessQueue places queued requests for which there is capacity now. It rejects those that can't be placed before their callers give up,
 // because the requests ahead of them take too long. A request for which no engine has memory doesn't block smaller ones behind it.
+//
+// Between full scans a capacity change costs at most one check of each queued request, so that the leader keeps up however much waits.
 func (p *Pool) ProcessQueue(now clock.Instant) []Grant {
 	if len(p.queue) == 0 {
 		return nil
 	}
 	var grants []Grant
+	if now.Sub(p.lastRejection) >= rejectPeriod {
+		p.lastRejection = now
+		grants = p.rejectLate(now)
+	}
+	grants = append(grants, p.grantQueued(now)...)
+	p.clearChanged()
+	return grants
+}
+
+// rejectLate rejects the requests whose first event would come too late behind those ahead of them.
+func (p *Pool) rejectLate(now clock.Instant) []Grant {
+	var rejected []Grant
 	kept := p.queue[:0]
 	ahead, rate := p.prefillBacklog(now, p.queue[0].req)
-	freeMemory := p.maxFreeMemory(now)
+	p.checks += uint64(len(p.queue))
 	for _, q := range p.queue {
 		wait := prefillTime(ahead, rate)
 		if late := now.Add(wait + baseLatency); q.req.FirstEventDeadline.Before(late) {
 			retryDelay := time.Duration(float64(late.Sub(q.req.FirstEventDeadline))*retryDelayShare) + minRetryDelay
-			grants = append(grants, Grant{Request: q.req, Err: &OverloadError{RetryAt: now.Add(retryDelay), Expected: wait}})
+			rejected = append(rejected, Grant{Request: q.req, Err: &OverloadError{RetryAt: now.Add(retryDelay), Expected: wait}})
+			p.queuedTokens[q.req.Priority] -= q.uniqueTokens
 			continue
 		}
-		ahead += q.req.uniqueTokens()
-		if q.req.memoryTokens() > freeMemory || !q.dueForScan(now, p.capacityChanges) {
-			kept = append(kept, q)
-			continue
+		ahead += q.uniqueTokens
+		kept = append(kept, q)
+	}
+	clear(p.queue[len(kept):])
+	p.queue = kept
+	return rejected
+}
+
+// grantQueued places queued requests on the engines whose capacity has changed since the last call. All engines are considered for
+// requests that are new in the queue and, once in fullScanPeriod, for all requests.
+func (p *Pool) grantQueued(now clock.Instant) []Grant {
+	full := now.Sub(p.lastFullScan) >= fullScanPeriod
+	if full {
+		p.lastFullScan = now
+	}
+	changed, all := p.enginesWithRoom(now, p.changed), enginesWithRoom{}
+	if full || p.newlyQueued {
+		all = p.enginesWithRoom(now, p.endpointList)
+	}
+	var grants []Grant
+	kept := p.queue[:0]
+	for i, q := range p.queue {
+		if !full && !p.newlyQueued && len(changed.engines) == 0 {
+			kept = append(kept, p.queue[i:]...)
+			break
 		}
-		c, err := p.choose(now, q.req, q)
+		p.checks++
+		engines := &changed
+		if full || !q.scanned {
+			engines, q.scanned, q.knownByVersion = &all, true, nil
+		}
+		c, err := p.placeQueued(now, q, engines)
 		if errors.Is(err, errAllBusy) {
 			kept = append(kept, q)
 			continue
 		}
+		p.queuedTokens[q.req.Priority] -= q.uniqueTokens
 		grants = append(grants, Grant{Request: q.req, Choice: c, Err: err})
-		freeMemory = p.maxFreeMemory(now)
+		p.updateRoom(&changed, c.Endpoint)
+		p.updateRoom(&all, c.Endpoint)
 	}
+	p.newlyQueued = false
 	clear(p.queue[len(kept):])
 	p.queue = kept
 	return grants
 }
 
-// maxFreeMemory returns the tokens of the largest request that some engine may have memory for. If no engine is usable it returns
-// math.MaxInt, so that each request is tried.
-func (p *Pool) maxFreeMemory(now clock.Instant) int {
-	most, found := 0, false
-	for _, s := range p.endpointList {
-		if s.usable(now) {
-			found = true
-			most = max(most, p.freeMemory(s))
+// placeQueued places a queued request on one of some engines; the error is errAllBusy if it has to wait longer.
+func (p *Pool) placeQueued(now clock.Instant, q *queuedRequest, from *enginesWithRoom) (Choice, error) {
+	if !from.noneUsable && q.req.memoryTokens() > from.memory {
+		return Choice{}, errAllBusy
+	}
+	eligible := p.selectEligible(now, q.req, q, nil, from.engines, p.scanLimit())
+	if len(eligible) > 0 || !from.complete {
+		return p.chooseFrom(now, q.req, eligible, true, true)
+	}
+	eligible, busy := p.lastResort(now, q.req, q)
+	return p.chooseFrom(now, q.req, eligible, busy, true)
+}
+
+// enginesWithRoom are engines that may have capacity for some request.
+type enginesWithRoom struct {
+	engines []*endpointState
+	// memory is the number of tokens of the largest request that one of them may have memory for.
+	memory int
+	// complete is true if no other engine has capacity, and noneUsable if it is because none is usable.
+	complete   bool
+	noneUsable bool
+}
+
+func (p *Pool) enginesWithRoom(now clock.Instant, engines []*endpointState) enginesWithRoom {
+	room := enginesWithRoom{complete: len(engines) == len(p.endpointList), noneUsable: len(engines) == len(p.endpointList)}
+	p.checks += uint64(len(engines))
+	for _, s := range engines {
+		if !s.usable(now) {
+			continue
+		}
+		room.noneUsable = false
+		if memory := p.freeMemory(s); memory > 0 {
+			room.engines = append(room.engines, s)
+			room.memory = max(room.memory, memory)
 		}
 	}
-	if !found {
-		return math.MaxInt
+	return room
+}
+
+// updateRoom accounts for a request that was placed on one of the engines.
+func (p *Pool) updateRoom(room *enginesWithRoom, endpoint string) {
+	room.memory = 0
+	p.checks += uint64(len(room.engines))
+	kept := room.engines[:0]
+	for _, s := range room.engines {
+		memory := p.freeMemory(s)
+		if s.ID == endpoint && memory <= 0 {
+			continue
+		}
+		kept = append(kept, s)
+		room.memory = max(room.memory, memory)
 	}
-	return most
+	room.engines = kept
 }
 
 // freeMemory returns the tokens of the largest request that an engine may have memory for.
@@ -207,7 +283,8 @@
 func (p *Pool) Withdraw(id AssignmentID) {
 	for i, q := range p.queue {
 		if q.req.ID == id {
-			p.queue = append(p.queue[:i], p.queue[i+1:]...)
+			p.queuedTokens[q.req.Priority] -= q.uniqueTokens
+			p.queue = slices.Delete(p.queue, i, i+1)
 			return
 		}
 	}
