Let requests wait by the route's priority, those on time first, and reckon with slots

And slots, not prefill, are what is scarce (2,490 prompts a second that hold one for 1.5 s, 2,304 slots), while the expected wait knew only prefill: requests were held to their end and rejected then.

Ruled out: the leader's processor (0.20 of a core on the mean, no placement call timed out), first events after the placement (90 ms).

Change: the priority of a request is the workspace's and, within it, the route's, at the leader and at engines. Within a priority, those that have waited for less than half of the time to their target go first; the others follow while their callers wait. The expected wait is the longer of the prefill's and of the slots': what is ahead over the rate at which slots are released and left by more urgent requests, both counted over the last second. The end of a request is logged with its priority.

Conclusion: what is scarce is given to those whom it still helps.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -288,6 +288,7 @@
 	a.slowestLinks = best.fetch.slowestLinks(s)
 	p.assignments[req.ID] = a
 	s.add(a)
+	p.countPlaced(now, req.Priority)
 	if p.engine == nil || req.Model == "" {
 		return
 	}
--- a/internal/coordination/placement/load_test.go
+++ b/internal/coordination/placement/load_test.go
@@ -32,6 +32,8 @@
 	queued    bool
 	// urgentReviews gives the reviews of some workspaces the same priority as questions.
 	urgentReviews bool
+	// untargeted leaves out the requests' targets, so that those of one priority wait in the order of their arrival.
+	untargeted bool
 	// questionTime and reviewTime are the times between the end of a prefill and the last event.
 	questionTime, reviewTime time.Duration
 }
@@ -58,8 +60,11 @@
 
 type loadResult struct {
 	requests, served, reviews, reviewsServed int
-	// questions are short; questionsLate counts those whose first event came later than firstEventTarget.
-	questions, questionsLate int
+	// questions are short; questionsLate counts those whose first event came later than firstEventTarget, and reviewsOnTime the reviews
+	// that arrived during the outage and whose first event came within reviewTarget.
+	questions, questionsLate, reviewsOnTime int
+	// rejectedAtOnce counts requests that were rejected on arrival, and rejectedLater those rejected after they had waited.
+	rejectedAtOnce, rejectedLater int
 	// sharedTokens counts the shared tokens of all prompts, and recomputedTokens those prefilled again although an engine had prefilled
 	// them within recomputeWindow.
 	sharedTokens, recomputedTokens int
@@ -118,6 +123,7 @@
 	contextTokens      = 8600
 	questionTokens     = 600
 	firstEventTarget   = 400 * time.Millisecond
+	reviewTarget       = 800 * time.Millisecond
 	recomputeWindow    = 20 * time.Second
 	peakDuration       = 25 * time.Second
 	outageStart        = 2 * time.Second
@@ -198,9 +204,15 @@
 		Parts:    []prompt.Part{{ID: context, Tokens: shared}, {ID: fmt.Sprint("own", f.requestCount), Tokens: unique}},
 		Priority: priority, FirstEventDeadline: now.Add(3200 * time.Millisecond), Deadline: now.Add(15 * time.Second),
 	}
+	if !f.untargeted {
+		req.TargetDeadline = now.Add(firstEventTarget)
+	}
 	f.results.requests++
 	f.results.sharedTokens += shared
 	if review {
+		if !f.untargeted {
+			req.TargetDeadline = now.Add(reviewTarget)
+		}
 		f.results.reviews++
 	} else {
 		f.results.questions++
@@ -215,6 +227,7 @@
 	if c, err := f.pool.Place(now, req); err == nil {
 		f.run(now, req, c)
 	} else if !errors.Is(err, placement.ErrQueued) {
+		f.results.rejectedAtOnce++
 		delete(f.waiting, req.ID)
 	}
 }
@@ -225,6 +238,7 @@
 			f.run(now, g.Request, g.Choice)
 			continue
 		}
+		f.results.rejectedLater++
 		delete(f.waiting, g.Request.ID)
 	}
 }
@@ -294,7 +308,10 @@
 			f.results.reviewsServed++
 		}
 	}
-	if !arrival.review && took > firstEventTarget {
+	switch {
+	case arrival.review && took <= reviewTarget && arrival.at > start.Add(outageStart):
+		f.results.reviewsOnTime++
+	case !arrival.review && took > firstEventTarget:
 		f.results.questionsLate++
 	}
 }
@@ -336,8 +353,8 @@
 }
 
 func (r *loadResult) String() string {
-	return fmt.Sprintf("%d of %d served, %d of %d reviews; %d of %d questions late; %d of %d shared tokens recomputed; %d evaluations, %d checks",
-		r.served, r.requests, r.reviewsServed, r.reviews, r.questionsLate, r.questions, r.recomputedTokens, r.sharedTokens, r.evaluations, r.checks)
+	return fmt.Sprintf("%d of %d served, %d of %d reviews, %d on time; %d and %d rejected at once and later; %d of %d questions late; %d of %d shared tokens recomputed; %d evaluations, %d checks",
+		r.served, r.requests, r.reviewsServed, r.reviews, r.reviewsOnTime, r.rejectedAtOnce, r.rejectedLater, r.questionsLate, r.questions, r.recomputedTokens, r.sharedTokens, r.evaluations, r.checks)
 }
 
 func TestPeakLoadDuringOutage(t *testing.T) {
@@ -378,6 +395,13 @@
 		f.questionTime, f.reviewTime = 900*time.Millisecond, longReviewTime
 		r := f.simulate()
 		t.Logf("large site: %v", &r)
+		inOrder := newFleetUnder(largeSite, true)
+		inOrder.questionTime, inOrder.reviewTime, inOrder.untargeted = f.questionTime, f.reviewTime, true
+		first := inOrder.simulate()
+		t.Logf("large site, in the order of arrival: %v", &first)
+		Convey("during the outage, twice as many reviews have their first event within the target as if they waited in the order of arrival", func() {
+			So(r.reviewsOnTime, ShouldBeGreaterThanOrEqualTo, 2*first.reviewsOnTime)
+		})
 		Convey("a request's evaluations and checks stay bounded, however many wait", func() {
 			So(r.evaluations, ShouldBeLessThanOrEqualTo, uint64(r.requests*maxEvaluationsPerRequest))
 			So(r.checks, ShouldBeLessThanOrEqualTo, uint64(r.requests*maxChecksPerRequest))
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -33,11 +33,14 @@
 	// newestSeen is the newest weight version of each model that any endpoint has been seen to run.
 	newestSeen map[string]int
 	index      *index
-	// queue is ordered by priority, most urgent first, then by arrival. queuedTokens holds the sum of its unique tokens by priority.
+	// queue is ordered by priority, most urgent first; then come requests that can still meet their targets, then by arrival. queuedTokens holds the sum of its unique tokens by priority.
 	queue        []*queuedRequest
 	queuedTokens map[int]int
 	// newlyQueued is true if all engines have yet to be considered for some queued request.
-	newlyQueued   bool
+	newlyQueued bool
+	// released counts ended assignments, and placed counts new ones by priority.
+	released      throughput
+	placed        map[int]*throughput
 	lastFullScan  clock.Instant
 	lastRejection clock.Instant
 	// changed holds the engines that have ended or prefilled a request, or loaded weights, since the queue was last processed.
@@ -71,6 +74,7 @@
 		storeIndex:  make(storeIndex),
 
 		queuedTokens: make(map[int]int),
+		placed:       make(map[int]*throughput),
 	}
 }
 
@@ -221,6 +225,7 @@
 	delete(p.assignments, id)
 	s := a.endpoint
 	s.remove(a)
+	p.released.add(now)
 	p.recordCapacityChange(s)
 	switch outcome {
 	case OutcomeAnswered:
--- a/internal/coordination/placement/pool_test.go
+++ b/internal/coordination/placement/pool_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -192,6 +193,24 @@
 			grants := p.ProcessQueue(start.Add(700 * time.Millisecond))
 			So(grants[0].Request, ShouldEqual, quick)
 		})
+		Convey("requests that can still meet their targets go before those that can't, and before less urgent ones", func() {
+			late, onTime, lessUrgent := newRequest("late", 4000), newRequest("on time", 4000), newRequest("less urgent", 4000)
+			late.TargetDeadline, onTime.TargetDeadline = start.Add(200*time.Millisecond), start.Add(2*time.Second)
+			lessUrgent.Priority, lessUrgent.TargetDeadline = 1, start.Add(2*time.Second)
+			for _, req := range []*placement.Request{lessUrgent, late, onTime} {
+				expectError(p, start, req, placement.ErrQueued)
+			}
+			So(p.ProcessQueue(start.Add(150*time.Millisecond)), ShouldBeEmpty)
+			after := newRequest("after", 4000)
+			after.TargetDeadline = start.Add(2 * time.Second)
+			expectError(p, start.Add(160*time.Millisecond), after, placement.ErrQueued)
+			answer(p, start.Add(700*time.Millisecond), first)
+			var order []string
+			for _, g := range p.ProcessQueue(start.Add(700 * time.Millisecond)) {
+				order = append(order, g.Request.Parts[0].ID)
+			}
+			So(order, ShouldResemble, []string{"on time", "after", "late", "less urgent"})
+		})
 		Convey("a queued request is not granted an endpoint that was removed, even if an assignment ends there", func() {
 			expectError(p, start, newRequest("b", 9000), placement.ErrQueued)
 			p.SetEndpoints(endpoints(2)[1:])
@@ -251,6 +270,54 @@
 	})
 }
 
+// Engines with free memory and no prompts to prefill may still have no slot. A request behind more requests than there are slots released
+// in the time that its caller waits is rejected at once; before, it was held until that time had passed.
+func TestSlotsTaken(t *testing.T) {
+	Convey("with all slots taken by requests that hold them for 2 s", t, func() {
+		const engines, slots, hold = 4, 32, 2 * time.Second
+		p := newPool(engines)
+		now := start
+		var running []*placement.Request
+		serve := func(until clock.Instant) {
+			for ; now < until; now = now.Add(hold / (engines * slots)) {
+				if len(running) == engines*slots {
+					p.Done(now, running[0].ID, placement.OutcomeAnswered)
+					running = running[1:]
+				}
+				req := smallRequest(now)
+				place(p, now, req)
+				p.FirstEvent(now, req.ID)
+				running = append(running, req)
+			}
+		}
+		serve(start.Add(5 * time.Second))
+		queued := 0
+		var overload *placement.OverloadError
+		for range 600 {
+			_, err := p.Place(now, smallRequest(now))
+			if errors.As(err, &overload) {
+				break
+			}
+			So(err, ShouldEqual, placement.ErrQueued)
+			queued++
+		}
+		Convey("as many requests are queued as slots become free while a caller waits, and the next is rejected", func() {
+			So(overload, ShouldNotBeNil)
+			// 64 slots a second for 3 s.
+			So(queued, ShouldBeBetween, 150, 240)
+		})
+		Convey("the retry time lies behind the wait", func() { So(overload.RetryAt, ShouldBeGreaterThan, now) })
+	})
+}
+
+// smallRequest returns a request that takes little memory and prefill, and whose caller waits for 3 s.
+func smallRequest(now clock.Instant) *placement.Request {
+	req := newRequest("s", 100)
+	req.Prompt, req.Parts[1].Tokens = 150, 50
+	req.FirstEventDeadline, req.Deadline = now.Add(3*time.Second), now.Add(time.Minute)
+	return req
+}
+
 // TestLinkBacklog guards against links that appear busier than they are: while many endpoints fetch from one holder, the backlog of its
 // link must be the sum of the transfers.
 func TestLinkBacklog(t *testing.T) {
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -31,6 +31,9 @@
 	req *Request
 	// uniqueTokens is the result of the request's method of that name.
 	uniqueTokens int
+	// late is true from lateAt on, when the first event will probably not come within the request's target any more.
+	late   bool
+	lateAt clock.Instant
 	// scanned is true once all engines have been considered since the request was queued.
 	scanned bool
 	// knownByVersion caches knownTokens by weight version, as of the last full scan.
@@ -54,15 +57,19 @@
 
 // Place places, queues or rejects a request. The error is ErrQueued, ErrNoEndpoint or *OverloadError.
 //
-//	load pattern                           response
-//	an engine has capacity                 placed at once on the endpoint with the lowest cost
-//	peak load, all engines busy            queued here, most urgent first, so that engines keep their contexts
-//	backlog longer than callers will wait  rejected at once, with a time to retry when the backlog has shrunk
+//	load pattern                              response
+//	an engine has capacity                    placed at once on the endpoint with the lowest cost
+//	peak load, all engines busy               queued here, most urgent first, so that engines keep their contexts
+//	peak load, the queue outlasts the target  those that can still meet their targets go before those of their priority that can't
+//	backlog longer than callers will wait     rejected at once, with a time to retry when the backlog has shrunk
 func (p *Pool) Place(now clock.Instant, req *Request) (Choice, error) {
 	if req.Uncoordinated || req.Model == "" || p.engine == nil {
 		return p.PlaceNow(now, req)
 	}
 	q := &queuedRequest{req: req, uniqueTokens: req.uniqueTokens()}
+	if req.TargetDeadline != 0 {
+		q.lateAt = now.Add(time.Duration(maxWaitShare * float64(req.TargetDeadline.Sub(now))))
+	}
 	if !p.queuedAhead(req) {
 		c, err := p.choose(now, req, q)
 		if !errors.Is(err, errAllBusy) {
@@ -76,7 +83,7 @@
 			RetryAt: now.Add(time.Duration(float64(late.Sub(req.FirstEventDeadline))*retryDelayShare) + minRetryDelay), Expected: wait,
 		}
 	}
-	i := sort.Search(len(p.queue), func(i int) bool { return p.queue[i].req.Priority > req.Priority })
+	_, i := p.queuePosition(req)
 	p.queue = slices.Insert(p.queue, i, q)
 	p.queuedTokens[req.Priority] += q.uniqueTokens
 	p.newlyQueued = p.newlyQueued || !q.scanned
@@ -86,12 +93,24 @@
 // minRetryDelay keeps rejected callers from retrying into the same load peak.
 const minRetryDelay = 300 * time.Millisecond
 
-// queuedAhead reports whether a request that is at least as urgent is already queued.
+// queuedAhead reports whether a request that goes before is already queued.
 func (p *Pool) queuedAhead(req *Request) bool {
-	return len(p.queue) > 0 && p.queue[0].req.Priority <= req.Priority
+	_, ahead := p.queuePosition(req)
+	return ahead > 0
+}
+
+// queuePosition returns how many queued requests are more urgent than a new one, and how many go before it: those and the ones of its
+// priority that can still meet their targets.
+func (p *Pool) queuePosition(req *Request) (moreUrgent, ahead int) {
+	moreUrgent = sort.Search(len(p.queue), func(i int) bool { return p.queue[i].req.Priority >= req.Priority })
+	ahead = sort.Search(len(p.queue), func(i int) bool {
+		q := p.queue[i]
+		return q.req.Priority > req.Priority || q.req.Priority == req.Priority && q.late
+	})
+	return moreUrgent, ahead
 }
 
-// expectedWait returns how long a request would wait behind those that are at least as urgent.
+// expectedWait returns how long a request would wait behind those that go before it.
 func (p *Pool) expectedWait(now clock.Instant, req *Request) time.Duration {
 	tokens, rate := p.prefillBacklog(now, req)
 	for priority, queued := range p.queuedTokens {
@@ -99,7 +118,53 @@
 			tokens += queued
 		}
 	}
-	return prefillTime(tokens, rate)
+	moreUrgent, ahead := p.queuePosition(req)
+	return max(prefillTime(tokens, rate), p.slotRates(now, req.Priority).wait(moreUrgent, ahead-moreUrgent))
+}
+
+const (
+	// longHold is the longest time for which requests typically hold a slot; slots are expected to be released at this rate at least.
+	longHold = 4 * time.Second
+	// minSlotShare is the share of the released slots that a priority is expected to get at least.
+	minSlotShare = 0.05
+)
+
+// slotRates are rates at which slots are released, in slots per second: of all, and of those that requests of one priority get.
+type slotRates struct{ all, own float64 }
+
+// slotRates returns the rates for a priority: what requests of higher priority didn't take lately is left to it.
+func (p *Pool) slotRates(now clock.Instant, priority int) slotRates {
+	slots := 0
+	p.checks += uint64(len(p.endpointList))
+	for _, s := range p.endpointList {
+		if s.usable(now) {
+			slots += s.Slots
+		}
+	}
+	moreUrgent, own := 0.0, 0.0
+	for other, placed := range p.placed {
+		switch {
+		case other < priority:
+			moreUrgent += placed.perSecond(now)
+		case other == priority:
+			own = placed.perSecond(now)
+		}
+	}
+	all := max(1, p.released.perSecond(now), float64(slots)/longHold.Seconds())
+	return slotRates{all: all, own: max(all-moreUrgent, own, minSlotShare*all)}
+}
+
+// wait returns how long it takes until as many slots have been released as there are requests ahead, by urgency.
+func (r slotRates) wait(moreUrgent, samePriority int) time.Duration {
+	return time.Duration((float64(moreUrgent)/r.all + float64(samePriority)/r.own) * float64(time.Second))
+}
+
+// countPlaced counts a placed request of a priority.
+func (p *Pool) countPlaced(now clock.Instant, priority int) {
+	if p.placed[priority] == nil {
+		p.placed[priority] = &throughput{}
+	}
+	p.placed[priority].add(now)
 }
 
 // prefillBacklog returns the prompt tokens that the endpoints eligible for a request still have to prefill, and their combined rate in
@@ -152,21 +217,27 @@
 	return grants
 }
 
-// rejectLate rejects the requests whose first event would come too late behind those ahead of them.
+// rejectLate rejects the requests whose first event would come too late behind those ahead of them, and moves those that can't meet their
+// targets any more behind the others of their priority.
 func (p *Pool) rejectLate(now clock.Instant) []Grant {
+	p.sortQueue(now)
 	var rejected []Grant
 	kept := p.queue[:0]
-	ahead, rate := p.prefillBacklog(now, p.queue[0].req)
-	p.checks += uint64(len(p.queue))
+	tokens, rate := p.prefillBacklog(now, p.queue[0].req)
+	var slots slotRates
+	moreUrgent := 0
 	for _, q := range p.queue {
-		wait := prefillTime(ahead, rate)
+		if len(kept) == 0 || kept[len(kept)-1].req.Priority != q.req.Priority || slots.all == 0 {
+			slots, moreUrgent = p.slotRates(now, q.req.Priority), len(kept)
+		}
+		wait := max(prefillTime(tokens, rate), slots.wait(moreUrgent, len(kept)-moreUrgent))
 		if late := now.Add(wait + baseLatency); q.req.FirstEventDeadline.Before(late) {
 			retryDelay := time.Duration(float64(late.Sub(q.req.FirstEventDeadline))*retryDelayShare) + minRetryDelay
 			rejected = append(rejected, Grant{Request: q.req, Err: &OverloadError{RetryAt: now.Add(retryDelay), Expected: wait}})
 			p.queuedTokens[q.req.Priority] -= q.uniqueTokens
 			continue
 		}
-		ahead += q.uniqueTokens
+		tokens += q.uniqueTokens
 		kept = append(kept, q)
 	}
 	clear(p.queue[len(kept):])
@@ -174,6 +245,34 @@
 	return rejected
 }
 
+// maxWaitShare is the share of the time to its target for which a request may wait in the queue; the engine needs the rest.
+const maxWaitShare = 0.5
+
+// sortQueue updates which requests are late, and sorts the queue accordingly.
+func (p *Pool) sortQueue(now clock.Instant) {
+	p.checks += uint64(len(p.queue))
+	changed := false
+	for _, q := range p.queue {
+		if !q.late && q.lateAt != 0 && q.lateAt.Before(now) {
+			q.late, changed = true, true
+		}
+	}
+	if !changed {
+		return
+	}
+	slices.SortStableFunc(p.queue, func(a, b *queuedRequest) int {
+		switch {
+		case a.req.Priority != b.req.Priority:
+			return a.req.Priority - b.req.Priority
+		case a.late == b.late:
+			return 0
+		case a.late:
+			return 1
+		}
+		return -1
+	})
+}
+
 // grantQueued places queued requests on the engines whose capacity has changed since the last call. All engines are considered for
 // requests that are new in the queue and, once in fullScanPeriod, for all requests.
 func (p *Pool) grantQueued(now clock.Instant) []Grant {
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -35,6 +35,8 @@
 	Avoid []string
 	// FirstEventDeadline is the deadline for the first event, after which the caller gives up.
 	FirstEventDeadline clock.Instant `msgpack:"Patience"`
+	// TargetDeadline is until when the first event should come for full credit; zero is no target.
+	TargetDeadline clock.Instant
 	// Deadline is the latest end of the assignment.
 	Deadline clock.Instant
 	// Uncoordinated is true if this pool sees only part of the load, so that entries have to make consistent choices without coordination.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -80,6 +80,10 @@
 	if msg.FirstEventTimeout != 0 {
 		req.FirstEventDeadline = now.Add(msg.FirstEventTimeout)
 	}
+	req.TargetDeadline = 0
+	if msg.TargetTimeout != 0 {
+		req.TargetDeadline = now.Add(msg.TargetTimeout)
+	}
 	choice, err := h.placer.placeLocally(&req)
 	return toPlaceReply(choice, err)
 }
@@ -132,6 +136,9 @@
 	if req.FirstEventDeadline != 0 {
 		place.FirstEventTimeout = max(1, req.FirstEventDeadline.Sub(now))
 	}
+	if req.TargetDeadline != 0 {
+		place.TargetTimeout = max(1, req.TargetDeadline.Sub(now))
+	}
 	var placed peer.PlaceReply
 	call := func(kind peer.Kind, msg any, timeout time.Duration) error {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -29,10 +29,6 @@
 	firstEventLatencyFactor = 4
 	firstEventGapFactor     = 8
 	minFirstEventTimeout    = 2 * time.Second
-	// priorityStep and priorityBase leave unused values between the routes' priorities.
-	priorityStep = 2
-	priorityBase = 1
-	maxPriority  = 9
 )
 
 // job is one caller's request while it is being served.
@@ -190,7 +186,7 @@
 		ID:       placement.AssignmentID{Entry: n.incarnation, Number: n.placer.nextNumber()},
 		Service:  j.service,
 		Zone:     n.cfg.Zone,
-		Priority: j.priority(),
+		Priority: route.RequestPriority(j.route, j.workspace),
 		Deadline: j.deadline,
 	}
 	if s := j.table.Services[j.service]; s != nil && s.Engine != nil && j.route.HasPrompt {
@@ -200,6 +196,9 @@
 		j.placementReq.Output = j.head.OutputTokens
 		j.placementReq.FirstEventDeadline = min(j.deadline,
 			j.arrived.Add(max(minFirstEventTimeout, firstEventLatencyFactor*j.route.TargetLatency, firstEventGapFactor*j.route.TargetEventGap)))
+		if j.route.TargetLatency > 0 {
+			j.placementReq.TargetDeadline = j.arrived.Add(j.route.TargetLatency)
+		}
 	}
 	if j.workspace != nil && j.workspace.Isolated {
 		j.placementReq.IsolationKey = j.workspace.Name
@@ -208,15 +207,6 @@
 	return nil
 }
 
-// priority returns the request's priority at an endpoint; the workspace's priority overrides the route's.
-func (j *job) priority() int {
-	priority := j.route.Priority
-	if j.workspace != nil && j.workspace.Priority != nil {
-		priority = *j.workspace.Priority
-	}
-	return min(max(0, priorityBase+priorityStep*priority), maxPriority)
-}
-
 // run makes attempts until one returns the answer, or no further attempt is allowed.
 func (j *job) run() {
 	n := j.node
@@ -314,7 +304,7 @@
 		fields = append(fields, zap.String("endpoint", j.choice.Endpoint), zap.Int("sends", j.attempts.Sends()),
 			zap.Int("runs", j.attempts.Runs()), zap.Int("weights", j.choice.Version), zap.Int("prompt", j.placementReq.Prompt),
 			zap.Int("shared", j.placementReq.SharedTokens()), zap.Int("cached", j.choice.Cached), zap.Int("fetched", j.choice.Fetched),
-			zap.Int64("waited_ms", max(0, j.placedAt.Sub(j.arrived).Milliseconds())),
+			zap.Int64("waited_ms", max(0, j.placedAt.Sub(j.arrived).Milliseconds())), zap.Int("priority", j.placementReq.Priority),
 			zap.Int64("expected_ms", j.choice.Expected.Milliseconds()), zap.Int64("first_ms", max(0, j.firstByteAt.Sub(j.arrived).Milliseconds())))
 	}
 	if result == "refused" {
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -14,7 +14,9 @@
 	Request placement.Request `msgpack:"Ask"`
 	// FirstEventTimeout is the time that remains for the first event, or zero without such a deadline.
 	FirstEventTimeout time.Duration `msgpack:"Patience"`
-	Deadline          time.Duration
+	// TargetTimeout is the time that remains to the target of the first event, or zero without a target.
+	TargetTimeout time.Duration
+	Deadline      time.Duration
 }
 
 // PlaceVerdict is the result of a placement request.
