Adopt changed bounds at run time, and show which instance holds which settings

An entry only validated the file on SIGHUP and kept the old values until its next start; a file that changed without a signal was not noticed, and nothing outside the process showed which values it held. gypsumctl check refused every settings file of the hosted edge.

Ruled out: adopting addresses, limits of the process and log settings too, since sockets, the memory limit and identities are set up at the start; a file that changes them is refused whole, with the keys named.

Change: the bounds are a part of their own of the settings; a running entry reads its file on SIGHUP and each 2 s, adopts all bounds or none, logs each change once with the digests of file and bounds, counts it, and shows both digests in gypsum_settings_info. gypsumctl settings ADDRESS... lists them by instance; gypsumctl check knows both edges.

Conclusion: which instance holds which settings can be told from outside, and bounds need no restart.

--- a/cmd/gypsum-entry/main.go
+++ b/cmd/gypsum-entry/main.go
@@ -11,7 +11,6 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
-	"go.uber.org/zap"
 
 	"gypsumvale/internal/entry"
 	"gypsumvale/internal/event"
@@ -87,30 +86,13 @@
 		return fmt.Errorf("log: %w", err)
 	}
 	defer log.Close()
-	go recheckSettings(ctx, path, cfg, log)
-	return gateway.New(cfg, log, gateway.Dependencies{
+	node := gateway.New(cfg, log, gateway.Dependencies{
 		Store:   platform.NewStoreClient(cfg.Store),
 		Schema:  platform.StoreSchema{},
 		Headers: platform.HeaderCodec{},
 		Engines: platform.NewEngineClient(),
 		Caches:  platform.NewCacheClient(),
-	}).Run(ctx)
-}
-
-// recheckSettings validates the settings file and logs the result whenever the process receives SIGHUP. It doesn't apply changes: addresses
-// and bounds take effect at the next start, since requests in flight were admitted under the old ones.
-func recheckSettings(ctx context.Context, path string, cfg *settings.Hosted, log *event.Log) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-reloadSignals:
-		}
-		next, err := settings.ReadHosted(path)
-		if err != nil {
-			log.Warn(event.SettingsRechecked, "changed settings are invalid; the old ones remain in effect", zap.Error(err))
-			continue
-		}
-		log.Info(event.SettingsRechecked, "settings validated after SIGHUP", zap.Bool("changed", *next != *cfg))
-	}
+	})
+	go node.WatchSettings(ctx, path, reloadSignals)
+	return node.Run(ctx)
 }
--- a/internal/coordination/allowance/allowance.go
+++ b/internal/coordination/allowance/allowance.go
@@ -18,6 +18,13 @@
 	return &AttemptBudget{share: share, reserve: reserve, tokens: reserve}
 }
 
+// SetShare changes how many tokens each request adds.
+func (a *AttemptBudget) SetShare(share float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.share = share
+}
+
 // SetReserve changes the maximum number of tokens.
 func (a *AttemptBudget) SetReserve(reserve float64) {
 	a.mu.Lock()
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -81,6 +81,9 @@
 // SetEngine sets the properties of the service's engines; nil is for plain services.
 func (p *Pool) SetEngine(e *Engine) { p.engine = e }
 
+// SetOldWeightsGrace changes how long older weights may be used after newer ones were announced.
+func (p *Pool) SetOldWeightsGrace(d time.Duration) { p.cfg.OldWeightsGrace = d }
+
 // maxTargetVersions is the most target versions remembered per model.
 const maxTargetVersions = 8
 
--- a/internal/coordination/rollout/plan.go
+++ b/internal/coordination/rollout/plan.go
@@ -87,6 +87,9 @@
 // SetMaxLoads changes the maximum number of loads in progress at the same time.
 func (p *Planner) SetMaxLoads(n int) { p.cfg.MaxLoads = n }
 
+// SetSettleTime changes how long a new lease holder waits, from its next lease on.
+func (p *Planner) SetSettleTime(d time.Duration) { p.cfg.SettleTime = d }
+
 // Plan returns the orders to send now, in the order of the replicas. It keeps the number of loads in progress within the limit, and
 // returns no orders that could not be sent before the lease expires.
 func (p *Planner) Plan(now time.Time, replicas []Replica) []Order {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -28,6 +28,8 @@
 	metrics     *metric.Hosted
 	deps        Dependencies
 	incarnation string
+	// bounds are those in force; the ones in cfg are those at the start.
+	bounds atomic.Pointer[settings.Bounds]
 	// background is the context of all tasks that run independently of requests.
 	background context.Context
 
@@ -57,7 +59,10 @@
 // New assembles a node without starting it.
 func New(cfg *settings.Hosted, log *event.Log, deps Dependencies) *Node {
 	n := &Node{cfg: cfg, log: log, deps: deps, incarnation: peers.NewIncarnation(cfg.Name)}
+	bounds := cfg.Bounds
+	n.bounds.Store(&bounds)
 	n.metrics = metric.NewHosted(func() float64 { return n.confirmation.Age(clock.Now()).Seconds() })
+	n.metrics.SetSettings(cfg.Name, cfg.Digest, bounds.Digest())
 	n.upstreams = upstream.NewPool(n.metrics.Dials.Inc)
 	n.placer = newPlacer(n)
 	n.suspects = newSuspects()
@@ -93,7 +98,8 @@
 	if err != nil {
 		return fmt.Errorf("start entry: %w", err)
 	}
-	n.log.Info(event.EntryStarted, "entry started", zap.String("zone", n.cfg.Zone), zap.String("edge", string(settings.EdgeHosted)))
+	n.log.Info(event.EntryStarted, "entry started", zap.String("zone", n.cfg.Zone), zap.String("edge", string(settings.EdgeHosted)),
+		zap.String("settings", n.cfg.Digest), zap.String("bounds", n.cfg.Bounds.Digest()))
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	n.background = background
@@ -111,7 +117,7 @@
 	n.updateReadiness()
 	n.log.Info(event.EntryStopping, "entry stopping", zap.Int64("in_flight", n.inFlight.Load()))
 	n.drain(stopRequested)
-	servers.Close(stopRequested.Add(n.cfg.StopTimeout - stopMargin).Sub(clock.Now()))
+	servers.Close(stopRequested.Add(n.bounds.Load().StopTimeout - stopMargin).Sub(clock.Now()))
 	stopBackground()
 	n.wg.Wait()
 	n.log.Info(event.EntryStopped, "entry stopped", zap.Int64("cut", n.inFlight.Load()))
@@ -121,7 +127,7 @@
 // drain keeps serving until the balancer no longer sends new requests.
 func (n *Node) drain(stopRequested clock.Instant) {
 	const pollInterval = 50 * time.Millisecond
-	deadline := stopRequested.Add(min(drainTime, n.cfg.StopTimeout/2))
+	deadline := stopRequested.Add(min(drainTime, n.bounds.Load().StopTimeout/2))
 	for clock.Now().Before(deadline) {
 		time.Sleep(pollInterval)
 	}
@@ -153,7 +159,7 @@
 
 // configurationFresh reports whether the configuration held here was confirmed recently enough to accept its keys.
 func (n *Node) configurationFresh(now clock.Instant) bool {
-	return n.confirmation.Age(now) < n.cfg.MaxRevocationDelay-revocationMargin
+	return n.confirmation.Age(now) < n.bounds.Load().MaxRevocationDelay-revocationMargin
 }
 
 func (n *Node) sweep(ctx context.Context) {
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -49,7 +49,7 @@
 	pool := p.pools[service]
 	if pool == nil {
 		pool = placement.NewPool(placement.Config{
-			PrefillRate: float64(p.node.cfg.PrefillRate), OldWeightsGrace: p.node.cfg.OldWeightsGrace - oldWeightsMargin,
+			PrefillRate: float64(p.node.cfg.PrefillRate), OldWeightsGrace: p.node.bounds.Load().OldWeightsGrace - oldWeightsMargin,
 			Reachability: p.reachability,
 		})
 		for model, list := range p.targets {
@@ -62,6 +62,15 @@
 	return pool
 }
 
+// setOldWeightsGrace sets the bound on the use of old weights.
+func (p *placer) setOldWeightsGrace(bound time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.pools {
+		pool.SetOldWeightsGrace(bound - oldWeightsMargin)
+	}
+}
+
 // nextNumber returns an assignment number that this process has not used before.
 func (p *placer) nextNumber() uint64 { return p.lastNumber.Add(1) }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -73,11 +73,11 @@
 
 // maxAge is how old a relay's data may be while it replaces this entry's own polling.
 func (r *relay) maxAge() time.Duration {
-	return max(maxRelayAge, time.Duration(maxRelayAgeShare*float64(r.node.cfg.MaxLeavingDelay)))
+	return max(maxRelayAge, time.Duration(maxRelayAgeShare*float64(r.node.bounds.Load().MaxLeavingDelay)))
 }
 
 // maxHold is how long a relay may hold a query open until it has read something.
-func (r *relay) maxHold() time.Duration { return pollPeriod(r.node.cfg) + holdMargin }
+func (r *relay) maxHold() time.Duration { return pollPeriod(r.node.bounds.Load()) + holdMargin }
 
 // readsAllPages reports whether this entry reads all pages of the store: as the relay of its zone, or because no relay's data has
 // sufficed for relayFallbackTimeout.
--- a/internal/gateway/retry_budgets.go
+++ b/internal/gateway/retry_budgets.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// setLimits changes the limits of all services.
+func (r *retryBudgets) setLimits(share, reserve float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.share, r.reserve = share*retryMargin, reserve*retryMargin
+	for _, a := range r.byService {
+		a.SetShare(r.share)
+		a.SetReserve(r.reserve / float64(r.instances))
+	}
+}
+
 func (r *retryBudgets) forService(service string) *allowance.AttemptBudget {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -143,8 +143,11 @@
 	peers := freeAddress()
 	cfg := &settings.Hosted{
 		Name: fmt.Sprintf("entry-%d", len(s.entries)), Zone: "plateau", Callers: freeAddress(), Readiness: freeAddress(), Peers: peers, Advertise: peers,
-		Store: s.server.Listener.Addr().String(), MaxRevocationDelay: 1500 * time.Millisecond, MaxLeavingDelay: time.Second, StopTimeout: time.Second,
-		Lease: time.Second, OldWeightsGrace: 8 * time.Second, RetryShare: 0.2, RetryReserve: 1000, PrefillRate: 60000, MaxLoads: 2, MemoryMB: 128, CPUCores: 1,
+		Store: s.server.Listener.Addr().String(), PrefillRate: 60000, MemoryMB: 128, CPUCores: 1,
+		Bounds: settings.Bounds{
+			MaxRevocationDelay: 1500 * time.Millisecond, MaxLeavingDelay: time.Second, StopTimeout: time.Second,
+			Lease: time.Second, OldWeightsGrace: 8 * time.Second, RetryShare: 0.2, RetryReserve: 1000, MaxLoads: 2,
+		},
 	}
 	configure(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -59,12 +59,11 @@
 }
 
 // pollPeriod is the time from the start of one poll to that of the next.
-func pollPeriod(cfg *settings.Hosted) time.Duration {
-	return time.Duration(pollShare * float64(cfg.MaxLeavingDelay))
+func pollPeriod(b *settings.Bounds) time.Duration {
+	return time.Duration(pollShare * float64(b.MaxLeavingDelay))
 }
 
 func (s *storePoller) run(ctx context.Context) {
-	period := pollPeriod(s.node.cfg)
 	forced := true
 	for {
 		wait := pollRetryPause
@@ -74,7 +73,7 @@
 			s.logReachability(err)
 			wait = pollRetryPause << min(s.failures, maxBackoffDoublings)
 			if err == nil {
-				wait = max(pollRetryPause, period-clock.Now().Sub(started))
+				wait = max(pollRetryPause, pollPeriod(s.node.bounds.Load())-clock.Now().Sub(started))
 			}
 		}
 		forced = false
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// setSettleTime sets how long a new leader waits before its first order.
+func (w *weightRollout) setSettleTime(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.planner.SetSettleTime(d)
+}
+
 // wake triggers the next comparison at once.
 func (w *weightRollout) wake() {
 	select {
@@ -108,7 +115,7 @@
 		return
 	}
 	w.mu.Lock()
-	w.planner.SetMaxLoads(max(w.node.cfg.MaxLoads, int(maxLoadShare*float64(engines))))
+	w.planner.SetMaxLoads(max(w.node.bounds.Load().MaxLoads, int(maxLoadShare*float64(engines))))
 	orders := w.planner.Plan(toTime(now), replicas)
 	w.mu.Unlock()
 	for _, o := range orders {
--- a/internal/metric/hosted.go
+++ b/internal/metric/hosted.go
@@ -19,6 +19,14 @@
 	TableAge     prometheus.GaugeFunc
 	Endpoints    *prometheus.GaugeVec
 	InFlight     prometheus.Gauge
+	Settings     *prometheus.GaugeVec
+	Reloads      *prometheus.CounterVec
+}
+
+// SetSettings records the digests of the settings file in force on an instance and of its bounds.
+func (s *Hosted) SetSettings(instance, digest, bounds string) {
+	s.Settings.Reset()
+	s.Settings.WithLabelValues(instance, digest, bounds).Set(1)
 }
 
 // NewHosted creates and registers the metrics. age returns the seconds since the configuration was last confirmed.
@@ -38,8 +46,11 @@
 		TableAge:     prometheus.NewGaugeFunc(gaugeOpts("table_age_seconds", "Time since the configuration was confirmed."), age),
 		Endpoints:    prometheus.NewGaugeVec(gaugeOpts("endpoints", "Endpoints that may get new requests, by service."), []string{"service"}),
 		InFlight:     prometheus.NewGauge(gaugeOpts("requests_in_flight", "Requests that this instance holds.")),
+		Settings: prometheus.NewGaugeVec(gaugeOpts("settings_info", "One for the settings file in force, by its digest and that of its bounds."),
+			[]string{"instance", "digest", "bounds"}),
+		Reloads: newCounterVec("settings_reloads_total", "Changed settings files by result: applied, invalid, needs_restart.", "result"),
 	}
 	s.Registry.MustRegister(s.Requests, s.Latency, s.FirstEvent, s.Attempts, s.PromptTokens, s.Placements, s.StoreCalls, s.Orders, s.Dials,
-		s.TableVersion, s.TableAge, s.Endpoints, s.InFlight)
+		s.TableVersion, s.TableAge, s.Endpoints, s.InFlight, s.Settings, s.Reloads)
 	return s
 }
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -39,7 +39,7 @@
 		},
 		Commands: []*cli.Command{
 			a.ticketCommand(), a.auditCommand(), a.stateCommand(), a.objectsCommand(), a.instancesCommand(),
-			a.endpointsCommand(), a.storesCommand(), a.checkCommand(), a.digestCommand(),
+			a.endpointsCommand(), a.storesCommand(), a.checkCommand(), a.digestCommand(), a.settingsCommand(),
 		},
 	}
 }
@@ -286,7 +286,7 @@
 			if cmd.Args().Len() != 1 {
 				return &ExitError{ExitUsage, errors.New("exactly one settings file must be given")}
 			}
-			if _, err := settings.ReadEntry(cmd.Args().First()); err != nil {
+			if err := checkSettings(cmd.Args().First()); err != nil {
 				return &ExitError{ExitRefused, err}
 			}
 			_, err := fmt.Fprintf(a.out, "%s: no faults\n", cmd.Args().First())
@@ -295,6 +295,23 @@
 	}
 }
 
+// checkSettings validates a settings file of either edge.
+func checkSettings(path string) error {
+	edge, err := settings.ReadEdge(path)
+	if err != nil {
+		return fmt.Errorf("check settings: %w", err)
+	}
+	if edge == settings.EdgeHosted {
+		_, err = settings.ReadHosted(path)
+	} else {
+		_, err = settings.ReadEntry(path)
+	}
+	if err != nil {
+		return fmt.Errorf("check settings: %w", err)
+	}
+	return nil
+}
+
 func (a *app) digestCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "digest",
--- a/internal/operator/command_test.go
+++ b/internal/operator/command_test.go
@@ -53,6 +53,24 @@
 			_, err := run("--address", "127.0.0.1:1", "--token", "t", "state")
 			expectExit(err, operator.ExitUnavailable)
 		})
+		Convey("shows which settings an instance holds", func() {
+			address := instance(t, map[string]string{
+				"/metrics": "# TYPE gypsum_settings_info gauge\ngypsum_settings_info{bounds=\"7f\",digest=\"ab12\",instance=\"e0\"} 1\n",
+			}, http.StatusOK)
+			table, err := run("settings", address)
+			So(err, ShouldBeNil)
+			So(strings.Fields(table), ShouldResemble, []string{"ADDRESS", "INSTANCE", "BOUNDS", "SETTINGS", "ERROR", address, "e0", "7f", "ab12"})
+			_, err = run("settings", address, "127.0.0.1:1")
+			expectExit(err, operator.ExitUnavailable)
+			_, err = run("settings")
+			expectExit(err, operator.ExitUsage)
+		})
+		Convey("validates settings files of both edges", func() {
+			for _, name := range []string{"hosted.ini", "le-goff.ini"} {
+				_, err := run("check", "../../examples/"+name)
+				So(err, ShouldBeNil)
+			}
+		})
 		Convey("prints a table, or JSON with --json", func() {
 			address := instance(t, map[string]string{"/admin/v1/instances": `[{"name":"e0","zone":"z","revision":3}]`}, http.StatusOK)
 			table, err := run("--address", address, "--token", "t", "instances")
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Edge is the kind of clients that an entry instance serves.
@@ -32,6 +35,29 @@
 
 	Store string
 
+	Bounds
+
+	// PrefillRate is the prefill rate of a healthy engine, in prompt tokens per second.
+	PrefillRate int
+	// MemoryMB is the memory limit of the process, in MiB.
+	MemoryMB float64
+	// Threads is the number of operating system threads that execute Go code at the same time (GOMAXPROCS).
+	Threads int
+	// CPUCores is the CPU time available to this instance, in cores. Instances with the highest value are preferred as leader.
+	CPUCores float64
+	// LinkMbps is the bandwidth of this instance's network link, in Mbit/s. In each zone the instance with the highest value reads the
+	// store and relays the updates to the others.
+	LinkMbps float64
+
+	LogLevel  string
+	LogFormat string
+
+	// Digest identifies the content of the file.
+	Digest string
+}
+
+// Bounds are the settings that a running process adopts when its file changes.
+type Bounds struct {
 	// MaxRevocationDelay is the longest time for which a key may still be accepted after it was revoked.
 	MaxRevocationDelay time.Duration
 	// MaxLeavingDelay is the longest time for which an endpoint may still receive new requests after it announced that it is leaving.
@@ -46,23 +72,39 @@
 	// a number that is allowed on top in each window.
 	RetryShare   float64
 	RetryReserve float64
-
-	// PrefillRate is the prefill rate of a healthy engine, in prompt tokens per second.
-	PrefillRate int
 	// MaxLoads limits the weight orders in progress at the same time in a small service. In a large one the limit is a share of its engines.
 	MaxLoads int
-	// MemoryMB is the memory limit of the process, in MiB.
-	MemoryMB float64
-	// Threads is the number of operating system threads that execute Go code at the same time (GOMAXPROCS).
-	Threads int
-	// CPUCores is the CPU time available to this instance, in cores. Instances with the highest value are preferred as leader.
-	CPUCores float64
-	// LinkMbps is the bandwidth of this instance's network link, in Mbit/s. In each zone the instance with the highest value reads the
-	// store and relays the updates to the others.
-	LinkMbps float64
+}
 
-	LogLevel  string
-	LogFormat string
+// Digest identifies the values of the bounds. It is the same on all instances that hold the same bounds.
+func (b *Bounds) Digest() string { return digest(fmt.Appendf(nil, "%+v", *b)) }
+
+// ErrNeedsRestart is wrapped by the errors of CheckReload.
+var ErrNeedsRestart = errors.New("changed settings need a restart")
+
+// CheckReload reports whether a running process can adopt the settings of next: only bounds may differ. Otherwise the error names the keys.
+func (h *Hosted) CheckReload(next *Hosted) error {
+	var keys []string
+	for _, fixed := range []struct {
+		key        string
+		old, value any
+	}{
+		{"[instance] name", h.Name, next.Name}, {"[instance] zone", h.Zone, next.Zone}, {"[instance] callers", h.Callers, next.Callers},
+		{"[instance] readiness", h.Readiness, next.Readiness}, {"[instance] peers", h.Peers, next.Peers},
+		{"[instance] advertise", h.Advertise, next.Advertise}, {"[instance] metrics", h.Metrics, next.Metrics},
+		{"[platform] store", h.Store, next.Store}, {"[engine] prefill_tokens_per_second", h.PrefillRate, next.PrefillRate},
+		{"[process] memory", h.MemoryMB, next.MemoryMB}, {"[process] threads", h.Threads, next.Threads},
+		{"[process] processor", h.CPUCores, next.CPUCores}, {"[process] link", h.LinkMbps, next.LinkMbps},
+		{"[log] level", h.LogLevel, next.LogLevel}, {"[log] format", h.LogFormat, next.LogFormat},
+	} {
+		if fixed.old != fixed.value {
+			keys = append(keys, fixed.key)
+		}
+	}
+	if len(keys) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%w: %s", ErrNeedsRestart, strings.Join(keys, ", "))
 }
 
 // ReadEdge returns the edge that a file selects. The default is EdgeNative.
@@ -95,29 +137,32 @@
 func newHosted(r *reader, path string) (*Hosted, error) {
 	r.choice("instance", "edge", string(EdgeHosted))
 	h := &Hosted{
-		Name:               r.name("instance", "name"),
-		Zone:               r.name("instance", "zone"),
-		Callers:            r.address("instance", "callers"),
-		Readiness:          r.address("instance", "readiness"),
-		Peers:              r.address("instance", "peers"),
-		Advertise:          r.optionalAddress("instance", "advertise"),
-		Metrics:            r.optionalAddress("instance", "metrics"),
-		Store:              r.address("platform", "store"),
-		MaxRevocationDelay: r.duration("bounds", "revocation", time.Second, time.Hour, 5*time.Second),
-		MaxLeavingDelay:    r.duration("bounds", "leaving", 200*time.Millisecond, time.Minute, 2*time.Second),
-		StopTimeout:        r.duration("bounds", "grace", time.Second, 10*time.Minute, 8*time.Second),
-		Lease:              r.duration("bounds", "lease", time.Second, time.Minute, 3*time.Second),
-		OldWeightsGrace:    r.duration("bounds", "old_weights", 2*time.Second, time.Hour, 8*time.Second),
-		RetryShare:         r.float("bounds", "retry_share", 0, 1, 0.2),
-		RetryReserve:       r.float("bounds", "retry_slack", 0, 1000000, 100),
-		PrefillRate:        r.integer("engine", "prefill_tokens_per_second", 1, 100000000, 20000),
-		MaxLoads:           r.integer("engine", "loads", 1, 1000, 3),
-		MemoryMB:           r.float("process", "memory", 16, 1<<20, 128),
-		Threads:            r.integer("process", "threads", 1, 1024, 1),
-		CPUCores:           r.float("process", "processor", 0.001, 1024, 1),
-		LinkMbps:           r.float("process", "link", 0.001, 1e6, 1000),
-		LogLevel:           r.choice("log", "level", "info", "debug", "warn", "error"),
-		LogFormat:          r.choice("log", "format", "json", "console"),
+		Name:      r.name("instance", "name"),
+		Zone:      r.name("instance", "zone"),
+		Callers:   r.address("instance", "callers"),
+		Readiness: r.address("instance", "readiness"),
+		Peers:     r.address("instance", "peers"),
+		Advertise: r.optionalAddress("instance", "advertise"),
+		Metrics:   r.optionalAddress("instance", "metrics"),
+		Store:     r.address("platform", "store"),
+		Bounds: Bounds{
+			MaxRevocationDelay: r.duration("bounds", "revocation", time.Second, time.Hour, 5*time.Second),
+			MaxLeavingDelay:    r.duration("bounds", "leaving", 200*time.Millisecond, time.Minute, 2*time.Second),
+			StopTimeout:        r.duration("bounds", "grace", time.Second, 10*time.Minute, 8*time.Second),
+			Lease:              r.duration("bounds", "lease", time.Second, time.Minute, 3*time.Second),
+			OldWeightsGrace:    r.duration("bounds", "old_weights", 2*time.Second, time.Hour, 8*time.Second),
+			RetryShare:         r.float("bounds", "retry_share", 0, 1, 0.2),
+			RetryReserve:       r.float("bounds", "retry_slack", 0, 1000000, 100),
+			MaxLoads:           r.integer("engine", "loads", 1, 1000, 3),
+		},
+		PrefillRate: r.integer("engine", "prefill_tokens_per_second", 1, 100000000, 20000),
+		MemoryMB:    r.float("process", "memory", 16, 1<<20, 128),
+		Threads:     r.integer("process", "threads", 1, 1024, 1),
+		CPUCores:    r.float("process", "processor", 0.001, 1024, 1),
+		LinkMbps:    r.float("process", "link", 0.001, 1e6, 1000),
+		LogLevel:    r.choice("log", "level", "info", "debug", "warn", "error"),
+		LogFormat:   r.choice("log", "format", "json", "console"),
+		Digest:      r.digest,
 	}
 	if h.Advertise == "" {
 		h.Advertise = h.Peers
--- a/internal/settings/hosted_test.go
+++ b/internal/settings/hosted_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"errors"
 	"os"
 	"strings"
 	"testing"
@@ -44,6 +45,22 @@
 			So(err, ShouldBeNil)
 			So(edge, ShouldEqual, settings.EdgeNative)
 		})
+		Convey("can be adopted by a running process if only bounds differ", func() {
+			data, err := os.ReadFile("../../examples/hosted.ini")
+			So(err, ShouldBeNil)
+			read := func(from, to string) *settings.Hosted {
+				cfg, err := settings.ParseHosted("f", []byte(strings.Replace(string(data), from, to, 1)))
+				So(err, ShouldBeNil)
+				return cfg
+			}
+			old, bounds := read("", ""), read("leaving = 2s", "leaving = 3s")
+			So(old.CheckReload(bounds), ShouldBeNil)
+			So(bounds.Bounds.Digest(), ShouldNotEqual, old.Bounds.Digest())
+			renamed := read("name = rennes-e00", "name = rennes-e01")
+			So(errors.Is(old.CheckReload(renamed), settings.ErrNeedsRestart), ShouldBeTrue)
+			So(renamed.Digest, ShouldNotEqual, old.Digest)
+			So(renamed.Bounds.Digest(), ShouldEqual, old.Bounds.Digest())
+		})
 		Convey("require IP addresses rather than host names", func() {
 			expectHostedFault("callers = 127.0.0.1:8580", "callers = localhost:8580", "instance", "callers")
 			expectHostedFault("metrics = 127.0.0.1:9464", "metrics = 9464", "instance", "metrics")
--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"net/netip"
 	"os"
@@ -59,7 +61,9 @@
 // reader reads values from a parsed file and collects all faults. After a fault it returns an unusable value and continues, so that one run
 // reports every fault.
 type reader struct {
-	file     *ini.File
+	file *ini.File
+	// digest identifies the file's content.
+	digest   string
 	lines    map[string]int
 	expected map[string]bool
 	faults   []Fault
@@ -70,7 +74,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("parse settings: %w", err)
 	}
-	return &reader{file: file, lines: lineNumbers(data), expected: make(map[string]bool)}, nil
+	return &reader{file: file, digest: digest(data), lines: lineNumbers(data), expected: make(map[string]bool)}, nil
+}
+
+// digestBytes is the length of a digest, enough to tell the files of one deployment apart.
+const digestBytes = 6
+
+func digest(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:digestBytes])
 }
 
 func readFile(path string) (*reader, error) {
