Reach a new leader sooner: dials outlive their callers, entries connect ahead, backoff starts short

For 0.4 s the entries' placement calls to it fail at their 80 ms, though it is well: each call that finds no connection dials within its own 80 ms, 295 entries dial at once, a dial that was given up is followed by 0.3 s without one, and then nothing is asked of the leader for a second. Meanwhile entries place by themselves, and first events come after 1.4 s at the 90th percentile (second 23) instead of 0.27.

Change: a dial runs on its own for up to 1 s, its callers wait for it until their deadlines, and none outlasts its deadline by another's dial; a network that was closed closes what is dialled later. Entries connect to a leader when they hear of it. The backoff from a leader that did not answer is 150 ms at first and doubles up to 1 s; it keeps one leader instead of a map that grew.

Tests: TestSlowHandshake failed on both counts before (peer unreachable at the next call; a deadline missed), passes 15 of 15 times and beside six busy processes; TestOwnerBackoff.

--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"gypsumvale/internal/coordination/placement"
 	"gypsumvale/internal/duty"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/state/clock"
@@ -193,6 +194,7 @@
 		}
 	}
 	if m.currentLeader != previous {
+		m.node.wg.Go(func() { m.connectLeader(m.node.background) })
 		m.node.log.Info(event.PlacementOwnerChanged, "leader changed", zap.String("leader", m.currentLeader), zap.String("before", previous),
 			zap.Uint64("revision", uint64(revision)))
 	}
@@ -200,6 +202,18 @@
 	return true
 }
 
+// connectLeader opens the connection to a new leader, so that the first requests need not wait for it.
+func (m *members) connectLeader(ctx context.Context) {
+	name := m.owner()
+	network, address, ok := m.peer(name)
+	if !ok || name == m.node.cfg.Name {
+		return
+	}
+	if err := network.Connect(ctx, name, address); err != nil {
+		m.node.log.Info(event.PeerClosed, "failed to connect to the new leader", zap.String("leader", name), zap.Error(err))
+	}
+}
+
 // digestItems returns a digest of the keys and revisions of a set of items.
 func digestItems(items []kv.Item) uint64 {
 	h := xxhash.New()
@@ -331,30 +345,28 @@
 	return names
 }
 
-// leaderBackoff records the leaders that recently did not answer.
+// placementTimeout bounds a placement call to a peer: several times the round trip between zones.
+const placementTimeout = 80 * time.Millisecond
+
+// leaderBackoff guards the backoff from the leader.
 type leaderBackoff struct {
-	mu    sync.Mutex
-	until map[string]clock.Instant
+	mu      sync.Mutex
+	backoff placement.OwnerBackoff
 }
 
-const (
-	// placementTimeout bounds a placement call to a peer: several times the round trip between zones.
-	placementTimeout = 80 * time.Millisecond
-	// leaderBackoffTime is how long no placement is requested from a leader that did not answer.
-	leaderBackoffTime = time.Second
-)
-
-func (b *leaderBackoff) active(name string, now clock.Instant) bool {
+func (b *leaderBackoff) active(now clock.Instant, leader string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return now.Before(b.until[name])
+	return b.backoff.Active(now, leader)
 }
 
-func (b *leaderBackoff) start(name string, now clock.Instant) {
+// record records whether the leader answered a request that was sent at an instant.
+func (b *leaderBackoff) record(leader string, sentAt clock.Instant, answered bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.until == nil {
-		b.until = make(map[string]clock.Instant)
+	if answered {
+		b.backoff.RecordAnswer(leader)
+		return
 	}
-	b.until[name] = now.Add(leaderBackoffTime)
+	b.backoff.RecordFailure(clock.Now(), leader, sentAt)
 }
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -227,7 +227,7 @@
 		leader = n.members.owner()
 	}
 	switch {
-	case leader == "" || n.leaderBackoff.active(leader, now):
+	case leader == "" || n.leaderBackoff.active(now, leader):
 	case leader == n.cfg.Name:
 		n.metrics.Placements.WithLabelValues("owner").Inc()
 		choice, err := p.placeLocally(req)
@@ -242,11 +242,12 @@
 	default:
 		choice, err := n.placeAt(ctx, leader, req)
 		if !errors.Is(err, errNoOwner) {
+			n.leaderBackoff.record(leader, now, true)
 			n.metrics.Placements.WithLabelValues("peer").Inc()
 			return choice, leader, err
 		}
 		if ctx.Err() == nil {
-			n.leaderBackoff.start(leader, clock.Now())
+			n.leaderBackoff.record(leader, now, false)
 			n.log.Info(event.PlacementOwnerChanged, "leader did not place the request", zap.String("leader", leader), zap.Error(err))
 		}
 	}
--- a/internal/transport/peers/network.go
+++ b/internal/transport/peers/network.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,6 +66,8 @@
 	incoming  map[*conn]bool
 	listener  net.Listener
 	callSlots chan struct{}
+	// closed is true once all connections have been closed for good.
+	closed atomic.Bool
 }
 
 // New returns a network. Listen and then Run start it.
@@ -109,6 +112,7 @@
 }
 
 func (n *Network) closeAll() {
+	n.closed.Store(true)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for c := range n.incoming {
@@ -194,6 +198,14 @@
 	return nil
 }
 
+// Connect opens a connection to a peer, so that a later message need not wait for one. Errors wrap ErrUnreachable.
+func (n *Network) Connect(ctx context.Context, name, address string) error {
+	if _, err := n.client(name).connect(ctx, address); err != nil {
+		return fmt.Errorf("connect to %s: %w", name, err)
+	}
+	return nil
+}
+
 // Send sends a message that has no reply. Errors wrap ErrUnreachable, ErrFull or ErrClosed.
 func (n *Network) Send(ctx context.Context, name, address string, kind peer.Kind, msg any) error {
 	if err := n.client(name).send(ctx, address, kind, msg); err != nil {
@@ -218,10 +230,12 @@
 	network *Network
 	name    string
 
-	dialing  sync.Mutex
-	mu       sync.Mutex
-	conn     *conn
-	address  string
+	mu      sync.Mutex
+	conn    *conn
+	address string
+	// dialing is closed when the dial in progress has ended; nil means that there is none. dialErr is the error of the last dial.
+	dialing  chan struct{}
+	dialErr  error
 	failedAt time.Time
 	lastCall uint64
 	pending  map[uint64]chan *peer.Frame
@@ -278,7 +292,10 @@
 	delete(p.pending, number)
 }
 
-// connect returns the open connection or dials a new one. Only one caller dials at a time; the others wait for its result.
+// connect returns the open connection or waits for a new one until the context ends.
+//
+// A dial goes on after its caller has given up: when all instances connect to a new leader at once, the handshake takes longer than a call
+// may, and dials that were given up and repeated would keep the leader from completing any.
 func (p *peerClient) connect(ctx context.Context, address string) (*conn, error) {
 	if p.network.cfg.Blocked(p.name) {
 		p.disconnect()
@@ -287,25 +304,47 @@
 	if c := p.openConn(address); c != nil {
 		return c, nil
 	}
-	p.dialing.Lock()
-	defer p.dialing.Unlock()
+	done := p.startDial(address)
+	if done == nil {
+		return nil, ErrUnreachable
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %w", ErrUnreachable, ctx.Err())
+	}
 	if c := p.openConn(address); c != nil {
 		return c, nil
 	}
 	p.mu.Lock()
-	backingOff := p.address == address && time.Since(p.failedAt) < redialDelay
-	p.mu.Unlock()
-	if backingOff {
-		return nil, ErrUnreachable
+	defer p.mu.Unlock()
+	return nil, fmt.Errorf("%w: %w", ErrUnreachable, p.dialErr)
+}
+
+// startDial returns a channel that is closed when the dial in progress has ended, and starts one if there is none. It returns nil during the
+// pause after a failure.
+func (p *peerClient) startDial(address string) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.dialing != nil {
+		return p.dialing
 	}
-	c, err := p.dial(ctx, address)
-	if err != nil {
-		p.mu.Lock()
-		p.failedAt, p.address = time.Now(), address
-		p.mu.Unlock()
-		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+	if p.address == address && time.Since(p.failedAt) < redialDelay {
+		return nil
 	}
-	return c, nil
+	done := make(chan struct{})
+	p.dialing = done
+	go func() {
+		defer close(done)
+		err := p.dial(address)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.dialing, p.dialErr = nil, errDialSuperseded
+		if err != nil {
+			p.failedAt, p.address, p.dialErr = time.Now(), address, err
+		}
+	}()
+	return done
 }
 
 func (p *peerClient) openConn(address string) *conn {
@@ -324,12 +363,15 @@
 
 var errNameMismatch = errors.New("an instance with another name answered at this address")
 
-func (p *peerClient) dial(ctx context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+// errDialSuperseded is returned to a caller whose address is another than that of the dial it waited for.
+var errDialSuperseded = errors.New("the instance was dialled at another address")
+
+func (p *peerClient) dial(address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("dial: %w", err)
+		return fmt.Errorf("dial: %w", err)
 	}
 	r, remote, err := p.network.id.handshake(ctx, raw)
 	if err == nil && remote.Name != p.name {
@@ -337,7 +379,7 @@
 	}
 	if err != nil {
 		_ = raw.Close()
-		return nil, fmt.Errorf("handshake: %w", err)
+		return fmt.Errorf("handshake: %w", err)
 	}
 	c := newConn(raw, r, remote, &p.network.Traffic)
 	p.mu.Lock()
@@ -346,8 +388,11 @@
 	}
 	p.conn, p.address = c, address
 	p.mu.Unlock()
+	if p.network.closed.Load() {
+		c.close()
+	}
 	go p.readReplies(c)
-	return c, nil
+	return nil
 }
 
 func (p *peerClient) readReplies(c *conn) {
