--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -210,7 +210,7 @@
 		return
 	}
 	if err := network.Connect(ctx, name, address); err != nil {
-		m.node.log.Info(event.PeerClosed, "failed to connect to the new leader", zap.String("leader", name), zap.Error(err))
+		m.node.log.Info(event.PlacementOwnerChanged, "failed to connect to the new leader", zap.String("leader", name), zap.Error(err))
 	}
 }
 
