Limit response heads and events without end, and never forward a long refusal of work that has run

Cause: bytes that are no answer may come without end. http.ReadResponse reads a status line and headers without a limit, so that one faulty endpoint can fill an instance of 136 MB; an event without an end was kept and searched anew with each read until the caller's deadline.

Change: a connection's reader counts the bytes of a head with all informational responses before it; an event may have 256 KiB. The check for "not run" comes before the body is read; a read that fails on the caller's side no longer counts against its endpoint; a long 5xx counts as the endpoint's failure.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -136,6 +136,11 @@
 
 // bufferReply reads a complete answer before any of it is sent to the caller.
 func (j *job) bufferReply(ctx context.Context, choice *placement.Choice, resp *upstream.Response) (retry.Outcome, placement.Outcome) {
+	if impliesNotRun(resp.Status) {
+		// The endpoint ran the request, or may have, but callers read this status as a statement that it did not run, so it must not be
+		// forwarded.
+		return retry.Broken, placement.OutcomeFailed
+	}
 	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
 	j.node.placer.reportFirstEvent(&j.placementReq, j.owner)
 	if err != nil {
@@ -145,13 +150,7 @@
 		return j.forwardOversized(ctx, choice, resp, body)
 	}
 	j.buffered = &bufferedReply{resp.Status, resp.Header, resp.Length, body}
-	switch {
-	case impliesNotRun(resp.Status):
-		// The endpoint ran the request, or may have, but callers read this status as a statement that it did not run, so it must not be
-		// forwarded.
-		j.buffered = nil
-		return retry.Broken, placement.OutcomeFailed
-	case resp.Status >= http.StatusInternalServerError:
+	if resp.Status >= http.StatusInternalServerError {
 		return retry.Failed, placement.OutcomeFailed
 	}
 	return retry.Answered, placement.OutcomeAnswered
@@ -177,12 +176,33 @@
 	if _, err := j.w.Write(prefix); err != nil {
 		return retry.Broken, placement.OutcomeWithdrawn
 	}
-	if _, err := io.Copy(j.w, resp); err != nil {
-		return j.classifyError(ctx, choice, err)
+	rest := &errorRecorder{r: resp}
+	if _, err := io.Copy(j.w, rest); rest.err != nil {
+		return j.classifyError(ctx, choice, rest.err)
+	} else if err != nil {
+		return retry.Broken, placement.OutcomeWithdrawn
+	}
+	if resp.Status >= http.StatusInternalServerError {
+		return retry.Answered, placement.OutcomeFailed
 	}
 	return retry.Answered, placement.OutcomeAnswered
 }
 
+// errorRecorder records the error of a read, to tell an endpoint's failure from a caller's.
+type errorRecorder struct {
+	r   io.Reader
+	err error
+}
+
+// Read reads from the underlying reader.
+func (e *errorRecorder) Read(b []byte) (int, error) {
+	n, err := e.r.Read(b)
+	if err != nil && !errors.Is(err, io.EOF) {
+		e.err = err
+	}
+	return n, err //nolint:wrapcheck // io.Copy compares the error with io.EOF.
+}
+
 // writeHead sends the head of an endpoint's answer to the caller, once.
 func (j *job) writeHead(status int, header http.Header) {
 	if j.headSent {
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -105,6 +105,25 @@
 				s.expectRefused(s.call(e, http.MethodPost, "/book/", ""), http.StatusBadGateway, 1)
 			}
 		})
+		Convey("never reports a request that has run as not run, however long the endpoint's response is", func() {
+			for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
+				s.eachEndpoint(hosted.EndpointFault{Status: status, StatusBody: 300 << 10})
+				s.expectRefused(s.call(e, http.MethodPost, "/book/", ""), http.StatusBadGateway, 1)
+			}
+		})
+		Convey("ends a stream whose event never ends, without reading on", func() {
+			s.eachEndpoint(hosted.EndpointFault{EndlessEvent: true})
+			started := time.Now()
+			a := s.send(e, http.MethodPost, "/redraft/", "plan")
+			// The deadline is 3.5 s.
+			So(time.Since(started), ShouldBeLessThan, 2500*time.Millisecond)
+			So(a.complete, ShouldBeFalse)
+			So(a.body, ShouldEqual, hosted.Stream(1))
+			for _, endpoint := range s.endpoints {
+				// The limit of one event, and what the connection's buffers hold.
+				So(endpoint.EndlessBytes(), ShouldBeLessThan, 16<<20)
+			}
+		})
 		Convey("forwards an endpoint's error response with its signature", func() {
 			s.eachEndpoint(hosted.EndpointFault{Status: http.StatusInternalServerError})
 			a := s.call(e, http.MethodPost, "/book/", "")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -15,11 +15,19 @@
 	"gypsumvale/internal/transport/upstream"
 )
 
-// streamBufferBytes is the size of one read; events are a few hundred bytes long.
-const streamBufferBytes = 4 << 10
+const (
+	// streamBufferBytes is the size of one read; events are a few hundred bytes long.
+	streamBufferBytes = 4 << 10
+	// maxEventBytes limits one event: a faulty endpoint may send bytes without end that never complete one.
+	maxEventBytes = 256 << 10
+)
 
-// errOutOfOrder is returned for an event whose number is not higher than that of the last one sent to the caller.
-var errOutOfOrder = errors.New("event out of order")
+var (
+	// errOutOfOrder is returned for an event whose number is not higher than that of the last one sent to the caller.
+	errOutOfOrder = errors.New("event out of order")
+	// errEventTooLong is returned for an event of more than maxEventBytes.
+	errEventTooLong = errors.New("event too long")
+)
 
 // eventSplitter splits a stream into complete events and tracks their numbers.
 type eventSplitter struct {
@@ -29,7 +37,7 @@
 	next int64
 }
 
-// push adds bytes and returns the events that are now complete; its only error is errOutOfOrder.
+// push adds bytes and returns the events that are now complete; its errors are errOutOfOrder and errEventTooLong.
 func (s *eventSplitter) push(data []byte) ([]byte, error) {
 	s.pending = append(s.pending, data...)
 	end := 0
@@ -59,6 +67,9 @@
 	}
 	complete := append([]byte(nil), s.pending[:end]...)
 	s.pending = append(s.pending[:0], s.pending[end:]...)
+	if len(s.pending) > maxEventBytes {
+		return nil, errEventTooLong
+	}
 	return complete, nil
 }
 
--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gypsumvale/internal/standin/wire"
@@ -75,8 +76,11 @@
 	Unsealed bool
 	// Full rejects every request without executing it, as if all slots were taken.
 	Full bool
-	// Status, if not zero, is the status of every response. The response has no body but is signed.
-	Status int
+	// Status, if not zero, is the status of every response. The response is signed and has a body of StatusBody bytes.
+	Status     int
+	StatusBody int
+	// EndlessEvent sends, in place of a stream's second event, a line that never ends, until the caller closes the connection.
+	EndlessEvent bool
 	// CrashOn crashes the endpoint when a request's body contains this text. It is disabled if empty.
 	CrashOn string
 }
@@ -101,14 +105,16 @@
 	// startedMilli is the start time in milliseconds since the Unix epoch.
 	startedMilli int64
 
-	mu         sync.Mutex
-	fault      EndpointFault
-	version    int
-	orderCount int
-	running    int
-	runs       []Run
-	leaving    bool
-	stopped    bool
+	mu    sync.Mutex
+	fault EndpointFault
+
+	endlessBytes atomic.Int64
+	version      int
+	orderCount   int
+	running      int
+	runs         []Run
+	leaving      bool
+	stopped      bool
 }
 
 // StartEndpoint starts serving an endpoint and registers it.
--- a/internal/standin/hosted/responses.go
+++ b/internal/standin/hosted/responses.go
@@ -68,6 +68,8 @@
 	}
 	if f.Status != 0 {
 		w.WriteHeader(f.Status)
+		// A write error means that the caller has disconnected.
+		_, _ = io.WriteString(w, strings.Repeat("x", f.StatusBody))
 		return
 	}
 	if e.cfg.Events == 0 {
@@ -83,6 +85,10 @@
 	}
 	for n := lastEvent + 1; n <= e.cfg.Events; n++ {
 		e.sleep(r, e.cfg.Work)
+		if f.EndlessEvent && n > 1 {
+			e.writeEndlessLine(w)
+			return
+		}
 		if f.CutAfter > 0 && n > f.CutAfter {
 			// Sends part of an event and then aborts the connection.
 			_, _ = io.WriteString(w, "id: "+strconv.Itoa(n)+"\ndata: ha")
@@ -96,6 +102,23 @@
 	}
 }
 
+// writeEndlessLine writes until the caller closes the connection.
+func (e *Endpoint) writeEndlessLine(w http.ResponseWriter) {
+	block := strings.Repeat("x", endlessBlockBytes)
+	for {
+		if _, err := io.WriteString(w, block); err != nil {
+			return
+		}
+		e.endlessBytes.Add(endlessBlockBytes)
+	}
+}
+
+// endlessBlockBytes is the size of one write of an endless line.
+const endlessBlockBytes = 16 << 10
+
+// EndlessBytes returns how many bytes of endless lines were written.
+func (e *Endpoint) EndlessBytes() int64 { return e.endlessBytes.Load() }
+
 func (e *Endpoint) sleep(r *http.Request, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -2,19 +2,55 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"sync"
 	"syscall"
 
+	"github.com/pkg/errors"
+
 	"gypsumvale/internal/state/clock"
 )
 
-// readBufferBytes is large enough for a response head and a few events.
-const readBufferBytes = 4 << 10
+const (
+	// readBufferBytes is large enough for a response head and a few events.
+	readBufferBytes = 4 << 10
+	// maxHeadBytes limits a response's head, with the informational responses before it: a faulty endpoint may send bytes without end.
+	maxHeadBytes = 64 << 10
+)
+
+// ErrHeadTooLong is wrapped by the error for a response whose head exceeds maxHeadBytes.
+var ErrHeadTooLong = errors.New("response head too long")
+
+// headLimiter reads from a connection, and fails once a response's head is too long.
+type headLimiter struct {
+	raw io.Reader
+	// inHead is true while a head is being read, and remaining is how many more bytes it may have.
+	inHead    bool
+	remaining int
+}
+
+func (l *headLimiter) start() { l.inHead, l.remaining = true, maxHeadBytes }
+
+func (l *headLimiter) stop() { l.inHead = false }
+
+// Read reads from the connection; bytes of the body that arrive with the head count too, which the limit allows for.
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if l.inHead {
+		if l.remaining <= 0 {
+			return 0, ErrHeadTooLong
+		}
+		b = b[:min(len(b), l.remaining)]
+	}
+	n, err := l.raw.Read(b)
+	l.remaining -= n
+	return n, err //nolint:wrapcheck // The connection's own errors are wrapped where the response is read.
+}
 
 // conn is an HTTP/1.1 connection without pipelining: it carries one request at a time.
 type conn struct {
 	raw     net.Conn
+	limiter *headLimiter
 	r       *bufio.Reader
 	address string
 	// usableUntil is when the idle timeout expires.
@@ -23,7 +59,8 @@
 }
 
 func newConn(raw net.Conn, address string) *conn {
-	return &conn{raw: raw, r: bufio.NewReaderSize(raw, readBufferBytes), address: address}
+	limiter := &headLimiter{raw: raw}
+	return &conn{raw: raw, limiter: limiter, r: bufio.NewReaderSize(limiter, readBufferBytes), address: address}
 }
 
 func (c *conn) close() { c.once.Do(func() { _ = c.raw.Close() }) }
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -97,6 +97,8 @@
 }
 
 func (c *conn) readFinalResponse(method string) (*http.Response, error) {
+	c.limiter.start()
+	defer c.limiter.stop()
 	for range maxInformational {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
 		if err != nil {
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -7,6 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -164,3 +167,73 @@
 		})
 	})
 }
+
+// endlessServer answers each connection with the same bytes again and again until it is closed, and counts them.
+func endlessServer(first, repeated string) (pool *upstream.Pool, address string, written *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	Reset(func() { _ = l.Close() })
+	written = &atomic.Int64{}
+	block := strings.Repeat(repeated, 1+1024/len(repeated))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				_, _ = io.WriteString(c, first)
+				for {
+					n, err := io.WriteString(c, block)
+					written.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return upstream.NewPool(func() {}), l.Addr().String(), written
+}
+
+// Bytes that are no answer may come without end, until the caller closes the connection.
+func TestEndlessHead(t *testing.T) {
+	Convey("200 responses whose heads never end", t, func() {
+		const connections = 200
+		for name, text := range map[string][2]string{
+			"a status line":           {"HTTP/1.1 200 ", "O"},
+			"a header's value":        {"HTTP/1.1 200 OK\r\nId: ", "1"},
+			"headers":                 {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+			"bytes that are not HTTP": {"", "\x00\x01"},
+			"informational responses": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		} {
+			Convey("end with an error, and their connections are closed: "+name, func() {
+				pool, address, written := endlessServer(text[0], text[1])
+				ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+				defer cancel()
+				var late, answered atomic.Int64
+				var wg sync.WaitGroup
+				for range connections {
+					wg.Go(func() {
+						_, err := pool.Send(ctx, address, &upstream.Request{
+							Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {"1"}},
+							Accepts: func(int, http.Header) bool { return true },
+						})
+						switch {
+						case err == nil:
+							answered.Add(1)
+						case ctx.Err() != nil:
+							late.Add(1)
+						}
+					})
+				}
+				wg.Wait()
+				So(answered.Load(), ShouldEqual, 0)
+				So(late.Load(), ShouldEqual, 0)
+				// The limit of a head, and what a connection's buffers hold.
+				So(written.Load(), ShouldBeLessThan, connections*(8<<20))
+			})
+		}
+	})
+}
