Ask a relay that failed again after 0.3 s instead of 0.75 s

Cause: known red TestLargeSite (second reader after slow reads). After reads of 1.2 s a page the zone's relay reads the store again 2.3 s after they are quick (its read in flight fails, pauses, reads both pages), and the other entries, which ask a failed relay each 0.75 s, follow it 0.9 s later (613 at 45.517, 313 at 44.600 in the run that failed): 3.2 s, where 3 s are the bound. Until then a second entry reads beside it.

Ruled out: a relay without processor time as the only cause (the times add up without one).

Change: the interval of these probes.

A probe is one message between peers, only while a relay has failed.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -32,8 +32,9 @@
 	// relayFallbackTimeout is how long an entry waits for a relay before it reads all pages itself, on sites whose data fills many pages
 	// of the store.
 	relayFallbackTimeout = 1500 * time.Millisecond
-	// probeInterval is how often a relay that failed or had outdated data is queried again: about as often as relays poll the store.
-	probeInterval = 750 * time.Millisecond
+	// probeInterval is how often a relay that failed or had outdated data is queried again. After slow reads of the store, a relay needs most
+	// of the bound for leaving endpoints to read it again; it must then be followed within the rest.
+	probeInterval = 300 * time.Millisecond
 	// firstReadTimeout is how long a newly selected relay may have outdated data, to allow for its first read of all pages.
 	firstReadTimeout = 750 * time.Millisecond
 )
