Orders without an answer don't keep other engines from loading weights, and are sent again

What callers saw: requests began on weights that had been replaced more than 8 s before (VERSION), on Le Goff and Teranga.

Cause: the leader lets four engines load at once, and an order counted as a load from its planning until its engine ran the new version, at most 4 s. An order that no engine had answered or begun held one of the four places all that time, so that late or lost orders stalled the rollout for engines that had not been asked yet, and the engine that lost its order was asked again only 4 s later. The entry in the planner also ended before the task that used it, so that one engine could get two tasks.

TestLateOrdersStallRollout on the code before: with the first orders lost, 3 of 3 engines outdated 2 s after orders were answered again (0 expected); with orders late by 2 s, 1 of 3 outdated after 3.5 s (0 expected). Its third part held before too: however often an order is sent, an engine carries out one, since each names the number of orders accepted before.

Ruled out: restarts (the same 701 and 712 show before the first restart); a full or slow leader (its orders go out at once when there is room).

Change: the planner has three states of an order: counted as a load; without an answer, which frees the place after 100 ms and is sent again 0.4 s after its sending ended, after the engines that have not been asked; accepted, also by a report that shows the engine at work. An engine that is asked again is not drained and stays in use until it accepts; the order lets running work end first.

--- a/internal/coordination/rollout/plan.go
+++ b/internal/coordination/rollout/plan.go
@@ -40,6 +40,8 @@
 	Fence    uint64
 	// Deadline is when the order counts as ended, regardless of its result.
 	Deadline time.Time
+	// Resend is true if the endpoint left an earlier order of this holder unanswered, which it may still execute.
+	Resend bool
 }
 
 // Term is a period during which this process holds the lease.
@@ -55,20 +57,29 @@
 //
 // A new holder first waits until the orders of its predecessor have ended, since an endpoint that doesn't check fencing numbers would
 // execute orders of both.
+//
+// An order without an answer is not a load: an endpoint that hasn't begun to execute it doesn't delay the loads of others. It is sent again
+// after a pause.
 type Planner struct {
-	cfg     Config
-	term    Term
+	cfg  Config
+	term Term
+	// pending holds the deadlines of orders that count as loads, by endpoint.
 	pending map[string]time.Time
+	// resendAt holds when endpoints that left an order unanswered may be ordered again.
+	resendAt map[string]time.Time
 }
 
 // NewPlanner returns a planner that doesn't hold the lease.
-func NewPlanner(cfg Config) *Planner { return &Planner{cfg: cfg, pending: make(map[string]time.Time)} }
+func NewPlanner(cfg Config) *Planner {
+	return &Planner{cfg: cfg, pending: make(map[string]time.Time), resendAt: make(map[string]time.Time)}
+}
 
 // SetLease records that this process holds the lease until the given time. A new fencing number starts a new term.
 func (p *Planner) SetLease(now time.Time, fence uint64, until time.Time) {
 	if fence != p.term.Fence {
 		p.term = Term{Fence: fence, Since: now}
 		clear(p.pending)
+		clear(p.resendAt)
 	}
 	p.term.Until = until
 }
@@ -90,25 +101,31 @@
 // SetSettleTime changes how long a new lease holder waits, from its next lease on.
 func (p *Planner) SetSettleTime(d time.Duration) { p.cfg.SettleTime = d }
 
-// Plan returns the orders to send now, in the order of the replicas. It keeps the number of loads in progress within the limit, and
-// returns no orders that could not be sent before the lease expires.
+// Plan returns the orders to send now: first to endpoints that have left no order unanswered, otherwise in the order of the replicas. It
+// keeps the number of loads in progress within the limit, and returns no orders that could not be sent before the lease expires.
 func (p *Planner) Plan(now time.Time, replicas []Replica) []Order {
-	deadline := now.Add(p.cfg.OrderTime)
 	if now.Sub(p.term.Since) < p.cfg.SettleTime || !p.HoldsLease(now) {
 		return nil
 	}
-	inProgress := p.inProgress(now, replicas)
+	places := p.cfg.MaxLoads - p.inProgress(now, replicas)
+	orders := p.planOrders(now, replicas, false, places)
+	return append(orders, p.planOrders(now, replicas, true, places-len(orders))...)
+}
+
+// planOrders returns up to limit orders, either to endpoints that left an order unanswered or to the others.
+func (p *Planner) planOrders(now time.Time, replicas []Replica, resend bool, limit int) []Order {
 	var orders []Order
+	deadline := now.Add(p.cfg.OrderTime)
 	for _, r := range replicas {
-		if inProgress >= p.cfg.MaxLoads {
+		if len(orders) >= limit {
 			break
 		}
-		if r.Loading || r.Running == "" || r.Running == r.Wanted || !p.pending[r.Name].IsZero() {
+		resendAt, unanswered := p.resendAt[r.Name]
+		if unanswered != resend || now.Before(resendAt) || r.Loading || r.Running == "" || r.Running == r.Wanted || !p.pending[r.Name].IsZero() {
 			continue
 		}
 		p.pending[r.Name] = deadline
-		inProgress++
-		orders = append(orders, Order{Endpoint: r.Name, Version: r.Wanted, Fence: p.term.Fence, Deadline: deadline})
+		orders = append(orders, Order{Endpoint: r.Name, Version: r.Wanted, Fence: p.term.Fence, Deadline: deadline, Resend: resend})
 	}
 	return orders
 }
@@ -129,5 +146,21 @@
 	return n
 }
 
+// OrderUnanswered records that an endpoint has not answered an order: the order no longer counts as a load, and the endpoint gets another
+// one from the given time on.
+func (p *Planner) OrderUnanswered(endpoint string, resendAt time.Time) {
+	delete(p.pending, endpoint)
+	p.resendAt[endpoint] = resendAt
+}
+
+// LoadStarted records that an endpoint executes an order, which counts as a load until the deadline.
+func (p *Planner) LoadStarted(endpoint string, deadline time.Time) {
+	p.pending[endpoint] = deadline
+	delete(p.resendAt, endpoint)
+}
+
 // OrderEnded records that an order has ended.
-func (p *Planner) OrderEnded(endpoint string) { delete(p.pending, endpoint) }
+func (p *Planner) OrderEnded(endpoint string) {
+	delete(p.pending, endpoint)
+	delete(p.resendAt, endpoint)
+}
--- a/internal/coordination/rollout/plan_test.go
+++ b/internal/coordination/rollout/plan_test.go
@@ -41,6 +41,30 @@
 			list[0].Loading, list[1].Loading = true, true
 			expectOrders(p, settled, list, 1)
 		})
+		Convey("doesn't count orders without an answer as loads, and sends them again after the others", func() {
+			list := replicas(5, "v1")
+			expectOrders(p, settled, list, 3)
+			resendAt := settled.Add(time.Second)
+			p.OrderUnanswered("m00", resendAt)
+			p.OrderUnanswered("m01", resendAt)
+			expectOrders(p, settled, list, 2)
+			expectOrders(p, resendAt, list, 0)
+			p.OrderEnded("m03")
+			p.OrderEnded("m04")
+			list[3].Running = "v2"
+			orders := p.Plan(resendAt, list)
+			So(orders, ShouldHaveLength, 2)
+			So(orders[0].Endpoint, ShouldEqual, "m04")
+			So(orders[0].Resend, ShouldBeFalse)
+			So(orders[1].Endpoint, ShouldEqual, "m00")
+			So(orders[1].Resend, ShouldBeTrue)
+		})
+		Convey("counts an order as a load once it is answered late", func() {
+			expectOrders(p, settled, replicas(5, "v1"), 3)
+			p.OrderUnanswered("m00", settled)
+			p.LoadStarted("m00", settled.Add(time.Second))
+			expectOrders(p, settled, replicas(5, "v1"), 0)
+		})
 		Convey("sends nothing to replicas that run the wanted version", func() { expectOrders(p, settled, replicas(5, "v2"), 0) })
 		Convey("sends nothing that could not be sent before the lease expires", func() {
 			p.SetLease(start, 7, settled.Add(rollout.OrderTime/2))
--- a/internal/gateway/site_faults_test.go
+++ b/internal/gateway/site_faults_test.go
@@ -295,6 +295,48 @@
 	})
 }
 
+func TestLateOrdersStallRollout(t *testing.T) {
+	Convey("engines that leave orders unanswered", t, func() {
+		s := startSite(1)
+		eventually("a leader is elected", func() bool { return s.store.Value("gypsum/lead") != nil })
+		// One engine more than may load at the same time.
+		engines := s.endpoints[2:5]
+		announceDuringFault := func(delay time.Duration) {
+			s.eachEndpoint(hosted.EndpointFault{OrderDelay: delay})
+			So(s.store.Put("op/version/"+testModel, map[string]any{"Model": testModel, "Version": 2}), ShouldBeNil)
+		}
+		outdated := func() int {
+			n := 0
+			for _, e := range engines {
+				if e.Version() != 2 {
+					n++
+				}
+			}
+			return n
+		}
+		Convey("get their orders again, long before the first ones count as lost", func() {
+			announceDuringFault(time.Hour)
+			time.Sleep(500 * time.Millisecond)
+			s.eachEndpoint(hosted.EndpointFault{})
+			time.Sleep(2 * time.Second)
+			So(outdated(), ShouldEqual, 0)
+		})
+		Convey("don't keep others from loading", func() {
+			announceDuringFault(2 * time.Second)
+			time.Sleep(3500 * time.Millisecond)
+			So(outdated(), ShouldEqual, 0)
+		})
+		Convey("carry out one order each, however often it was sent", func() {
+			announceDuringFault(1500 * time.Millisecond)
+			eventually("engines run version 2", func() bool { return outdated() == 0 })
+			time.Sleep(2 * time.Second)
+			for _, e := range engines {
+				So(e.Orders(), ShouldEqual, 1)
+			}
+		})
+	})
+}
+
 func TestLeaderKeepsLease(t *testing.T) {
 	Convey("a leader stays leader after a store outage longer than its lease", t, func() {
 		s := startSite(3)
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -26,8 +26,17 @@
 	maxLoadShare = 0.22
 	// orderSendTimeout bounds the sending of an order, which engines acknowledge at once.
 	orderSendTimeout = 400 * time.Millisecond
-	// orderTimeout is how long an order without a known end counts as in progress.
-	orderTimeout = 4 * time.Second
+	// orderAnswerTimeout is how long an order without an answer counts as a load, so that engines that don't answer don't keep others from
+	// loading.
+	orderAnswerTimeout = 100 * time.Millisecond
+	// orderResendDelay is the pause from the end of an unanswered order to the next one. An engine that did accept the order shows so in
+	// its report by then.
+	orderResendDelay = 400 * time.Millisecond
+	// loadTimeout is how long an engine may take to execute an order that it has accepted.
+	loadTimeout = 4 * time.Second
+	// maxOrderTime bounds the time from planning an order until its engine has executed it: draining, reading the engine's state, sending
+	// the order, loading.
+	maxOrderTime = 2*drainTimeout + drainPollPeriod + reportTimeout + orderSendTimeout + loadTimeout + reportPeriod + reportTimeout
 	// reportPeriod is the interval at which an engine under orders is queried for its state.
 	reportPeriod = 200 * time.Millisecond
 	// drainTimeout is how long an engine may prefill the prompts that it has received before its order is sent.
@@ -55,7 +64,7 @@
 		node:   n,
 		wakeup: make(chan struct{}, 1),
 		planner: rollout.NewPlanner(rollout.Config{
-			MaxLoads: n.cfg.MaxLoads, OrderTime: orderTimeout, SendTime: orderSendTimeout, SettleTime: n.cfg.Lease,
+			MaxLoads: n.cfg.MaxLoads, OrderTime: maxOrderTime, SendTime: orderSendTimeout, SettleTime: n.cfg.Lease,
 		}),
 		reported: make(map[registration.Incarnation]map[string]int),
 	}
@@ -120,7 +129,7 @@
 	w.mu.Unlock()
 	for _, o := range orders {
 		e := outdated[o.Endpoint]
-		w.node.wg.Go(func() { w.runOrder(ctx, e, o.Fence) })
+		w.node.wg.Go(func() { w.runOrder(ctx, e, &o) })
 	}
 }
 
@@ -183,40 +192,73 @@
 }
 
 // runOrder brings one engine to its target version. It reads the engine's state before and after the order instead of assuming it.
-func (w *weightRollout) runOrder(ctx context.Context, e *outdatedEngine, fence uint64) {
-	defer func() {
-		// An engine that can't take an order yet gets a short pause before the next one.
-		_ = duty.Sleep(ctx, reportPeriod)
-		w.mu.Lock()
-		w.planner.OrderEnded(e.ID)
-		w.mu.Unlock()
-		w.wake()
-	}()
-	w.node.placer.setLoadingUntil(e.Service, e.ID, clock.Now().Add(orderTimeout))
-	mode := w.drain(ctx, e)
+func (w *weightRollout) runOrder(ctx context.Context, e *outdatedEngine, o *rollout.Order) {
+	mode := rollout.FinishRunning
+	if !o.Resend {
+		w.node.placer.setLoadingUntil(e.Service, e.ID, clock.Now().Add(maxOrderTime))
+		mode = w.drain(ctx, e)
+	}
 	report, err := w.report(ctx, e)
-	if err != nil || w.recordReport(e, &report) || report.Busy {
-		w.finishOrder(e, "not_needed", err)
+	switch {
+	case err != nil, w.recordReport(e, &report):
+		w.finishOrder(ctx, e, "not_needed", err)
 		return
-	}
-	if !w.canSendOrder() {
-		w.finishOrder(e, "lease_lapsing", nil)
+	case report.Busy:
+		// An earlier order, possibly one without an answer, is being executed.
+		w.awaitLoaded(ctx, e)
+		return
+	case !w.canSendOrder():
+		w.finishOrder(ctx, e, "lease_lapsing", nil)
 		return
 	}
 	w.node.log.Info(event.OrderSent, "weight order sent", zap.String("endpoint", e.ID), zap.String("model", e.model),
 		zap.Int("version", e.targetVersion), zap.Int("runs", e.runningVersion), zap.Int("orders", report.Orders),
-		zap.Uint64("fence", fence), zap.Uint8("mode", uint8(mode)))
-	started := clock.Now()
-	sendCtx, cancel := context.WithTimeout(ctx, orderSendTimeout)
-	result, err := w.node.deps.Engines.Order(sendCtx, e.Address, &rollout.LoadOrder{
-		Endpoint: e.ID, Model: e.model, Version: e.targetVersion, Mode: mode, Holder: w.node.cfg.Name, Fence: fence, Orders: report.Orders,
+		zap.Uint64("fence", o.Fence), zap.Uint8("mode", uint8(mode)), zap.Bool("resend", o.Resend))
+	result, err := w.sendOrder(ctx, e, &rollout.LoadOrder{
+		Endpoint: e.ID, Model: e.model, Version: e.targetVersion, Mode: mode, Holder: w.node.cfg.Name, Fence: o.Fence, Orders: report.Orders,
 	})
-	cancel()
-	if err == nil && result == rollout.Rejected {
-		w.finishOrder(e, "rejected", nil)
-		return
+	switch {
+	case err != nil:
+		w.recordUnanswered(e, err)
+	case result == rollout.Rejected:
+		w.finishOrder(ctx, e, "rejected", nil)
+	default:
+		w.awaitLoaded(ctx, e)
+	}
+}
+
+// sendOrder sends an order. While the answer is outstanding, the order soon no longer counts as a load, so that other engines can load.
+func (w *weightRollout) sendOrder(ctx context.Context, e *outdatedEngine, o *rollout.LoadOrder) (rollout.OrderResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderSendTimeout)
+	defer cancel()
+	ended := false
+	overdue := time.AfterFunc(orderAnswerTimeout, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !ended {
+			w.planner.OrderUnanswered(e.ID, toTime(clock.Now().Add(orderSendTimeout+orderResendDelay)))
+			w.wake()
+		}
+	})
+	defer overdue.Stop()
+	result, err := w.node.deps.Engines.Order(ctx, e.Address, o)
+	w.mu.Lock()
+	ended = true
+	w.mu.Unlock()
+	if err != nil {
+		return 0, fmt.Errorf("order engine %s: %w", e.ID, err)
 	}
-	w.awaitLoaded(ctx, e, started)
+	return result, nil
+}
+
+// recordUnanswered returns an engine that left an order without an answer to service until the order is sent again. The engine accepts only
+// one of the orders, since each names the number of orders accepted before.
+func (w *weightRollout) recordUnanswered(e *outdatedEngine, err error) {
+	w.mu.Lock()
+	w.planner.OrderUnanswered(e.ID, toTime(clock.Now().Add(orderResendDelay)))
+	w.mu.Unlock()
+	w.logEnd(e, "unanswered", err)
+	w.wake()
 }
 
 // drain waits while an engine that gets no new requests finishes its prefills, and returns how its remaining requests are to be treated.
@@ -245,16 +287,21 @@
 	return w.node.leadership.holdsLease(now) && now.Add(orderSendTimeout).Before(until) && fence != 0
 }
 
-// awaitLoaded waits until an engine runs the ordered version. An order without an answer may still be carried out.
-func (w *weightRollout) awaitLoaded(ctx context.Context, e *outdatedEngine, started clock.Instant) {
-	for clock.Now().Sub(started) < orderTimeout && duty.Sleep(ctx, reportPeriod) {
+// awaitLoaded waits until an engine that executes an order runs the target version. The engine gets no new requests meanwhile.
+func (w *weightRollout) awaitLoaded(ctx context.Context, e *outdatedEngine) {
+	deadline := clock.Now().Add(loadTimeout)
+	w.mu.Lock()
+	w.planner.LoadStarted(e.ID, toTime(deadline.Add(reportPeriod+reportTimeout)))
+	w.mu.Unlock()
+	w.node.placer.setLoadingUntil(e.Service, e.ID, deadline)
+	for clock.Now().Before(deadline) && duty.Sleep(ctx, reportPeriod) {
 		report, err := w.report(ctx, e)
 		if err == nil && w.recordReport(e, &report) {
-			w.finishOrder(e, "loaded", nil)
+			w.finishOrder(ctx, e, "loaded", nil)
 			return
 		}
 	}
-	w.finishOrder(e, "unknown", nil)
+	w.finishOrder(ctx, e, "unknown", nil)
 }
 
 func (w *weightRollout) report(ctx context.Context, e *outdatedEngine) (rollout.Report, error) {
@@ -283,7 +330,18 @@
 	return true
 }
 
-func (w *weightRollout) finishOrder(e *outdatedEngine, result string, err error) {
+// finishOrder ends an order, after a short pause in which an engine that can't take an order yet gets no other one.
+func (w *weightRollout) finishOrder(ctx context.Context, e *outdatedEngine, result string, err error) {
+	w.logEnd(e, result, err)
+	_ = duty.Sleep(ctx, reportPeriod)
+	w.mu.Lock()
+	w.planner.OrderEnded(e.ID)
+	w.mu.Unlock()
+	w.wake()
+}
+
+// logEnd returns an engine to service and records the result of its order.
+func (w *weightRollout) logEnd(e *outdatedEngine, result string, err error) {
 	w.node.placer.setLoadingUntil(e.Service, e.ID, 0)
 	w.node.metrics.Orders.WithLabelValues(result).Inc()
 	w.node.log.Info(event.OrderEnded, "weight order ended", zap.String("endpoint", e.ID), zap.Int("version", e.targetVersion),
--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -83,6 +83,9 @@
 	EndlessEvent bool
 	// CrashOn crashes the endpoint when a request's body contains this text. It is disabled if empty.
 	CrashOn string
+	// OrderDelay leaves weight orders without an answer and carries them out after this time, if the number of accepted orders is still
+	// the expected one. Zero disables it.
+	OrderDelay time.Duration
 }
 
 // Run is a request whose execution an endpoint has started.
@@ -287,24 +290,44 @@
 		return
 	}
 	e.mu.Lock()
-	if body.Expected != nil && *body.Expected != e.orderCount {
-		e.mu.Unlock()
-		w.WriteHeader(http.StatusConflict)
+	delay := e.fault.OrderDelay
+	e.mu.Unlock()
+	carryOut := func() int {
+		return e.carryOut(Order{body.Owner, body.FencingToken, body.Version}, body.Expected)
+	}
+	if delay > 0 {
+		time.AfterFunc(delay, func() { _ = carryOut() })
+		<-r.Context().Done()
 		return
 	}
-	e.version = body.Version
+	w.WriteHeader(carryOut())
+}
+
+// carryOut carries out an order if the number of accepted orders is the expected one, and returns the status of the answer.
+func (e *Endpoint) carryOut(o Order, expected *int) int {
+	e.mu.Lock()
+	if expected != nil && *expected != e.orderCount {
+		e.mu.Unlock()
+		return http.StatusConflict
+	}
+	e.version = o.Version
 	e.orderCount++
-	err := e.appendJournal(JournalEntry{Order: &Order{body.Owner, body.FencingToken, body.Version}})
+	err := e.appendJournal(JournalEntry{Order: &o})
 	e.mu.Unlock()
 	if err != nil {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
+		return http.StatusInternalServerError
 	}
 	if err := e.register(); err != nil {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
+		return http.StatusInternalServerError
 	}
-	w.WriteHeader(http.StatusAccepted)
+	return http.StatusAccepted
+}
+
+// Orders returns the number of orders that the endpoint has accepted.
+func (e *Endpoint) Orders() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orderCount
 }
 
 func (e *Endpoint) events(w http.ResponseWriter, r *http.Request) {
