Log how old an entry takes a target weight version to be, and where it knows this from

Callers saw requests begin on replaced weights at entries that had just been restarted. The log said that a version had become the target, but not what age the entry gave it, on which the use of older weights depends.

Change: event 710 has age_ms and age_from (arrival or assumption). No logic changes.

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -158,9 +158,10 @@
 	if !newer {
 		return
 	}
+	target, source := c.node.placer.addTargetVersion(model, version, current.version != 0)
 	c.node.log.Info(event.WeightsAnnounced, "target weight version changed", zap.String("model", model), zap.Int("version", version),
-		zap.Uint64("revision", uint64(item.Revision)))
-	c.node.placer.addTargetVersion(model, version, current.version != 0)
+		zap.Uint64("revision", uint64(item.Revision)), zap.Int64("age_ms", clock.Now().Sub(target.AnnouncedAt).Milliseconds()),
+		zap.String("age_from", source))
 	c.node.rollout.wake()
 }
 
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -189,19 +189,20 @@
 // assumedVersionAge is the assumed age of a weight version that was already set when this process started.
 const assumedVersionAge = 3 * time.Second
 
-// addTargetVersion records the weight version that a model should run. justAnnounced is false if it was already set when this process
-// started.
-func (p *placer) addTargetVersion(model string, version int, justAnnounced bool) {
+// addTargetVersion records the weight version that a model should run, and returns the record and where its age is known from.
+// justAnnounced is false if the version was already set when this process started.
+func (p *placer) addTargetVersion(model string, version int, justAnnounced bool) (target placement.TargetVersion, source string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	target := placement.TargetVersion{Version: version, AnnouncedAt: clock.Now()}
+	target, source = placement.TargetVersion{Version: version, AnnouncedAt: clock.Now()}, "arrival"
 	if !justAnnounced {
-		target.AnnouncedAt = target.AnnouncedAt.Add(-assumedVersionAge)
+		target.AnnouncedAt, source = target.AnnouncedAt.Add(-assumedVersionAge), "assumption"
 	}
 	p.targets[model] = append(p.targets[model], target)
 	for _, pool := range p.pools {
 		pool.SetTargetVersion(model, target)
 	}
+	return target, source
 }
 
 func (p *placer) setEndpoints(byService map[string][]*registration.Registration) {
