Log when placement on an instance stops, and when it runs again

Change: event 814 says that the queue of requests to place has not been processed for a second, and when it is again, with whether this instance leads; the gauge placement_age_seconds has the same. The check takes no lock.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -66,6 +66,7 @@
 	AttemptEnded            Number = 811
 	RequestRejected         Number = 812
 	PlacementOwnerChanged   Number = 813
+	PlacementStalled        Number = 814
 	RelayChanged            Number = 613
 	StoreUsageReported      Number = 614
 	CacheStreamChanged      Number = 610
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -134,7 +134,10 @@
 }
 
 func (n *Node) watchReadiness(ctx context.Context) {
-	duty.Every(ctx, readinessPeriod, func(context.Context) { n.updateReadiness() })
+	duty.Every(ctx, readinessPeriod, func(context.Context) {
+		n.updateReadiness()
+		n.placer.logStall(clock.Now())
+	})
 }
 
 // updateReadiness decides whether the balancer may send requests here: none can be served correctly without a confirmed configuration and
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -23,6 +23,9 @@
 type placer struct {
 	node       *Node
 	lastNumber atomic.Uint64
+	// lastRun is when the queue was last processed; stalled is true while that is longer ago than stallTimeout.
+	lastRun atomic.Int64
+	stalled bool
 
 	mu           sync.Mutex
 	reachability *placement.Reachability
@@ -348,6 +351,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		now := clock.Now()
+		p.lastRun.Store(int64(now))
 		for service, pool := range p.pools {
 			for _, change := range pool.CheckLiveness(now) {
 				p.node.log.Info(event.EndpointUnresponsive, "endpoint liveness changed", zap.String("service", service),
@@ -363,6 +367,31 @@
 	})
 }
 
+// stallTimeout is how long the queue may go without being processed before this is logged: many grant periods.
+const stallTimeout = time.Second
+
+// logStall logs when placement on this instance has stopped, and when it runs again. It takes no lock, since whoever holds the placer's may
+// be the reason.
+func (p *placer) logStall(now clock.Instant) {
+	lastRun := clock.Instant(p.lastRun.Load())
+	span := now.Sub(lastRun)
+	stalled := lastRun != 0 && span > stallTimeout
+	if lastRun != 0 {
+		p.node.metrics.PlacementAge.Set(span.Seconds())
+	}
+	if stalled == p.stalled {
+		return
+	}
+	p.stalled = stalled
+	leads := p.node.leadership.holdsLease(now)
+	if stalled {
+		p.node.log.Warn(event.PlacementStalled, "placement has stopped", zap.Bool("stalled", true), zap.Bool("leader", leads),
+			zap.Int64("span_ms", span.Milliseconds()))
+		return
+	}
+	p.node.log.Info(event.PlacementStalled, "placement runs again", zap.Bool("stalled", false), zap.Bool("leader", leads))
+}
+
 func (p *placer) dropEntry(incarnation string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/metric/hosted.go
+++ b/internal/metric/hosted.go
@@ -19,6 +19,7 @@
 	TableAge     prometheus.GaugeFunc
 	Endpoints    *prometheus.GaugeVec
 	InFlight     prometheus.Gauge
+	PlacementAge prometheus.Gauge
 	Settings     *prometheus.GaugeVec
 	Reloads      *prometheus.CounterVec
 }
@@ -46,11 +47,12 @@
 		TableAge:     prometheus.NewGaugeFunc(gaugeOpts("table_age_seconds", "Time since the configuration was confirmed."), age),
 		Endpoints:    prometheus.NewGaugeVec(gaugeOpts("endpoints", "Endpoints that may get new requests, by service."), []string{"service"}),
 		InFlight:     prometheus.NewGauge(gaugeOpts("requests_in_flight", "Requests that this instance holds.")),
+		PlacementAge: prometheus.NewGauge(gaugeOpts("placement_age_seconds", "Time since this instance last processed its queue of requests to place.")),
 		Settings: prometheus.NewGaugeVec(gaugeOpts("settings_info", "One for the settings file in force, by its digest and that of its bounds."),
 			[]string{"instance", "digest", "bounds"}),
 		Reloads: newCounterVec("settings_reloads_total", "Changed settings files by result: applied, invalid, needs_restart.", "result"),
 	}
 	s.Registry.MustRegister(s.Requests, s.Latency, s.FirstEvent, s.Attempts, s.PromptTokens, s.Placements, s.StoreCalls, s.Orders, s.Dials,
-		s.TableVersion, s.TableAge, s.Endpoints, s.InFlight, s.Settings, s.Reloads)
+		s.TableVersion, s.TableAge, s.Endpoints, s.InFlight, s.PlacementAge, s.Settings, s.Reloads)
 	return s
 }
