--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -132,7 +132,7 @@
 
 // holders returns endpoints that are believed to hold the request's whole shared context.
 func (p *Pool) holders(req *Request) []*endpointState {
-	shared := req.sharedParts()
+	shared := req.SharedParts()
 	if len(shared) == 0 {
 		return nil
 	}
@@ -327,7 +327,7 @@
 	}
 	tokens := 0
 	space := cacheSpace(version, req.IsolationKey)
-	for _, part := range req.sharedParts() {
+	for _, part := range req.SharedParts() {
 		key := cacheKey{space, part.ID}
 		if len(p.index.holders[key]) == 0 && !p.storedAnywhere(key) {
 			break
--- a/internal/coordination/placement/fetch.go
+++ b/internal/coordination/placement/fetch.go
@@ -38,7 +38,7 @@
 	}
 	var f fetch
 	wait := time.Duration(0)
-	shared := req.sharedParts()
+	shared := req.SharedParts()
 	for i := cachedParts; i < len(shared); i++ {
 		t, ok := p.bestTransfer(now, s, req, cacheKey{c.CacheSpace, shared[i].ID})
 		if !ok {
@@ -112,7 +112,7 @@
 		return nil
 	}
 	var list []transfer
-	shared := req.sharedParts()
+	shared := req.SharedParts()
 	cachedParts, _ := c.endpoint.cache.prefix(now, c.choice.CacheSpace, shared)
 	for i, part := range shared[:cachedParts] {
 		if t, ok := p.bestTransfer(now, c.endpoint, req, cacheKey{c.choice.CacheSpace, part.ID}); ok {
--- a/internal/coordination/placement/retention.go
+++ b/internal/coordination/placement/retention.go
@@ -14,7 +14,7 @@
 		return nil
 	}
 	var addresses []string
-	for i, part := range req.sharedParts() {
+	for i, part := range req.SharedParts() {
 		key := cacheKey{c.CacheSpace, part.ID}
 		if part.Tokens < minSaveTokens || p.stored(now, key) {
 			continue
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -46,14 +46,14 @@
 // SharedTokens returns the number of prompt tokens that may be shared with other requests.
 func (req *Request) SharedTokens() int {
 	tokens := 0
-	for _, part := range req.sharedParts() {
+	for _, part := range req.SharedParts() {
 		tokens += part.Tokens
 	}
 	return tokens
 }
 
-// sharedParts returns all parts but the last, which belongs to this request alone.
-func (req *Request) sharedParts() []prompt.Part {
+// SharedParts returns all parts but the last, which belongs to this request alone.
+func (req *Request) SharedParts() []prompt.Part {
 	if len(req.Parts) == 0 {
 		return nil
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,12 +39,14 @@
 func (j *job) attempt(ctx context.Context, choice *placement.Choice) (retry.Outcome, placement.Outcome) {
 	watchedCtx, wd := j.startWatchdog(ctx)
 	defer wd.stop()
+	j.headReceived, j.begun, j.sentAt = false, false, clock.Now()
 	resp, err := j.send(watchedCtx, choice)
 	if err != nil {
 		return j.classifyError(ctx, choice, err)
 	}
 	defer resp.Close()
 	wd.received()
+	j.headReceived = true
 	reply := j.node.deps.Headers.ReadReply(resp.Status, resp.Header)
 	if reply.NotRun {
 		// Reading the rest allows the connection to be reused.
@@ -116,7 +118,9 @@
 		n.reportCrash(choice.Endpoint)
 		return retry.NotSent, placement.OutcomeUnreachable
 	}
-	n.suspects.recordBroken(choice.Endpoint, j.digest)
+	n.suspects.recordBroken(choice.Endpoint, &brokenExchange{
+		digest: j.digest, shared: j.sharedParts(), headReceived: j.headReceived, begun: j.begun, sentAt: j.sentAt, brokenAt: clock.Now(),
+	})
 	if errors.Is(err, upstream.ErrStrayResponse) {
 		return retry.Broken, placement.OutcomeFailed
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -61,6 +61,12 @@
 	// owner is the instance that placed the request, empty for this one, and placedAt is when it did.
 	owner    string
 	placedAt clock.Instant
+
+	// headReceived, begun and sentAt describe the current attempt: whether the head of its answer and a first event have arrived, and when
+	// it was sent.
+	headReceived bool
+	begun        bool
+	sentAt       clock.Instant
 }
 
 // ServeHTTP serves one request of a caller.
@@ -207,6 +213,16 @@
 	return nil
 }
 
+// sharedParts returns the identifiers of the shared parts of the prompt.
+func (j *job) sharedParts() []string {
+	shared := j.placementReq.SharedParts()
+	ids := make([]string, len(shared))
+	for i, part := range shared {
+		ids[i] = part.ID
+	}
+	return ids
+}
+
 // run makes attempts until one returns the answer, or no further attempt is allowed.
 func (j *job) run() {
 	n := j.node
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -80,7 +80,6 @@
 	splitter := eventSplitter{last: j.lastEvent}
 	flusher := http.NewResponseController(j.w)
 	buf := make([]byte, streamBufferBytes)
-	started := false
 	for {
 		n, err := resp.Read(buf)
 		if n > 0 {
@@ -90,8 +89,8 @@
 				return j.classifyError(ctx, choice, orderErr)
 			}
 			if len(events) > 0 {
-				if !started {
-					started = true
+				if !j.begun {
+					j.begun = true
 					j.node.placer.reportFirstEvent(&j.placementReq, j.owner)
 				}
 				if err := j.writeEvents(resp, flusher, events); err != nil {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -18,9 +18,16 @@
 // crashWindow is how long before the detection of a crash an exchange with the endpoint may have failed because of it.
 const crashWindow = 2 * time.Second
 
+// brokenExchange is an exchange with an endpoint that ended prematurely.
 type brokenExchange struct {
 	digest string
-	at     clock.Instant
+	// shared holds the shared parts of the prompt, in order.
+	shared []string
+	// headReceived is true if the head of the answer had arrived, and begun if a complete event had.
+	headReceived bool
+	begun        bool
+	sentAt       clock.Instant
+	brokenAt     clock.Instant
 }
 
 // suspects guards the table of requests that were in flight when endpoints crashed.
@@ -29,11 +36,11 @@
 type suspects struct {
 	mu     sync.Mutex
 	table  *suspect.Table
-	broken map[string][]brokenExchange
+	broken map[string][]*brokenExchange
 }
 
 func newSuspects() *suspects {
-	return &suspects{table: suspect.NewTable(), broken: make(map[string][]brokenExchange)}
+	return &suspects{table: suspect.NewTable(), broken: make(map[string][]*brokenExchange)}
 }
 
 func (s *suspects) blocked(digest string) bool {
@@ -43,29 +50,29 @@
 }
 
 // recordBroken records that an exchange with an endpoint ended prematurely.
-func (s *suspects) recordBroken(endpoint, digest string) {
+func (s *suspects) recordBroken(endpoint string, exchange *brokenExchange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
 	kept := s.broken[endpoint][:0]
 	for _, b := range s.broken[endpoint] {
-		if now.Sub(b.at) < crashWindow {
+		if now.Sub(b.brokenAt) < crashWindow {
 			kept = append(kept, b)
 		}
 	}
-	s.broken[endpoint] = append(kept, brokenExchange{digest, now})
+	s.broken[endpoint] = append(kept, exchange)
 }
 
-// recordCrash marks the requests whose exchanges with an endpoint recently broke as suspects, and returns the digests of those newly
+// recordCrash marks the requests whose exchanges with an endpoint recently broke as suspects, and returns the exchanges of those newly
 // marked.
-func (s *suspects) recordCrash(endpoint string) []string {
+func (s *suspects) recordCrash(endpoint string) []*brokenExchange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
-	var suspected []string
+	var suspected []*brokenExchange
 	for _, b := range s.broken[endpoint] {
-		if now.Sub(b.at) < crashWindow && s.table.RecordCrash(time.Now(), b.digest, endpoint) {
-			suspected = append(suspected, b.digest)
+		if now.Sub(b.brokenAt) < crashWindow && s.table.RecordCrash(time.Now(), b.digest, endpoint) {
+			suspected = append(suspected, b)
 		}
 	}
 	delete(s.broken, endpoint)
@@ -87,11 +94,12 @@
 
 // reportCrash counts an endpoint's crash against the requests that were in flight there, on this instance and on every peer.
 func (n *Node) reportCrash(endpoint string) {
-	for _, digest := range n.suspects.recordCrash(endpoint) {
+	for _, b := range n.suspects.recordCrash(endpoint) {
 		n.log.Warn(event.EndpointCrashed, "endpoint crashed with a request in flight", zap.String("endpoint", endpoint),
-			zap.String("digest", digest))
+			zap.String("digest", b.digest), zap.Bool("head", b.headReceived), zap.Bool("begun", b.begun), zap.Strings("shared", b.shared),
+			zap.Int64("broken_ms", clock.Now().Sub(b.brokenAt).Milliseconds()))
 		for _, name := range n.members.peerNames() {
-			n.notify(name, peer.KindCrashReport, peer.CrashReport{Digest: digest, Endpoint: endpoint})
+			n.notify(name, peer.KindCrashReport, peer.CrashReport{Digest: b.digest, Endpoint: endpoint})
 		}
 	}
 }
