Grant a request that is placed again once, and never wait for a grant to be taken

Cause: an entry whose wait for a grant is answered too late (80 ms beyond the time for which the leader holds it) places the request alone; when that attempt is rejected, it asks the leader again with the same number. The leader's queue then held the request twice. Both were granted, to a channel with room for one, and the second send waited, with the placer's lock held, for a reader that had left or itself waited for the lock. Everything else that needs the lock waited too: placements, orders, updates, the adoption of the next version.

Ruled out: a lapsed lease (no 711, 712 lease_lapsing), lost log lines (no 108, and no_route refusals of the leader go on), slowness itself (over at 25 s; the leader stood still to the end).

Change: a pool forgets an earlier placement of a request, queued or assigned, when it is asked to place it again; it keeps the numbers of queued requests, so that this costs no search. The send of a grant never waits. An endless wait under this lock isn't possible any more, whatever peers send.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -46,6 +46,7 @@
 // PlaceNow places a request, without queueing it, on the endpoint with the lowest cost, which is mostly the expected time to its first
 // event. The error is ErrNoEndpoint or *OverloadError.
 func (p *Pool) PlaceNow(now clock.Instant, req *Request) (Choice, error) {
+	p.forget(now, req.ID)
 	return p.choose(now, req, nil)
 }
 
@@ -60,9 +61,6 @@
 
 // chooseFrom places a request on the endpoint with the lowest cost; busy is true if endpoints were left out because they are busy.
 func (p *Pool) chooseFrom(now clock.Instant, req *Request, eligible []*endpointState, busy, mayWait bool) (Choice, error) {
-	if p.assignments[req.ID] != nil {
-		p.Done(now, req.ID, OutcomeWithdrawn)
-	}
 	var best candidate
 	if len(eligible) > 0 {
 		home, known := p.homeEndpoint(req), p.knownTokens(req, p.newestSeen[req.Model])
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -36,6 +36,8 @@
 	// queue is ordered by priority, most urgent first; then come requests that can still meet their targets, then by arrival. queuedTokens holds the sum of its unique tokens by priority.
 	queue        []*queuedRequest
 	queuedTokens map[int]int
+	// queued holds the identifiers of the requests in the queue, each of which is there once.
+	queued map[AssignmentID]bool
 	// newlyQueued is true if all engines have yet to be considered for some queued request.
 	newlyQueued bool
 	// released counts ended assignments, and placed counts new ones by priority.
@@ -74,6 +76,7 @@
 		storeIndex:  make(storeIndex),
 
 		queuedTokens: make(map[int]int),
+		queued:       make(map[AssignmentID]bool),
 		placed:       make(map[int]*throughput),
 	}
 }
@@ -287,7 +290,7 @@
 			kept = append(kept, q)
 			continue
 		}
-		p.queuedTokens[q.req.Priority] -= q.uniqueTokens
+		p.unqueue(q)
 	}
 	clear(p.queue[len(kept):])
 	p.queue = kept
--- a/internal/coordination/placement/pool_test.go
+++ b/internal/coordination/placement/pool_test.go
@@ -227,6 +227,24 @@
 			p.Withdraw(req.ID)
 			So(p.Waiting(), ShouldEqual, 0)
 		})
+		Convey("a queued request that is placed again waits once and is granted once", func() {
+			req := newRequest("b", 9000)
+			again := *req
+			expectError(p, start, req, placement.ErrQueued)
+			expectError(p, start, &again, placement.ErrQueued)
+			So(p.Waiting(), ShouldEqual, 1)
+			answer(p, start.Add(10*time.Millisecond), first)
+			So(p.ProcessQueue(start.Add(10*time.Millisecond)), ShouldHaveLength, 1)
+			So(p.Running(), ShouldEqual, 1)
+		})
+		Convey("a placed request that is placed again and has to wait leaves its endpoint", func() {
+			again := *first
+			ahead := newRequest("b", 9000)
+			ahead.Priority = -1
+			expectError(p, start, ahead, placement.ErrQueued)
+			expectError(p, start, &again, placement.ErrQueued)
+			So(p.Running(), ShouldEqual, 0)
+		})
 		Convey("a queued request is rejected when its first-event deadline has passed", func() {
 			expectError(p, start, newRequest("b", 9000), placement.ErrQueued)
 			grants := p.ProcessQueue(start.Add(4 * time.Second))
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -63,6 +63,7 @@
 //	peak load, the queue outlasts the target  those that can still meet their targets go before those of their priority that can't
 //	backlog longer than callers will wait     rejected at once, with a time to retry when the backlog has shrunk
 func (p *Pool) Place(now clock.Instant, req *Request) (Choice, error) {
+	p.forget(now, req.ID)
 	if req.Uncoordinated || req.Model == "" || p.engine == nil {
 		return p.PlaceNow(now, req)
 	}
@@ -85,11 +86,25 @@
 	}
 	_, i := p.queuePosition(req)
 	p.queue = slices.Insert(p.queue, i, q)
+	p.queued[req.ID] = true
 	p.queuedTokens[req.Priority] += q.uniqueTokens
 	p.newlyQueued = p.newlyQueued || !q.scanned
 	return Choice{}, ErrQueued
 }
 
+// forget ends the earlier placement of a request that is placed again, since its answer was lost: otherwise the request would occupy two
+// endpoints, and be granted twice.
+func (p *Pool) forget(now clock.Instant, id AssignmentID) {
+	p.Withdraw(id)
+	p.Done(now, id, OutcomeWithdrawn)
+}
+
+// unqueue accounts for a request that leaves the queue.
+func (p *Pool) unqueue(q *queuedRequest) {
+	delete(p.queued, q.req.ID)
+	p.queuedTokens[q.req.Priority] -= q.uniqueTokens
+}
+
 // minRetryDelay keeps rejected callers from retrying into the same load peak.
 const minRetryDelay = 300 * time.Millisecond
 
@@ -234,7 +249,7 @@
 		if late := now.Add(wait + baseLatency); q.req.FirstEventDeadline.Before(late) {
 			retryDelay := time.Duration(float64(late.Sub(q.req.FirstEventDeadline))*retryDelayShare) + minRetryDelay
 			rejected = append(rejected, Grant{Request: q.req, Err: &OverloadError{RetryAt: now.Add(retryDelay), Expected: wait}})
-			p.queuedTokens[q.req.Priority] -= q.uniqueTokens
+			p.unqueue(q)
 			continue
 		}
 		tokens += q.uniqueTokens
@@ -301,7 +316,7 @@
 			kept = append(kept, q)
 			continue
 		}
-		p.queuedTokens[q.req.Priority] -= q.uniqueTokens
+		p.unqueue(q)
 		grants = append(grants, Grant{Request: q.req, Choice: c, Err: err})
 		p.updateRoom(&changed, c.Endpoint)
 		p.updateRoom(&all, c.Endpoint)
@@ -380,9 +395,12 @@
 
 // Withdraw removes a queued request.
 func (p *Pool) Withdraw(id AssignmentID) {
+	if !p.queued[id] {
+		return
+	}
 	for i, q := range p.queue {
 		if q.req.ID == id {
-			p.queuedTokens[q.req.Priority] -= q.uniqueTokens
+			p.unqueue(q)
 			p.queue = slices.Delete(p.queue, i, i+1)
 			return
 		}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -339,8 +339,10 @@
 	}
 	pool.SetOwner(now, p.node.leadership.holdsLease(now))
 	for _, g := range pool.ProcessQueue(now) {
-		if waiter := p.waiters[g.Request.ID]; waiter != nil {
-			waiter <- g
+		// The pool grants each queued request once, so there is room. A send that waits would stop placement for good.
+		select {
+		case p.waiters[g.Request.ID] <- g:
+		default:
 		}
 	}
 }
