Withdraw placements whose answers come too late, also when the withdrawal overtakes them

Cause: an entry that gets no answer from the leader within 80 ms places the request alone, and told the leader nothing. The leader placed the request all the same, or kept it queued, and counted its prompt, slot and save until a second after its deadline, up to 16 s: engines looked busy, and their prompts unfinished, so that each drain ran into its bound. The number of such placements grows with the leader's slowness. Besides, a request that was placed again kept its number, so that a withdrawal could not tell the two placements apart.

Change: the entry withdraws such a placement; nothing is sent if the leader was not reached. Messages of one connection are handled concurrently, so the withdrawal may be handled first: the pool remembers for 5 s withdrawals of requests that it doesn't know. Each placement has a number of its own. The messages themselves are as before: with a leader of the release before, a withdrawal that comes first has no effect, as without this.

Tests: TestPlacementAnsweredLate (two cases) and TestPlacementWithdrawnBeforeItArrives failed before; two cases of the pool are new.

--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -7,8 +7,13 @@
 	"gypsumvale/internal/state/registration"
 )
 
-// lostEndTimeout is how long after its deadline an assignment still counts if its end was never reported.
-const lostEndTimeout = time.Second
+const (
+	// lostEndTimeout is how long after its deadline an assignment still counts if its end was never reported.
+	lostEndTimeout = time.Second
+	// withdrawalTimeout is how long a withdrawal of a request that has not arrived is remembered. Both messages are sent on one connection but
+	// handled concurrently, so that the request follows within the time for which a process may be delayed.
+	withdrawalTimeout = 5 * time.Second
+)
 
 // TargetVersion is a weight version that a model should run.
 type TargetVersion struct {
@@ -38,6 +43,8 @@
 	queuedTokens map[int]int
 	// queued holds the identifiers of the requests in the queue, each of which is there once.
 	queued map[AssignmentID]bool
+	// withdrawn holds the requests that were withdrawn before they arrived, and when.
+	withdrawn map[AssignmentID]clock.Instant
 	// newlyQueued is true if all engines have yet to be considered for some queued request.
 	newlyQueued bool
 	// released counts ended assignments, and placed counts new ones by priority.
@@ -77,6 +84,7 @@
 
 		queuedTokens: make(map[int]int),
 		queued:       make(map[AssignmentID]bool),
+		withdrawn:    make(map[AssignmentID]clock.Instant),
 		placed:       make(map[int]*throughput),
 	}
 }
@@ -222,8 +230,15 @@
 	OutcomeWithdrawn
 )
 
-// Done ends an assignment.
+// Done ends an assignment. The withdrawal of an unknown request is remembered, since it may overtake the request.
 func (p *Pool) Done(now clock.Instant, id AssignmentID, outcome Outcome) {
+	if p.assignments[id] == nil && !p.queued[id] && outcome == OutcomeWithdrawn {
+		p.withdrawn[id] = now
+	}
+	p.endAssignment(now, id, outcome)
+}
+
+func (p *Pool) endAssignment(now clock.Instant, id AssignmentID, outcome Outcome) {
 	a := p.assignments[id]
 	if a == nil {
 		return
@@ -296,8 +311,13 @@
 	p.queue = kept
 }
 
-// RemoveExpired removes assignments whose ends were never reported.
+// RemoveExpired removes assignments whose ends were never reported, and withdrawals of requests that never arrived.
 func (p *Pool) RemoveExpired(now clock.Instant) {
+	for id, at := range p.withdrawn {
+		if now.Sub(at) > withdrawalTimeout {
+			delete(p.withdrawn, id)
+		}
+	}
 	for id, a := range p.assignments {
 		if now.Sub(a.req.Deadline) > lostEndTimeout {
 			delete(p.assignments, id)
--- a/internal/coordination/placement/pool_test.go
+++ b/internal/coordination/placement/pool_test.go
@@ -165,6 +165,20 @@
 			p.DropEntry("x")
 			So(p.Running(), ShouldEqual, 0)
 		})
+		Convey("places no request that was withdrawn before it arrived, but the next one", func() {
+			early, next := newRequest("c", 0), newRequest("c", 0)
+			running := p.Running()
+			p.Done(start, early.ID, placement.OutcomeWithdrawn)
+			expectError(p, start.Add(time.Second), early, placement.ErrWithdrawn)
+			So(p.Running(), ShouldEqual, running)
+			place(p, start.Add(time.Second), next)
+		})
+		Convey("forgets withdrawals of requests that never arrived", func() {
+			early := newRequest("c", 0)
+			p.Done(start, early.ID, placement.OutcomeWithdrawn)
+			p.RemoveExpired(start.Add(6 * time.Second))
+			place(p, start.Add(6*time.Second), early)
+		})
 		Convey("removes assignments whose ends were never reported", func() {
 			place(p, start, newRequest("c", 0))
 			p.RemoveExpired(start.Add(time.Minute))
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -15,6 +15,9 @@
 // long.
 var ErrQueued = errors.New("request waits for an endpoint")
 
+// ErrWithdrawn is returned when a request was withdrawn before it arrived.
+var ErrWithdrawn = errors.New("request was withdrawn before it arrived")
+
 const (
 	// maxPrefillAhead bounds the prefill queued on an engine: enough to keep it busy, but little enough that the next urgent request waits
 	// for few others.
@@ -55,7 +58,7 @@
 	Err     error
 }
 
-// Place places, queues or rejects a request. The error is ErrQueued, ErrNoEndpoint or *OverloadError.
+// Place places, queues or rejects a request. The error is ErrQueued, ErrWithdrawn, ErrNoEndpoint or *OverloadError.
 //
 //	load pattern                              response
 //	an engine has capacity                    placed at once on the endpoint with the lowest cost
@@ -63,6 +66,10 @@
 //	peak load, the queue outlasts the target  those that can still meet their targets go before those of their priority that can't
 //	backlog longer than callers will wait     rejected at once, with a time to retry when the backlog has shrunk
 func (p *Pool) Place(now clock.Instant, req *Request) (Choice, error) {
+	if _, withdrawn := p.withdrawn[req.ID]; withdrawn {
+		delete(p.withdrawn, req.ID)
+		return Choice{}, ErrWithdrawn
+	}
 	p.forget(now, req.ID)
 	if req.Uncoordinated || req.Model == "" || p.engine == nil {
 		return p.PlaceNow(now, req)
@@ -96,7 +103,7 @@
 // endpoints, and be granted twice.
 func (p *Pool) forget(now clock.Instant, id AssignmentID) {
 	p.Withdraw(id)
-	p.Done(now, id, OutcomeWithdrawn)
+	p.endAssignment(now, id, OutcomeWithdrawn)
 }
 
 // unqueue accounts for a request that leaves the queue.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -13,6 +13,7 @@
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/state/clock"
+	"gypsumvale/internal/transport/peers"
 )
 
 // handler serves the messages of peers.
@@ -152,10 +153,13 @@
 	for err == nil && placed.Verdict == peer.VerdictQueued {
 		err = call(peer.KindAwaitPlacement, peer.AwaitPlacement{Service: req.Service, Number: req.ID.Number}, awaitTimeout+placementTimeout)
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, peers.ErrUnreachable) {
+		// The leader may place the request after all, and would count it until its deadline.
 		n.notify(name, peer.KindAssignmentUpdate, peer.AssignmentUpdate{
 			Service: req.Service, Number: req.ID.Number, Outcome: placement.OutcomeWithdrawn,
 		})
+	}
+	if ctx.Err() != nil {
 		return placement.Choice{}, errQueueAborted
 	}
 	if err != nil {
--- a/internal/gateway/placement_peers_test.go
+++ b/internal/gateway/placement_peers_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"gypsumvale/internal/coordination/placement"
 	"gypsumvale/internal/protocol/peer"
@@ -109,3 +111,134 @@
 		})
 	})
 }
+
+func TestPlacementWithdrawnBeforeItArrives(t *testing.T) {
+	Convey("a leader that handles a withdrawal before the placement that it withdraws", t, func() {
+		s := startEngineSite(1)
+		p := s.startPeer()
+		p.update(1, placement.OutcomeWithdrawn)
+		Convey("gives the slot to the next request", func() {
+			So(p.place(1), ShouldEqual, peer.VerdictNotOwner)
+			So(p.place(2), ShouldEqual, peer.VerdictPlaced)
+		})
+	})
+}
+
+// slowLeader is a leader that places every request on one endpoint, after a delay.
+type slowLeader struct {
+	stubPeerHandler
+	endpoint *hosted.Endpoint
+	delay    time.Duration
+
+	mu        sync.Mutex
+	placed    []uint64
+	withdrawn []uint64
+}
+
+func (l *slowLeader) Serve(_ context.Context, _ peer.Hello, kind peer.Kind, body []byte) (any, error) {
+	switch kind {
+	case peer.KindPlace:
+		var m peer.PlaceRequest
+		if err := msgpack.Unmarshal(body, &m); err != nil {
+			return nil, fmt.Errorf("decode: %w", err)
+		}
+		time.Sleep(l.delay)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.placed = append(l.placed, m.Request.ID.Number)
+		return peer.PlaceReply{Verdict: peer.VerdictPlaced, Choice: placement.Choice{
+			Endpoint: "llm-0", Address: l.endpoint.Address(), Version: 1, CacheSpace: "v1", Expected: time.Millisecond,
+		}}, nil
+	case peer.KindAssignmentUpdate:
+		var m peer.AssignmentUpdate
+		if err := msgpack.Unmarshal(body, &m); err != nil {
+			return nil, fmt.Errorf("decode: %w", err)
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if m.Outcome == placement.OutcomeWithdrawn {
+			l.withdrawn = append(l.withdrawn, m.Number)
+		}
+	}
+	return peer.Empty{}, nil
+}
+
+// lists returns the numbers of the placements so far and of those that were withdrawn.
+func (l *slowLeader) lists() (placed, withdrawn []uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]uint64(nil), l.placed...), append([]uint64(nil), l.withdrawn...)
+}
+
+// startSlowLeader makes a leader of a site whose entry has not been started yet.
+func (s *site) startSlowLeader(delay time.Duration) *slowLeader {
+	l := &slowLeader{endpoint: s.endpoints[0], delay: delay}
+	secret := []byte("a secret of thirty-two bytes, yes")
+	network := peers.New(peers.Config{
+		Name: "leader", Incarnation: peers.NewIncarnation("leader"), Address: "127.0.0.1:0", Secret: secret,
+	}, l)
+	address, err := network.Listen()
+	So(err, ShouldBeNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		network.Run(ctx)
+	}()
+	Reset(func() {
+		cancel()
+		<-done
+	})
+	put := func(key string, record map[string]any) {
+		data, err := msgpack.Marshal(record)
+		So(err, ShouldBeNil)
+		s.store.PutRaw(key, data)
+	}
+	s.store.PutRaw("gypsum/secret", secret)
+	put("gypsum/lead", map[string]any{"name": "leader"})
+	put("gypsum/entries/leader", map[string]any{"addr": address, "zone": "quay", "run": "leader#1", "cpu": 1.0, "link": 0.0})
+	return l
+}
+
+func startSiteWithSlowLeader(delay time.Duration) (*site, *slowLeader) {
+	s := newSite()
+	s.putConfiguration(defaultSpec())
+	s.addEndpoint(hosted.EndpointConfig{ID: "llm-0", Service: "llm", Model: testModel, Version: 1, Events: 6, Work: 5 * time.Millisecond})
+	leader := s.startSlowLeader(delay)
+	s.addEntry().expectReady(true)
+	return s, leader
+}
+
+func TestPlacementAnsweredLate(t *testing.T) {
+	Convey("an entry whose leader answers after the entry has placed the request alone", t, func() {
+		s, leader := startSiteWithSlowLeader(300 * time.Millisecond)
+		Convey("withdraws the placement", func() {
+			eventually("the leader has placed a request", func() bool {
+				s.expectAnswered(s.call(s.entries[0], http.MethodPost, "/brief/", "notes"))
+				placed, _ := leader.lists()
+				return len(placed) > 0
+			})
+			eventually("the placement is withdrawn", func() bool {
+				placed, withdrawn := leader.lists()
+				return len(withdrawn) > 0 && withdrawn[0] == placed[0]
+			})
+		})
+	})
+	Convey("an entry that places a request again", t, func() {
+		s, leader := startSiteWithSlowLeader(0)
+		s.eachEndpoint(hosted.EndpointFault{Full: true})
+		Convey("gives each placement its own number", func() {
+			eventually("the leader has placed a request twice", func() bool {
+				s.call(s.entries[0], http.MethodPost, "/redraft/", "notes")
+				placed, _ := leader.lists()
+				return len(placed) > 1
+			})
+			placed, _ := leader.lists()
+			seen := make(map[uint64]bool)
+			for _, number := range placed {
+				So(seen[number], ShouldBeFalse)
+				seen[number] = true
+			}
+		})
+	})
+}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -226,6 +226,8 @@
 	n := p.node
 	now := clock.Now()
 	req.Uncoordinated = false
+	// With its own number, a placement that was withdrawn and another one of the same request can't be taken for each other.
+	req.ID.Number = p.nextNumber()
 	leader := ""
 	if req.Model != "" {
 		leader = n.members.owner()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -189,7 +189,7 @@
 	j.lastEvent = j.head.LastEvent
 	j.attempts = retry.Request{Repeatable: j.route.Repeatable(), MaxRuns: j.route.MaxAttempts, Deadline: j.deadline}
 	j.placementReq = placement.Request{
-		ID:       placement.AssignmentID{Entry: n.incarnation, Number: n.placer.nextNumber()},
+		ID:       placement.AssignmentID{Entry: n.incarnation},
 		Service:  j.service,
 		Zone:     n.cfg.Zone,
 		Priority: route.RequestPriority(j.route, j.workspace),
