Date target weight versions by the last read that did not show them, and let restarted entries ask peers

Callers saw requests begin on weights 1 up to 14.3 s after version 2 had been acknowledged, with 8 s allowed, at entries and by leaders that had run for 0 to 3 s.

Cause: an entry that found a target version at its first read took it to be 3 s old, whatever its age, and so allowed older weights for 3.5 s more. Two more cases come from the same assumption: an entry that could not read the store while a version was named dated it by the read that showed it at last; and the first version ever named for a model was taken to be 3 s old at all entries (age_ms 3000 at 6.07, true age below 0.1 s), which gave older weights up 3 s early.

Ruled out: late grants from the leader's queue. Queued requests are checked against the bound when they are granted, and the leader's grant loop runs every 20 ms.

Change: a version is dated by the latest instant at which it is known not to have been announced: the last confirmation of the operator's writes before the read that showed it. Such bounds are true, so the latest of several holds. Where none is known, older weights are not used. The relay's answer carries the ages of versions for which older weights may still be used, and a started entry asks four peers at a time (KindCatchUp), until it knows. A peer of an earlier release answers this with an error and its relay's answer lacks the ages; both leave the age unknown. A sender doesn't use a leader's choice of weights that it has itself known to be replaced for longer than the bound; it places the request by itself. Versions of a model are always passed on together, since the age of one says nothing of those between it and an engine's.

Test: TestReplacedWeights.

Where engines load late, requests are refused that were served on replaced weights before; that is the cost of late orders, which this doesn't change. A version is dated up to one poll early (0.5 s here).

--- a/internal/coordination/freshness/confirmation.go
+++ b/internal/coordination/freshness/confirmation.go
@@ -23,9 +23,13 @@
 	}
 }
 
+// SentAt returns when the confirming read was sent, or zero before the first read: until then, nothing newer than the configuration held here
+// had been written.
+func (c *Confirmation) SentAt() clock.Instant { return clock.Instant(c.sent.Load()) }
+
 // Age returns how long ago the confirming read was sent. Before the first read, it returns the maximum duration.
 func (c *Confirmation) Age(now clock.Instant) time.Duration {
-	sent := clock.Instant(c.sent.Load())
+	sent := c.SentAt()
 	if sent == 0 {
 		return 1<<63 - 1
 	}
--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -191,21 +191,6 @@
 	return s.usable(now) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone)
 }
 
-// oldestUsableVersion returns the oldest weight version of a model that may still be used: a newer target version than older ones was
-// announced too long ago. Zero allows all.
-func (p *Pool) oldestUsableVersion(now clock.Instant, model string) int {
-	oldest := 0
-	if model == "" {
-		return oldest
-	}
-	for _, target := range p.targets[model] {
-		if now.Sub(target.AnnouncedAt) > p.cfg.OldWeightsGrace {
-			oldest = max(oldest, target.Version)
-		}
-	}
-	return oldest
-}
-
 // evaluate estimates the time to the first event on one endpoint, and the cost by which endpoints are compared.
 func (p *Pool) evaluate(now clock.Instant, s *endpointState, req *Request, home string, known int, meanErrorRate float64) candidate {
 	p.evaluations++
--- a/internal/coordination/placement/fleet_test.go
+++ b/internal/coordination/placement/fleet_test.go
@@ -34,7 +34,7 @@
 			}
 		})
 		Convey("finds the only engine whose weights may still be used", func() {
-			p.SetTargetVersion(model, placement.TargetVersion{Version: 2, AnnouncedAt: start})
+			p.SetTargetVersion(model, placement.TargetVersion{Version: 2, AnnouncedAfter: start})
 			p.WeightsLoaded("e1234", model, 2)
 			So(place(p, start.Add(10*time.Second), newRequest("c", 100)).Endpoint, ShouldEqual, "e1234")
 		})
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -15,13 +15,6 @@
 	withdrawalTimeout = 5 * time.Second
 )
 
-// TargetVersion is a weight version that a model should run.
-type TargetVersion struct {
-	Version int
-	// AnnouncedAt is when this process first received the version.
-	AnnouncedAt clock.Instant
-}
-
 // Pool decides the placement of one service's requests: it receives requests, their progress and their ends, and returns choices.
 //
 // The pool counts its own assignments exactly and models each endpoint's cache from them. It sees no other pool's assignments, so load and
@@ -92,27 +85,6 @@
 // SetEngine sets the properties of the service's engines; nil is for plain services.
 func (p *Pool) SetEngine(e *Engine) { p.engine = e }
 
-// SetOldWeightsGrace changes how long older weights may be used after newer ones were announced.
-func (p *Pool) SetOldWeightsGrace(d time.Duration) { p.cfg.OldWeightsGrace = d }
-
-// maxTargetVersions is the most target versions remembered per model.
-const maxTargetVersions = 8
-
-// SetTargetVersion sets the weight version that a model should run. Earlier versions are remembered with the times of their announcement.
-func (p *Pool) SetTargetVersion(model string, w TargetVersion) {
-	list := append(p.targets[model], w)
-	p.targets[model] = list[max(0, len(list)-maxTargetVersions):]
-}
-
-// target returns the version that a model should run now.
-func (p *Pool) target(model string) (TargetVersion, bool) {
-	list := p.targets[model]
-	if len(list) == 0 {
-		return TargetVersion{}, false
-	}
-	return list[len(list)-1], true
-}
-
 // SetEndpoints replaces the endpoints, which are ordered by identifier. Assignments on removed endpoints continue but no longer count.
 func (p *Pool) SetEndpoints(list []*registration.Registration) {
 	kept := make(map[string]*endpointState, len(list))
--- a/internal/coordination/placement/pool_test.go
+++ b/internal/coordination/placement/pool_test.go
@@ -151,11 +151,28 @@
 			}
 		})
 		Convey("stops using old weights in time after newer ones were announced, even if yet newer ones follow", func() {
-			p.SetTargetVersion(model, placement.TargetVersion{Version: 2, AnnouncedAt: start})
+			p.SetTargetVersion(model, placement.TargetVersion{Version: 2, AnnouncedAfter: start})
 			place(p, start.Add(5*time.Second), withLaterDeadline(newRequest("c", 100)))
-			p.SetTargetVersion(model, placement.TargetVersion{Version: 3, AnnouncedAt: start.Add(6 * time.Second)})
+			p.SetTargetVersion(model, placement.TargetVersion{Version: 3, AnnouncedAfter: start.Add(6 * time.Second)})
 			expectError(p, start.Add(7*time.Second), withLaterDeadline(newRequest("c", 100)), placement.ErrNoEndpoint)
 		})
+		Convey("uses no old weights while it is unknown when newer ones were announced, until that is learned", func() {
+			p.SetTargetVersion(model, placement.TargetVersion{Version: 3, SeenAt: start})
+			expectError(p, start, withLaterDeadline(newRequest("c", 100)), placement.ErrNoEndpoint)
+			p.SetTargetVersion(model, placement.TargetVersion{Version: 3, AnnouncedAfter: start.Add(-time.Second)})
+			place(p, start, withLaterDeadline(newRequest("d", 100)))
+			Convey("but none that an intermediate version has replaced", func() {
+				p.SetTargetVersion(model, placement.TargetVersion{Version: 2, AnnouncedAfter: start.Add(-time.Minute)})
+				expectError(p, start, withLaterDeadline(newRequest("e", 100)), placement.ErrNoEndpoint)
+			})
+			Convey("and for no longer when others know less", func() {
+				p.SetTargetVersion(model, placement.TargetVersion{Version: 3})
+				place(p, start, withLaterDeadline(newRequest("e", 100)))
+				So(p.Replaced(start.Add(6*time.Second), model, 1), ShouldBeFalse)
+				So(p.Replaced(start.Add(7*time.Second), model, 1), ShouldBeTrue)
+				So(p.Replaced(start.Add(7*time.Second), model, 3), ShouldBeFalse)
+			})
+		})
 		Convey("returns ErrNoEndpoint without endpoints", func() {
 			p.SetEndpoints(nil)
 			expectError(p, start, newRequest("c", 0), placement.ErrNoEndpoint)
--- /dev/null
+++ b/internal/gateway/catch_up.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gypsumvale/internal/duty"
+	"gypsumvale/internal/protocol/peer"
+	"gypsumvale/internal/state/clock"
+)
+
+const (
+	// catchUpStart is the interval at which a started entry checks whether it knows peers.
+	catchUpStart = 20 * time.Millisecond
+	// catchUpPeriod is the interval between two rounds of queries.
+	catchUpPeriod = 250 * time.Millisecond
+	// catchUpPeers is how many peers are queried at once: enough that one of them has run for long while others are restarted too.
+	catchUpPeers = 4
+	// catchUpTimeout bounds one query, which peers answer at once.
+	catchUpTimeout = 400 * time.Millisecond
+	// maxCatchUpRounds bounds the queries of a process whose peers don't know either.
+	maxCatchUpRounds = 20
+)
+
+// catchUp is the task by which a started entry learns from its peers what the metadata store doesn't hold. What stays unknown is taken to
+// be as unfavorable as it can be.
+type catchUp struct{ node *Node }
+
+func (c *catchUp) run(ctx context.Context) {
+	for !c.canQuery() {
+		if !duty.Sleep(ctx, catchUpStart) {
+			return
+		}
+	}
+	answered := false
+	for range maxCatchUpRounds {
+		answered = c.query(ctx) || answered
+		if answered && !c.node.placer.hasUnknownAge(clock.Now()) || !duty.Sleep(ctx, catchUpPeriod) {
+			return
+		}
+	}
+}
+
+// canQuery reports whether this entry has read the store, so that its peers are known.
+func (c *catchUp) canQuery() bool {
+	_, known := c.node.members.leader()
+	return known && c.node.confirmation.SentAt() != 0
+}
+
+// query queries some peers, and reports whether any has answered.
+func (c *catchUp) query(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	var answered atomic.Bool
+	var queries sync.WaitGroup
+	for _, name := range c.node.members.samplePeers(catchUpPeers) {
+		queries.Go(func() {
+			if c.queryPeer(ctx, name) {
+				answered.Store(true)
+			}
+		})
+	}
+	queries.Wait()
+	return answered.Load()
+}
+
+// queryPeer queries one peer, and reports whether it has answered. A peer of an earlier release doesn't know the message, and one that was
+// killed doesn't answer.
+func (c *catchUp) queryPeer(ctx context.Context, name string) bool {
+	network, address, ok := c.node.members.peer(name)
+	if !ok {
+		return false
+	}
+	sent := clock.Now()
+	var reply peer.CatchUpReply
+	if err := network.Call(ctx, name, address, peer.KindCatchUp, peer.CatchUpRequest{}, &reply); err != nil {
+		return false
+	}
+	c.node.learnTargetVersions(sent, name, reply.TargetVersions)
+	return true
+}
+
+// serveCatchUp answers a peer that has started.
+func (n *Node) serveCatchUp() peer.CatchUpReply {
+	return peer.CatchUpReply{TargetVersions: n.placer.sharedTargets(clock.Now(), false)}
+}
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -10,17 +10,15 @@
 	"go.uber.org/zap"
 
 	"gypsumvale/internal/coordination/freshness"
+	"gypsumvale/internal/coordination/placement"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/state/clock"
 	"gypsumvale/internal/state/kv"
 )
 
-// targetVersion is the weight version that a model should run, and when this instance first saw it.
-type targetVersion struct {
-	version int
-	since   clock.Instant
-}
+// targetVersion is the weight version that a model should run.
+type targetVersion struct{ version int }
 
 // configuration holds what the operator wrote: routes, keys and target weight versions.
 type configuration struct {
@@ -39,6 +37,8 @@
 // apply applies items that are newer than those held, and reports whether there were any.
 func (c *configuration) apply(items []kv.Item) bool {
 	schema := c.node.deps.Schema
+	// Read before anything is recorded: nothing that is new here had been written at this instant.
+	confirmedAt := c.node.confirmation.SentAt()
 	changed := false
 	for _, item := range items {
 		if !c.record(item) && !c.fillsGap(item) {
@@ -50,7 +50,7 @@
 		case schema.IsConfiguration(item.Key):
 			c.adopt(item)
 		case schema.IsTargetVersion(item.Key):
-			c.adoptTargetVersion(item)
+			c.adoptTargetVersion(item, confirmedAt)
 		}
 	}
 	return changed
@@ -141,8 +141,9 @@
 		zap.Int("routes", size.Routes), zap.Int("keys", size.Keys), zap.Int("workspaces", size.Workspaces))
 }
 
-// adoptTargetVersion activates a newer target weight version of a model; an older one changes nothing.
-func (c *configuration) adoptTargetVersion(item kv.Item) {
+// adoptTargetVersion activates a newer target weight version of a model, which had not been announced at an instant; zero is unknown. An
+// older version changes nothing.
+func (c *configuration) adoptTargetVersion(item kv.Item, announcedAfter clock.Instant) {
 	model, version, err := c.node.deps.Schema.TargetVersion(item)
 	if err != nil {
 		c.node.log.Warn(event.TableInvalid, "target weight version not adopted", zap.Error(err))
@@ -152,16 +153,20 @@
 	current := c.targets[model]
 	newer := version > current.version
 	if newer {
-		c.targets[model] = targetVersion{version, clock.Now()}
+		c.targets[model] = targetVersion{version}
 	}
 	c.mu.Unlock()
 	if !newer {
 		return
 	}
-	target, source := c.node.placer.addTargetVersion(model, version, current.version != 0)
+	source := "confirmation"
+	if announcedAfter == 0 {
+		source = "unknown"
+	}
+	target := placement.TargetVersion{Version: version, AnnouncedAfter: announcedAfter, SeenAt: clock.Now()}
+	c.node.placer.addTargetVersions([]modelTarget{{model, target}})
 	c.node.log.Info(event.WeightsAnnounced, "target weight version changed", zap.String("model", model), zap.Int("version", version),
-		zap.Uint64("revision", uint64(item.Revision)), zap.Int64("age_ms", clock.Now().Sub(target.AnnouncedAt).Milliseconds()),
-		zap.String("age_from", source))
+		zap.Uint64("revision", uint64(item.Revision)), zap.Int64("age_ms", maxAgeMillis(target)), zap.String("age_from", source))
 	c.node.rollout.wake()
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -57,6 +57,8 @@
 		}
 		h.suspects.recordReported(m.Digest, m.Endpoint)
 		return peer.Empty{}, nil
+	case peer.KindCatchUp:
+		return (*Node)(h).serveCatchUp(), nil
 	}
 	return nil, fmt.Errorf("kind %d: %w", kind, errUnknownKind)
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"crypto/rand"
+	cryptorand "crypto/rand"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"sync"
@@ -121,7 +122,7 @@
 func (m *members) createSecret(ctx context.Context) error {
 	secret := make([]byte, secretBytes)
 	// Read never returns an error.
-	_, _ = rand.Read(secret)
+	_, _ = cryptorand.Read(secret)
 	_, err := m.node.deps.Store.Commit(ctx, kv.Transaction{
 		Conditions: []kv.Condition{{Key: secretKey}}, Writes: []kv.Write{{Key: secretKey, Data: secret}},
 	})
@@ -345,6 +346,13 @@
 	return names
 }
 
+// samplePeers returns up to limit other instances, chosen at random.
+func (m *members) samplePeers(limit int) []string {
+	names := m.peerNames()
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names[:min(len(names), limit)]
+}
+
 // placementTimeout bounds a placement call to a peer: several times the round trip between zones.
 const placementTimeout = 80 * time.Millisecond
 
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -48,6 +48,7 @@
 	rollout       *weightRollout
 	poller        *storePoller
 	relay         *relay
+	catchUp       *catchUp
 	leaderBackoff leaderBackoff
 
 	stopping atomic.Bool
@@ -73,6 +74,7 @@
 	n.leadership = &leadership{node: n}
 	n.follower = &follower{node: n}
 	n.relay = newRelay(n)
+	n.catchUp = &catchUp{node: n}
 	n.poller = newStorePoller(n)
 	n.rollout = newWeightRollout(n)
 	return n
@@ -104,7 +106,7 @@
 	defer stopBackground()
 	n.background = background
 	for _, task := range []func(context.Context){
-		n.poller.run, n.members.renew, n.relay.run, n.placer.run, n.leadership.run, n.follower.run, n.follower.freeStores, n.follower.logUsage,
+		n.poller.run, n.members.renew, n.relay.run, n.catchUp.run, n.placer.run, n.leadership.run, n.follower.run, n.follower.freeStores, n.follower.logUsage,
 		n.rollout.run, n.watchReadiness, n.sweep,
 	} {
 		n.wg.Go(func() { task(background) })
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -189,23 +189,14 @@
 	return orders
 }
 
-// assumedVersionAge is the assumed age of a weight version that was already set when this process started.
-const assumedVersionAge = 3 * time.Second
-
-// addTargetVersion records the weight version that a model should run, and returns the record and where its age is known from.
-// justAnnounced is false if the version was already set when this process started.
-func (p *placer) addTargetVersion(model string, version int, justAnnounced bool) (target placement.TargetVersion, source string) {
+// replaced reports whether a weight version may certainly not be used any more, whatever the instance knows that chose it.
+func (p *placer) replaced(req *placement.Request, choice *placement.Choice) bool {
+	if choice.Version == 0 {
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	target, source = placement.TargetVersion{Version: version, AnnouncedAt: clock.Now()}, "arrival"
-	if !justAnnounced {
-		target.AnnouncedAt, source = target.AnnouncedAt.Add(-assumedVersionAge), "assumption"
-	}
-	p.targets[model] = append(p.targets[model], target)
-	for _, pool := range p.pools {
-		pool.SetTargetVersion(model, target)
-	}
-	return target, source
+	return p.pool(req.Service).Replaced(clock.Now(), req.Model, choice.Version)
 }
 
 func (p *placer) setEndpoints(byService map[string][]*registration.Registration) {
@@ -250,9 +241,13 @@
 		if !errors.Is(err, errNoOwner) {
 			n.leaderBackoff.record(leader, now, true)
 			n.metrics.Placements.WithLabelValues("peer").Inc()
-			return choice, leader, err
-		}
-		if ctx.Err() == nil {
+			if err != nil || !p.replaced(req, &choice) {
+				return choice, leader, err
+			}
+			p.reportDone(req, leader, placement.OutcomeWithdrawn)
+			n.log.Info(event.PlacementOwnerChanged, "leader chose weights that have been replaced", zap.String("leader", leader),
+				zap.String("endpoint", choice.Endpoint), zap.Int("weights", choice.Version))
+		} else if ctx.Err() == nil {
 			n.leaderBackoff.record(leader, now, false)
 			n.log.Info(event.PlacementOwnerChanged, "leader did not place the request", zap.String("leader", leader), zap.Error(err))
 		}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -235,6 +235,7 @@
 	// The reported ages hold as of this time, or an earlier one if the answer was delayed.
 	asOf := sent.Add(update.Delay)
 	n.configuration.applyRelayed(asOf, &update)
+	n.learnTargetVersions(asOf, name, update.TargetVersions)
 	n.discovery.applyRelayed(asOf, &update)
 	if update.SystemKeys != nil {
 		n.members.apply(kv.Revision(update.Revision), fromPeerItems(update.SystemKeys))
@@ -283,7 +284,7 @@
 	now := clock.Now()
 	update := peer.SyncReply{
 		Ready: n.table.Load() != nil && n.discovery.loaded.Load(), Run: n.incarnation, Seen: seen,
-		Delay: now.Sub(receivedAt), ConfirmAge: n.confirmation.Age(now),
+		Delay: now.Sub(receivedAt), ConfirmAge: n.confirmation.Age(now), TargetVersions: n.placer.sharedTargets(now, true),
 	}
 	update.OperatorRevision, update.OperatorItems, update.Uncertain = n.configuration.itemsSince(kv.Revision(query.OperatorRevision))
 	var listAge time.Duration
--- /dev/null
+++ b/internal/gateway/replaced_weights_test.go
@@ -0,0 +1,161 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumvale/internal/settings"
+	"gypsumvale/internal/standin/hosted"
+)
+
+// replacement is a site whose engines don't carry out orders to load weights.
+type replacement struct {
+	*site
+	grace time.Duration
+	// end is the end of the time in which older weights may be used, once a version is announced.
+	end time.Time
+}
+
+// startReplacement starts a site of six engines and some entries, which may use older weights for the given time after the announcement of
+// newer ones.
+func startReplacement(entryCount int, grace time.Duration, configure func(number int, cfg *settings.Hosted)) *replacement {
+	s := &replacement{site: newSite(), grace: grace}
+	s.putConfiguration(defaultSpec())
+	for i := range 6 {
+		s.addEndpoint(hosted.EndpointConfig{ID: fmt.Sprintf("llm-%d", i), Service: "llm", Model: testModel, Version: 1, Events: 6, Work: 5 * time.Millisecond})
+	}
+	s.eachEndpoint(hosted.EndpointFault{OrderDelay: time.Hour})
+	for i := range entryCount {
+		s.addEntryWith(func(cfg *settings.Hosted) {
+			cfg.OldWeightsGrace = grace
+			configure(i, cfg)
+		})
+	}
+	for _, e := range s.entries {
+		e.expectReady(true)
+	}
+	eventually("a leader is elected", func() bool { return s.store.Value("gypsum/lead") != nil })
+	for _, e := range s.entries {
+		s.expectAnswered(s.call(e, http.MethodPost, "/redraft/", "first"))
+	}
+	return s
+}
+
+func unchanged(int, *settings.Hosted) {}
+
+func (s *replacement) announce(version int) {
+	So(s.store.Put("op/version/"+testModel, map[string]any{"Model": testModel, "Version": version}), ShouldBeNil)
+	s.end = time.Now().Add(s.grace)
+}
+
+// replace stops an entry and starts another process with its settings.
+func (s *replacement) replace(e *entry) *entry {
+	e.stop()
+	return s.startAgain(e)
+}
+
+func (s *replacement) startAgain(e *entry) *entry {
+	again := s.addEntryWith(func(cfg *settings.Hosted) { *cfg = *e.cfg })
+	again.expectReady(true)
+	return again
+}
+
+// expectNoRuns sends requests to entries for some time, and expects that none begins on an engine.
+func (s *replacement) expectNoRuns(entries []*entry, duration time.Duration) {
+	begun := func() int {
+		runs := 0
+		for _, e := range s.endpoints {
+			runs += len(e.Runs())
+		}
+		return runs
+	}
+	before := begun()
+	for until := time.Now().Add(duration); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		for _, e := range entries {
+			a := s.call(e, http.MethodPost, "/redraft/", "late")
+			if a.status == http.StatusOK {
+				So(fmt.Sprintf("answered %s after older weights were no longer allowed", time.Since(s.end)), ShouldBeEmpty)
+			}
+			So(a.header.Get("Retry-After"), ShouldNotBeEmpty)
+		}
+	}
+	So(begun(), ShouldEqual, before)
+}
+
+func TestReplacedWeights(t *testing.T) {
+	const grace = 7 * time.Second
+
+	Convey("entries that were all restarted begin no request on weights that had been replaced before", t, func() {
+		s := startReplacement(3, grace, unchanged)
+		s.announce(2)
+		time.Sleep(time.Until(s.end))
+		var stopped sync.WaitGroup
+		for _, e := range s.entries {
+			stopped.Go(e.stop)
+		}
+		stopped.Wait()
+		var again []*entry
+		for _, e := range s.entries[:3] {
+			again = append(again, s.startAgain(e))
+		}
+		s.expectNoRuns(again, 2*time.Second)
+	})
+	Convey("a leader that was restarted chooses no weights that had been replaced before", t, func() {
+		s := startReplacement(2, grace, func(number int, cfg *settings.Hosted) {
+			if number == 0 {
+				// This entry leads, again after its restart.
+				cfg.CPUCores = 2
+			}
+		})
+		s.announce(2)
+		time.Sleep(time.Until(s.end))
+		s.expectNoRuns([]*entry{s.replace(s.entries[0]), s.entries[1]}, 2*time.Second)
+	})
+	Convey("entries that couldn't read the store when weights were replaced begin no request on these later than others", t, func() {
+		s := startReplacement(2, 4*time.Second, func(_ int, cfg *settings.Hosted) { cfg.MaxRevocationDelay = time.Minute })
+		s.store.SetFault(hosted.StoreFault{Silent: true})
+		s.announce(2)
+		time.Sleep(time.Until(s.end))
+		s.store.SetFault(hosted.StoreFault{})
+		for _, e := range s.entries {
+			eventually("the version is known", func() bool {
+				return s.call(e, http.MethodPost, "/redraft/", "known").status == http.StatusServiceUnavailable
+			})
+		}
+		s.expectNoRuns(s.entries, 2*time.Second)
+	})
+	Convey("an entry sends no request to weights that it knows to be replaced, whatever the leader chooses", t, func() {
+		s := startReplacement(2, 2*time.Second, func(number int, cfg *settings.Hosted) {
+			if number == 0 {
+				// Only this entry leads.
+				cfg.CPUCores, cfg.OldWeightsGrace = 2, time.Minute
+			}
+		})
+		s.announce(2)
+		time.Sleep(time.Until(s.end))
+		s.expectAnswered(s.call(s.entries[0], http.MethodPost, "/redraft/", "at the leader"))
+		s.expectNoRuns(s.entries[1:], time.Second)
+	})
+	Convey("entries that were restarted one by one use older weights as long as these are allowed", t, func() {
+		s := startReplacement(3, 8*time.Second, unchanged)
+		s.announce(2)
+		var again []*entry
+		for _, e := range s.entries[:3] {
+			e := s.replace(e)
+			again = append(again, e)
+			eventually("a request is served on older weights", func() bool { return s.call(e, http.MethodPost, "/redraft/", "soon").status == http.StatusOK })
+		}
+		// The entries keep a margin of 1.5 s for requests that wait at an engine.
+		So(time.Now(), ShouldHappenBefore, s.end.Add(-1800*time.Millisecond))
+		for _, e := range again {
+			s.expectAnswered(s.call(e, http.MethodPost, "/redraft/", "still"))
+		}
+		time.Sleep(time.Until(s.end))
+		s.expectNoRuns(again, 200*time.Millisecond)
+	})
+}
--- a/internal/protocol/peer/frame.go
+++ b/internal/protocol/peer/frame.go
@@ -48,6 +48,7 @@
 	KindAssignmentUpdate
 	KindAwaitPlacement
 	KindSync
+	KindCatchUp
 )
 
 var kindNames = [...]string{
@@ -55,7 +56,7 @@
 	KindGrantProgress: "progress", KindClaim: "claim", KindClaimStatus: "inquire", KindConfig: "pull", KindRevision: "revision",
 	KindRegisterStream: "register", KindFindStream: "find", KindCrashReport: "suspect", KindLink: "link", KindExport: "export",
 	KindInstanceList: "roster", KindMemberRequest: "want",
-	KindPlace: "place", KindAssignmentUpdate: "use", KindAwaitPlacement: "await", KindSync: "sync",
+	KindPlace: "place", KindAssignmentUpdate: "use", KindAwaitPlacement: "await", KindSync: "sync", KindCatchUp: "catchup",
 }
 
 // String returns the label used in metrics, or "unknown".
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -118,4 +118,23 @@
 	Revision uint64
 	// SystemKeys holds all of the system's own keys, or is nil if the requesting instance has them.
 	SystemKeys []Item `msgpack:"Own"`
+	// TargetVersions holds the target versions of models for which older weights may still be used.
+	TargetVersions []TargetVersion
+}
+
+// TargetVersion is a weight version that a model should run.
+type TargetVersion struct {
+	Model   string
+	Version int
+	// MaxAge is the most time that may have passed since the version was announced, or zero if it is unknown.
+	MaxAge time.Duration
+}
+
+// CatchUpRequest requests what the metadata store doesn't hold and a process therefore doesn't know after its start.
+type CatchUpRequest struct{}
+
+// CatchUpReply is the reply with what the replying instance knows of it. Ages hold as of the reply.
+type CatchUpReply struct {
+	// TargetVersions holds target versions, also those that have been followed by newer ones.
+	TargetVersions []TargetVersion
 }
