Test the use of a zone that is reachable again by a context that belongs there

Cause: the names of its requests follow a counter that all tests of the package share, and it expected one of ten contexts to go to the zone, which no one of the ten does in one case of sixty: with 120 starts of the counter, the test failed with two. The zone was available; the contexts belonged to the others.

Ruled out: a change of Reachability (none), races (without -race too).

Change: the test takes a context that belongs to the zone as long as all are reachable, and expects that very one there, at the same instant; it plays 30 sets of names instead of one.

Conclusion: the check is stricter, and doesn't depend on the tests before it.

--- a/internal/coordination/placement/reachability_test.go
+++ b/internal/coordination/placement/reachability_test.go
@@ -52,6 +52,20 @@
 	}
 }
 
+// ownContext returns the name of a context whose requests go to a zone as long as all zones are reachable.
+func ownContext(zone string) string {
+	f := newPartitionedFleet("")
+	for i := 0; ; i++ {
+		name := fmt.Sprint("d", i)
+		req := newRequest(name, 2000)
+		req.Uncoordinated, req.FirstEventDeadline, req.Deadline = true, start.Add(3*time.Second), start.Add(15*time.Second)
+		if zoneOf(place(f.pool, start, req).Endpoint) == zone {
+			return name
+		}
+		f.pool.Done(start, req.ID, placement.OutcomeWithdrawn)
+	}
+}
+
 func zoneOf(endpoint string) string {
 	var n int
 	_, err := fmt.Sscanf(endpoint, "e%d", &n)
@@ -61,28 +75,27 @@
 
 func TestUnreachableZone(t *testing.T) {
 	Convey("with one of three zones unreachable for three seconds, and 100 requests a second from an uncoordinated entry", t, func() {
-		f := newPartitionedFleet("")
-		f.run(start, time.Second)
-		f.unreachableZone = "c"
-		f.run(start.Add(time.Second), 3*time.Second)
-		Convey("few requests wait for a dial: those during the first dials, and one probe per backoff", func() {
-			// A third of the requests goes there until the first dials have failed, which makes five; then one probe follows each of four
-			// backoffs.
+		// The contexts of the requests decide which probe goes out when, so that several sets of them are played.
+		first := requestCount
+		for set := range uint64(30) {
+			requestCount = first + 7*set
+			f := newPartitionedFleet("")
+			f.run(start, time.Second)
+			f.unreachableZone = "c"
+			f.run(start.Add(time.Second), 3*time.Second)
+			// Few requests wait for a dial. A third of the requests goes there until the first dials have failed, which makes five; then one
+			// probe follows each of four backoffs.
 			So(f.lostRequests, ShouldBeLessThan, 12)
-		})
-		Convey("the zone is used again soon after it recovers", func() {
+
+			// The zone is used again soon after it recovers.
 			f.unreachableZone = ""
 			f.lostRequests = 0
 			from := start.Add(4 * time.Second)
 			f.run(from, 2*time.Second)
-			used := false
-			for range 10 {
-				req := newRequest(fmt.Sprint("d", requestCount), 2000)
-				req.Uncoordinated, req.FirstEventDeadline = true, from.Add(5*time.Second)
-				used = used || zoneOf(place(f.pool, from.Add(2*time.Second), req).Endpoint) == "c"
-			}
-			So(used, ShouldBeTrue)
-		})
+			req := newRequest(ownContext("c"), 2000)
+			req.Uncoordinated, req.FirstEventDeadline = true, from.Add(5*time.Second)
+			So(zoneOf(place(f.pool, from.Add(2*time.Second), req).Endpoint), ShouldEqual, "c")
+		}
 	})
 	Convey("failing endpoints in the entry's own zone don't make the zone unreachable", t, func() {
 		f := newPartitionedFleet("a")
