Withdraw requests that have not started when their engine's weights may no longer be used

They had been sent 5.7 to 6.0 s after the acknowledgement, in time, and waited 2.2 to 2.5 s at the engine, with the lowest priority and 0.6 s expected.

Cause: a margin of 1.5 s is all that keeps a request that waits at an engine from beginning late. More urgent requests go first there, so that the wait of the least urgent has no such limit.

A longer margin would give up old engines earlier for all requests.

Change: an attempt whose engine has sent nothing is ended 0.3 s before the weights may no longer be used, counted from the version's latest known date. It counts as withdrawn at the endpoint, and as one that may have run: only what may be repeated is sent elsewhere, others get 502. What has begun to answer goes on.

Test: TestReplacedWeights, "requests that wait at an engine": without the change both cases that wait too long were answered on version 1 (200 instead of 502, one run each), with it all pass. Requests that begin in time are served before and after.

--- a/internal/coordination/placement/targets.go
+++ b/internal/coordination/placement/targets.go
@@ -68,6 +68,24 @@
 	return oldest
 }
 
+// ReplacedAt returns until when a weight version may be used as far as is known, or zero if no newer one has been announced.
+func (p *Pool) ReplacedAt(model string, version int) clock.Instant {
+	var replacedAt clock.Instant
+	for _, target := range p.targets[model] {
+		announced := target.AnnouncedAfter
+		if announced == 0 {
+			announced = target.SeenAt
+		}
+		if target.Version <= version || announced == 0 {
+			continue
+		}
+		if end := announced.Add(p.cfg.OldWeightsGrace); replacedAt == 0 || end.Before(replacedAt) {
+			replacedAt = end
+		}
+	}
+	return replacedAt
+}
+
 // Replaced reports whether a weight version may certainly not be used any more, whatever others know of the announcement of newer ones.
 func (p *Pool) Replaced(now clock.Instant, model string, version int) bool {
 	for _, target := range p.targets[model] {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -41,6 +41,9 @@
 	defer wd.stop()
 	j.headReceived, j.begun, j.sentAt = false, false, clock.Now()
 	resp, err := j.send(watchedCtx, choice)
+	if err != nil && errors.Is(context.Cause(watchedCtx), errNotStarted) {
+		return j.withdrawn(choice, err)
+	}
 	if err != nil {
 		return j.classifyError(ctx, choice, err)
 	}
@@ -103,6 +106,16 @@
 	return resp, nil
 }
 
+// withdrawn returns the outcome of an attempt that was ended because it had not started in time. The engine may have started it just now.
+func (j *job) withdrawn(choice *placement.Choice, err error) (retry.Outcome, placement.Outcome) {
+	j.node.log.Info(event.AttemptFailed, "attempt withdrawn", zap.String("request", j.head.ID), zap.String("endpoint", choice.Endpoint),
+		zap.Int("weights", choice.Version), zap.Error(errNotStarted))
+	if errors.Is(err, upstream.ErrNotSent) {
+		return retry.NotSent, placement.OutcomeWithdrawn
+	}
+	return retry.Broken, placement.OutcomeWithdrawn
+}
+
 // classifyError distinguishes requests that were not sent from those that may have run.
 func (j *job) classifyError(ctx context.Context, choice *placement.Choice, err error) (retry.Outcome, placement.Outcome) {
 	n := j.node
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -44,8 +44,13 @@
 	}
 }
 
-// oldWeightsMargin is subtracted from the bound on the use of old weights, for requests that wait at an engine before they start.
-const oldWeightsMargin = 1500 * time.Millisecond
+const (
+	// oldWeightsMargin is subtracted from the bound on the use of old weights, for requests that wait at an engine before they start.
+	oldWeightsMargin = 1500 * time.Millisecond
+	// withdrawalMargin is how long before that bound a request that still waits at an engine is withdrawn: until the engine has noticed that
+	// the connection is closed.
+	withdrawalMargin = 300 * time.Millisecond
+)
 
 // pool returns a service's pool, creating it if necessary; the caller holds the lock.
 func (p *placer) pool(service string) *placement.Pool {
@@ -189,6 +194,20 @@
 	return orders
 }
 
+// withdrawAt returns when a request that has not started on the chosen weights must be withdrawn, or zero if no newer ones are known.
+func (p *placer) withdrawAt(req *placement.Request, choice *placement.Choice) clock.Instant {
+	if choice.Version == 0 {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	replacedAt := p.pool(req.Service).ReplacedAt(req.Model, choice.Version)
+	if replacedAt == 0 {
+		return 0
+	}
+	return replacedAt.Add(oldWeightsMargin - withdrawalMargin)
+}
+
 // replaced reports whether a weight version may certainly not be used any more, whatever the instance knows that chose it.
 func (p *placer) replaced(req *placement.Request, choice *placement.Choice) bool {
 	if choice.Version == 0 {
--- a/internal/gateway/replaced_weights_test.go
+++ b/internal/gateway/replaced_weights_test.go
@@ -138,6 +138,24 @@
 		s.expectAnswered(s.call(s.entries[0], http.MethodPost, "/redraft/", "at the leader"))
 		s.expectNoRuns(s.entries[1:], time.Second)
 	})
+	Convey("requests that wait at an engine when its weights may no longer be used", t, func() {
+		s := startReplacement(1, 4*time.Second, unchanged)
+		s.announce(2)
+		send := func(path string, wait time.Duration) response {
+			s.eachEndpoint(hosted.EndpointFault{OrderDelay: time.Hour, StartDelay: wait})
+			time.Sleep(time.Until(s.end.Add(-2 * time.Second)))
+			return s.send(s.entries[0], http.MethodPost, path, "waits")
+		}
+		Convey("don't begin there if they may be repeated", func() {
+			a := send("/redraft/", 2300*time.Millisecond)
+			s.expectRefused(a, http.StatusBadGateway, 0)
+		})
+		Convey("don't begin there if they may not be repeated", func() {
+			a := send("/brief/", 2300*time.Millisecond)
+			s.expectRefused(a, http.StatusBadGateway, 0)
+		})
+		Convey("are served if they begin in time", func() { s.expectAnswered(send("/brief/", time.Second)) })
+	})
 	Convey("entries that were restarted one by one use older weights as long as these are allowed", t, func() {
 		s := startReplacement(3, 8*time.Second, unchanged)
 		s.announce(2)
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -25,6 +25,9 @@
 // errSilent is the cancellation cause of an attempt whose endpoint sends nothing and accepts no connections.
 var errSilent = errors.New("endpoint is silent and accepts no connections")
 
+// errNotStarted is the cancellation cause of an attempt that waits at an engine whose weights may no longer be used.
+var errNotStarted = errors.New("request has not started before the engine's weights were replaced")
+
 // watchdog checks whether an endpoint is still reachable while it sends nothing. The connections to an endpoint that vanished without
 // closing them stay open, and a request that may be repeated is better sent to another endpoint; one that may not be repeated has no
 // alternative.
@@ -39,8 +42,11 @@
 	mu      sync.Mutex
 	timeout time.Duration
 	timer   *time.Timer
-	// receivedAt is when the last bytes arrived; ended is true once the attempt is over.
+	// withdrawal ends an attempt that has not started in time; nil if there is no such limit.
+	withdrawal *time.Timer
+	// receivedAt is when the last bytes arrived; started is true once some have, and ended once the attempt is over.
 	receivedAt clock.Instant
+	started    bool
 	ended      bool
 }
 
@@ -51,19 +57,32 @@
 		job: j, cancel: cancel, endpoint: j.choice.Endpoint, address: j.choice.Address,
 		timeout: max(minSilence, silenceFactor*j.choice.Expected), receivedAt: clock.Now(),
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if at := j.node.placer.withdrawAt(&j.placementReq, &j.choice); at != 0 {
+		d.withdrawal = time.AfterFunc(at.Sub(clock.Now()), d.withdraw)
+	}
 	if j.attempts.CanRerun() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
 		d.timer = time.AfterFunc(d.timeout, func() { d.checkSilence(ctx) })
 	}
 	return ctx, d
 }
 
+// withdraw ends the attempt unless it has started.
+func (d *watchdog) withdraw() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.started && !d.ended {
+		d.cancel(errNotStarted)
+	}
+}
+
 // received records that bytes have arrived; from then on the pause between events is limited.
 func (d *watchdog) received() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.receivedAt = clock.Now()
+	d.started = true
 	d.timeout = max(minSilence, gapFactor*d.job.route.TargetEventGap)
 }
 
@@ -73,6 +92,9 @@
 	if d.timer != nil {
 		d.timer.Stop()
 	}
+	if d.withdrawal != nil {
+		d.withdrawal.Stop()
+	}
 	d.mu.Unlock()
 	d.cancel(nil)
 }
--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -81,6 +81,8 @@
 	StatusBody int
 	// EndlessEvent sends, in place of a stream's second event, a line that never ends, until the caller closes the connection.
 	EndlessEvent bool
+	// StartDelay is how long each request waits before it runs. One whose connection closes meanwhile doesn't run.
+	StartDelay time.Duration
 	// CrashOn crashes the endpoint when a request's body contains this text. It is disabled if empty.
 	CrashOn string
 	// OrderDelay leaves weight orders without an answer and carries them out after this time, if the number of accepted orders is still
--- a/internal/standin/hosted/responses.go
+++ b/internal/standin/hosted/responses.go
@@ -13,8 +13,16 @@
 func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request, body string) {
 	id := r.Header.Get("Request-Id")
 	e.mu.Lock()
-	var err error
 	f := e.fault
+	e.mu.Unlock()
+	if f.StartDelay > 0 {
+		e.sleep(r, f.StartDelay)
+		if r.Context().Err() != nil {
+			return
+		}
+	}
+	e.mu.Lock()
+	var err error
 	wrongVersion := r.Header.Get("Expect-Version") != "" && r.Header.Get("Expect-Version") != strconv.Itoa(e.version)
 	full := f.Full || e.running >= e.cfg.Slots
 	if !wrongVersion && !full {
