Dial an endpoint as soon as an exchange with it has broken off, so that its crash is counted

Callers saw engines crash for as long as the requests came. A broken exchange counted as a crash only if a later dial was refused, or the endpoint registered anew, within 2 s.

The exchange that broke now dials the endpoint itself before its outcome is reported; a refused connection is a crash. A dial that times out is none: a silent path says nothing about the endpoint.

Before the change, the new case of TestEndpointFaults failed: the third request was sent to the third engine (Expected: 500, Actual: 502). Ruled out: a longer memory for what broke alone, since a count that comes after 3 s comes after three more crashes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -138,6 +138,7 @@
 		return retry.Broken, placement.OutcomeFailed
 	}
 	n.upstreams.CloseIdle(choice.Address)
+	n.checkCrash(ctx, choice.Endpoint, choice.Address)
 	return retry.Broken, placement.OutcomeUnreachable
 }
 
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -158,6 +158,13 @@
 			// Status 500 from the entry itself: it doesn't state that the request has not run, so callers don't retry it.
 			s.expectRefused(a, http.StatusInternalServerError, 0)
 		})
+		Convey("counts a crash although no other request is sent to the endpoint", func() {
+			s.eachEndpoint(hosted.EndpointFault{CrashOn: "poison"})
+			for range 2 {
+				s.expectRefused(s.call(e, http.MethodPost, "/brief/", "poison"), http.StatusBadGateway, 1)
+			}
+			s.expectRefused(s.call(e, http.MethodPost, "/brief/", "poison"), http.StatusInternalServerError, 0)
+		})
 	})
 }
 
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"context"
 	"encoding/hex"
 	"hash"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"gypsumvale/internal/coordination/suspect"
@@ -92,6 +95,14 @@
 	s.table.ClearRequest(digest)
 }
 
+// checkCrash dials an endpoint after an exchange broke, and reports a crash if it refuses the connection. The placement avoids an endpoint
+// whose exchanges broke, so that it might be back before another request is sent there.
+func (n *Node) checkCrash(ctx context.Context, endpoint, address string) {
+	if err := n.upstreams.Probe(ctx, address); errors.Is(err, syscall.ECONNREFUSED) {
+		n.reportCrash(endpoint)
+	}
+}
+
 // reportCrash counts an endpoint's crash against the requests that were in flight there, on this instance and on every peer.
 func (n *Node) reportCrash(endpoint string) {
 	for _, b := range n.suspects.recordCrash(endpoint) {
