Attribute crashes of engines to shared parts of prompts, and block requests with those

Cause: crashes were counted by a digest of the whole request. No two of these requests are alike, so each was the first of its kind. The class of fault: blame is kept for the whole where a part causes it.

Evidence: at each crash in the logs exactly one broken exchange has the head of its answer and no event.

Change: suspect.PartTable. A crash is charged to the shared parts of the request whose answer was beginning, or of all that waited if there is none. The first event of any answer clears the parts of its request, on all entries. Two such crashes (three without a head) block the parts that all of these requests had and that nothing has cleared; parts that always come together block only together, until an answer to a request with one of them clears it. While a part is suspected, one request with it at a time may wait for its first event; others wait at the leader. Crashes at one moment count once, and only a refused connection charges parts, so that neither the loss of a rack nor a cut-off zone blocks anything. A block lasts ten minutes; then one request at a time is tried. Blocked requests get status 500 with reason part_crashes_endpoints: 503 would promise that they have not run, which a repeat can't, and invite them back; a 4xx would say that they are wrong.

A buffered answer now reports its first event once it is whole, not also when it breaks off, since a first event clears parts now.

Before the change, TestPartThatCrashesEngines failed: 38 of 77 requests with the part reached engines, 20 of them later than a second after the fifth crash, and 13 of 129 sound ones were answered meanwhile. Now 3 of 123 reach engines, and 129 of 129 are answered.

Ruled out: longer memory of digests (they don't come again); leaving out the callers that send such requests (sound ones share them); blocking all parts of the request (sound ones share those).

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -61,6 +61,9 @@
 
 // chooseFrom places a request on the endpoint with the lowest cost; busy is true if endpoints were left out because they are busy.
 func (p *Pool) chooseFrom(now clock.Instant, req *Request, eligible []*endpointState, busy, mayWait bool) (Choice, error) {
+	if err := p.checkParts(now, req, mayWait); err != nil {
+		return Choice{}, err
+	}
 	var best candidate
 	if len(eligible) > 0 {
 		home, known := p.homeEndpoint(req), p.knownTokens(req, p.newestSeen[req.Model])
@@ -94,6 +97,40 @@
 	return best.choice, nil
 }
 
+// checkParts returns an error if a request must not run, or must not run now, because engines may crash on parts of its prompt. Only one
+// request with a suspected part may wait for its first event at a time, so that the part takes down one engine at most until it is cleared
+// or blocked.
+func (p *Pool) checkParts(now clock.Instant, req *Request, mayWait bool) error {
+	if p.cfg.Suspicions == nil || len(req.Parts) < 2 {
+		return nil
+	}
+	blocked, suspected := p.cfg.Suspicions.Check(now, req.Service, req.SharedParts())
+	switch {
+	case blocked:
+		return ErrBlocked
+	case len(suspected) == 0 || !p.awaitsFirstEvent(suspected):
+		return nil
+	case mayWait:
+		return errAllBusy
+	}
+	return ErrSuspected
+}
+
+// awaitsFirstEvent reports whether a request with one of the parts is running and has not produced its first event.
+func (p *Pool) awaitsFirstEvent(parts []string) bool {
+	for _, a := range p.assignments {
+		if a.prefillTokens == 0 {
+			continue
+		}
+		for _, part := range a.req.SharedParts() {
+			if contains(parts, part.ID) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 const (
 	// maxFullScan is the fleet size up to which every endpoint is evaluated for each request.
 	maxFullScan = 96
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -164,11 +164,11 @@
 	p.changed = p.changed[:0]
 }
 
-// FirstEvent records that an assignment has produced its first event.
-func (p *Pool) FirstEvent(now clock.Instant, id AssignmentID) {
+// FirstEvent records that an assignment has produced its first event, and returns its request; nil if it was known or has ended.
+func (p *Pool) FirstEvent(now clock.Instant, id AssignmentID) *Request {
 	a := p.assignments[id]
 	if a == nil || a.prefillTokens == 0 {
-		return
+		return nil
 	}
 	a.endpoint.recordResponse(now)
 	p.cfg.Reachability.recordContact(a.req.Zone, a.endpoint)
@@ -179,6 +179,7 @@
 		a.observeFirstEvent(now)
 	}
 	a.endpoint.failures = 0
+	return a.req
 }
 
 // Outcome is the outcome of an assignment.
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -85,6 +85,18 @@
 // ErrNoEndpoint is returned when no endpoint of a service takes new requests.
 var ErrNoEndpoint = errors.New("no endpoint takes new work")
 
+// ErrBlocked is returned for a request with parts on which engines crash.
+var ErrBlocked = errors.New("engines crash on parts of the prompt")
+
+// ErrSuspected is returned for a request that can't wait while another one shows whether engines crash on a part that both have.
+var ErrSuspected = errors.New("another request with a suspected part is being tried")
+
+// Suspicions knows on which parts of prompts engines crash.
+type Suspicions interface {
+	// Check reports whether a request with some shared parts must not run, and otherwise which of the parts are suspected.
+	Check(now clock.Instant, service string, shared []prompt.Part) (blocked bool, suspected []string)
+}
+
 // OverloadError is returned when even the best endpoint would miss the caller's first-event deadline.
 type OverloadError struct {
 	// RetryAt is when the backlog will have shrunk enough for a retry.
@@ -114,6 +126,8 @@
 	OldWeightsGrace time.Duration
 	// Reachability is shared by the pools of all services; nil creates a separate one.
 	Reachability *Reachability
+	// Suspicions is nil if no parts are suspected.
+	Suspicions Suspicions
 }
 
 // CacheUpdate is an update from a cache: its changes after a given event number.
--- /dev/null
+++ b/internal/coordination/suspect/parts.go
@@ -0,0 +1,311 @@
+package suspect
+
+import (
+	"slices"
+	"time"
+
+	"gypsumvale/internal/state/clock"
+)
+
+const (
+	// answeringEvidence and pendingEvidence are the evidence of a crash against a part of a prompt whose answer was beginning, and of one whose
+	// answer had not begun; blockEvidence is the evidence at which requests with the part are blocked: two crashes of the first kind or three
+	// of the second.
+	answeringEvidence = 3
+	pendingEvidence   = 2
+	blockEvidence     = 6
+	// commonCauseWindow is the time within which crashes may have a common cause, such as the failure of a rack.
+	commonCauseWindow = 250 * time.Millisecond
+	// recentAnswer is how long an answer protects a part from being suspected because of a single crash.
+	recentAnswer = 5 * time.Second
+	// forgetBlock is how long after its last crash a block is forgotten.
+	forgetBlock = 24 * time.Hour
+	// maxCrashes, maxBlocks and maxAnswered bound the table.
+	maxCrashes  = 64
+	maxBlocks   = 64
+	maxAnswered = 16384
+)
+
+// Exchange is a request that was in flight at an engine when the engine crashed, and of whose answer no event had arrived.
+type Exchange struct {
+	// Parts are the shared parts of its prompt.
+	Parts []string
+	// Answering is true if the head of the answer had arrived.
+	Answering bool
+	SentAt    clock.Instant
+}
+
+func containsAll(list, wanted []string) bool {
+	for _, part := range wanted {
+		if !slices.Contains(list, part) {
+			return false
+		}
+	}
+	return true
+}
+
+// intersect returns the parts of a list that are also in another.
+func intersect(list, other []string) []string {
+	var common []string
+	for _, part := range list {
+		if slices.Contains(other, part) {
+			common = append(common, part)
+		}
+	}
+	return common
+}
+
+// engineCrash is the crash of one engine.
+type engineCrash struct {
+	endpoint  string
+	at        clock.Instant
+	exchanges []Exchange
+}
+
+// candidates returns the exchanges that may have caused the crash: those whose answers were beginning, if there are any.
+func (c *engineCrash) candidates() []Exchange {
+	var answering []Exchange
+	for _, e := range c.exchanges {
+		if e.Answering {
+			answering = append(answering, e)
+		}
+	}
+	if len(answering) > 0 {
+		return answering
+	}
+	return c.exchanges
+}
+
+// partEvidence is the evidence against one part of prompts.
+type partEvidence struct {
+	evidence int
+	crashes  int
+	lastAt   clock.Instant
+	// common holds the parts that all the requests with this part had in common.
+	common []string
+}
+
+// block is a combination of parts whose requests must not run.
+type block struct {
+	parts []string
+	// since is when a crash last confirmed the block.
+	since clock.Instant
+}
+
+// PartTable attributes crashes of engines to parts of prompts, for faults that a part causes whatever else a request holds.
+//
+// A part is charged with a crash if a request with it was in flight and its answer had not begun, and cleared by the first event of any
+// answer to a request with it:
+//
+//	crash of e1 with {a, b, x}, {a, c}   all are charged; a is cleared by other answers at once
+//	{a, c} answered on e2                c is cleared
+//	crash of e3 with {a, b, x}           requests with both b and x are blocked
+//	{a, b} answered on e4                b is cleared: requests with x are blocked
+//
+// Crashes that may have a common cause count once, so that the failure of many engines blocks nothing.
+type PartTable struct {
+	crashes  []*engineCrash
+	answered map[string]clock.Instant
+	evidence map[string]*partEvidence
+	blocks   []*block
+}
+
+// NewPartTable returns an empty table.
+func NewPartTable() *PartTable {
+	return &PartTable{answered: make(map[string]clock.Instant), evidence: make(map[string]*partEvidence)}
+}
+
+// RecordCrash records an exchange that broke at an instant because an engine crashed. It returns the combinations of parts that are blocked
+// from now on.
+func (t *PartTable) RecordCrash(now clock.Instant, endpoint string, brokenAt clock.Instant, e Exchange) [][]string {
+	if len(e.Parts) == 0 {
+		return nil
+	}
+	t.addExchange(now, endpoint, brokenAt, e)
+	if e.Answering {
+		t.confirm(brokenAt, &e)
+	}
+	t.evaluate()
+	return t.addBlocks(now)
+}
+
+func (t *PartTable) addExchange(now clock.Instant, endpoint string, brokenAt clock.Instant, e Exchange) {
+	for _, c := range t.crashes {
+		if c.endpoint == endpoint && max(c.at.Sub(brokenAt), brokenAt.Sub(c.at)) < sameCrashWindow {
+			c.exchanges = append(c.exchanges, e)
+			return
+		}
+	}
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *engineCrash) bool { return now.Sub(c.at) >= retention })
+	t.crashes = append(t.crashes[max(0, len(t.crashes)-maxCrashes+1):], &engineCrash{endpoint, brokenAt, []Exchange{e}})
+	slices.SortStableFunc(t.crashes, func(a, b *engineCrash) int { return int(a.at - b.at) })
+}
+
+// confirm renews the blocks that apply to the exchange.
+func (t *PartTable) confirm(at clock.Instant, e *Exchange) {
+	for _, b := range t.blocks {
+		if containsAll(e.Parts, b.parts) {
+			b.since = max(b.since, at)
+		}
+	}
+}
+
+// evaluate determines the evidence against each part from the crashes since the last answer to a request with it.
+func (t *PartTable) evaluate() {
+	t.evidence = make(map[string]*partEvidence)
+	for _, c := range t.crashes {
+		charged := make(map[string]Exchange)
+		common := make(map[string][]string)
+		for _, e := range c.candidates() {
+			for _, part := range e.Parts {
+				if at, ok := t.answered[part]; ok && !at.Before(c.at) || !t.independent(part, c, &e) {
+					continue
+				}
+				charged[part] = e
+				if common[part] == nil {
+					common[part] = e.Parts
+				}
+				common[part] = intersect(common[part], e.Parts)
+			}
+		}
+		for part, e := range charged {
+			t.charge(part, c, e.Answering, common[part])
+		}
+	}
+}
+
+func (t *PartTable) charge(part string, c *engineCrash, answering bool, common []string) {
+	s := t.evidence[part]
+	if s == nil {
+		s = &partEvidence{common: common}
+		t.evidence[part] = s
+	}
+	s.common = intersect(s.common, common)
+	s.crashes++
+	s.lastAt = c.at
+	s.evidence += pendingEvidence
+	if answering {
+		s.evidence += answeringEvidence - pendingEvidence
+	}
+}
+
+// independent reports whether an exchange is evidence beyond the crashes that a part is charged with already: the request was sent after
+// the last one, or its answer was beginning and the crashes hardly have a common cause.
+func (t *PartTable) independent(part string, c *engineCrash, e *Exchange) bool {
+	s := t.evidence[part]
+	return s == nil || s.lastAt.Before(e.SentAt) || e.Answering && c.at.Sub(s.lastAt) >= commonCauseWindow
+}
+
+// addBlocks adds blocks for the parts with enough evidence, and returns their parts.
+func (t *PartTable) addBlocks(now clock.Instant) [][]string {
+	var added [][]string
+	for _, s := range t.evidence {
+		if s.evidence < blockEvidence {
+			continue
+		}
+		var parts []string
+		for _, other := range s.common {
+			if o := t.evidence[other]; o != nil && o.evidence >= blockEvidence {
+				parts = append(parts, other)
+			}
+		}
+		if t.AddBlock(now, parts) {
+			added = append(added, parts)
+		}
+	}
+	return added
+}
+
+// AddBlock blocks requests whose prompts have all the parts, unless fewer parts suffice for that already. It reports whether it added the
+// block.
+func (t *PartTable) AddBlock(now clock.Instant, parts []string) bool {
+	if len(parts) == 0 || slices.ContainsFunc(t.blocks, func(b *block) bool { return containsAll(parts, b.parts) }) {
+		return false
+	}
+	t.blocks = slices.DeleteFunc(t.blocks, func(b *block) bool {
+		return now.Sub(b.since) >= forgetBlock || containsAll(b.parts, parts)
+	})
+	t.blocks = append(t.blocks[max(0, len(t.blocks)-maxBlocks+1):], &block{parts: slices.Sorted(slices.Values(parts)), since: now})
+	return true
+}
+
+// Blocks returns the combinations of parts that are blocked now.
+func (t *PartTable) Blocks(now clock.Instant) [][]string {
+	var list [][]string
+	for _, b := range t.blocks {
+		if now.Sub(b.since) < retention {
+			list = append(list, slices.Clone(b.parts))
+		}
+	}
+	return list
+}
+
+// RecordAnswer records that an answer to a request with these parts has begun. It returns the parts that are cleared by it.
+func (t *PartTable) RecordAnswer(now clock.Instant, parts []string) []string {
+	var cleared []string
+	for _, part := range parts {
+		t.answered[part] = now
+		if t.evidence[part] != nil {
+			cleared = append(cleared, part)
+		}
+	}
+	for _, b := range t.blocks {
+		for _, part := range intersect(b.parts, parts) {
+			b.parts = slices.DeleteFunc(b.parts, func(p string) bool { return p == part })
+			cleared = append(cleared, part)
+		}
+	}
+	t.blocks = slices.DeleteFunc(t.blocks, func(b *block) bool { return len(b.parts) == 0 })
+	t.prune(now)
+	if len(cleared) > 0 {
+		t.evaluate()
+	}
+	return slices.Compact(slices.Sorted(slices.Values(cleared)))
+}
+
+// prune removes old answers once there are too many; they only protect parts for recentAnswer and clear crashes before them.
+func (t *PartTable) prune(now clock.Instant) {
+	if len(t.answered) <= maxAnswered {
+		return
+	}
+	for part, at := range t.answered {
+		if now.Sub(at) >= recentAnswer && t.evidence[part] == nil {
+			delete(t.answered, part)
+		}
+	}
+	for part := range t.answered {
+		if len(t.answered) <= maxAnswered {
+			return
+		}
+		delete(t.answered, part)
+	}
+}
+
+// Empty reports whether no part is suspected or blocked.
+func (t *PartTable) Empty() bool { return len(t.blocks) == 0 && len(t.evidence) == 0 }
+
+// Check returns the status of a request with these shared parts, and which of them are suspected: only one request with such a part may
+// wait for the beginning of its answer at a time.
+func (t *PartTable) Check(now clock.Instant, parts []string) (Status, []string) {
+	var suspected []string
+	for _, b := range t.blocks {
+		if containsAll(parts, b.parts) && now.Sub(b.since) < retention {
+			return Blocked, b.parts
+		}
+		suspected = append(suspected, intersect(parts, b.parts)...)
+	}
+	for _, part := range parts {
+		if s := t.evidence[part]; s != nil && now.Sub(s.lastAt) < retention && (s.crashes > 1 || !t.answeredShortlyBefore(part, s.lastAt)) {
+			suspected = append(suspected, part)
+		}
+	}
+	if len(suspected) == 0 {
+		return Clear, nil
+	}
+	return Suspected, suspected
+}
+
+func (t *PartTable) answeredShortlyBefore(part string, at clock.Instant) bool {
+	answered, ok := t.answered[part]
+	return ok && at.Sub(answered) < recentAnswer
+}
--- /dev/null
+++ b/internal/coordination/suspect/parts_test.go
@@ -0,0 +1,168 @@
+package suspect_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumvale/internal/coordination/suspect"
+	"gypsumvale/internal/state/clock"
+)
+
+// partEvent is a crash or the beginning of an answer; at is in milliseconds.
+type partEvent struct {
+	at int
+	// crashed is the engine that crashed, or empty for an answer.
+	crashed string
+	// sent is when the request was sent, in milliseconds.
+	sent    int
+	parts   string
+	pending bool
+}
+
+func instant(ms int) clock.Instant { return clock.Instant(time.Duration(ms) * time.Millisecond) }
+
+func applyPartEvents(events []partEvent) *suspect.PartTable {
+	t := suspect.NewPartTable()
+	for _, e := range events {
+		parts := strings.Fields(e.parts)
+		if e.crashed == "" {
+			t.RecordAnswer(instant(e.at), parts)
+			continue
+		}
+		t.RecordCrash(instant(e.at), e.crashed, instant(e.at), suspect.Exchange{Parts: parts, Answering: !e.pending, SentAt: instant(e.sent)})
+	}
+	return t
+}
+
+func TestPartTable(t *testing.T) {
+	Convey("crashes attributed to parts of prompts", t, func() {
+		for _, c := range []struct {
+			name   string
+			events []partEvent
+			// at is when the requests are checked, in milliseconds.
+			at                        int
+			clear, suspected, blocked []string
+		}{
+			{
+				name: "a part is suspected after one crash, unless an answer has begun shortly before",
+				events: []partEvent{
+					{at: 20000, parts: "a"}, {at: 20100, crashed: "e1", sent: 20050, parts: "a x"},
+				},
+				at: 20200, clear: []string{"a"}, suspected: []string{"a x", "x"},
+			},
+			{
+				name: "two crashes at the beginning of an answer block the parts that had no answer since",
+				events: []partEvent{
+					{at: 20000, crashed: "e1", sent: 19900, parts: "a b x"}, {at: 20100, parts: "a b"},
+					{at: 20300, crashed: "e2", sent: 20010, parts: "a b x"}, {at: 20400, parts: "a b"},
+				},
+				at: 20500, clear: []string{"a b", "b"}, blocked: []string{"a b x", "c x"},
+			},
+			{
+				name: "parts that always come together block only together",
+				events: []partEvent{
+					{at: 20000, crashed: "e1", sent: 19900, parts: "b x"}, {at: 20300, crashed: "e2", sent: 20010, parts: "b x"},
+				},
+				at: 20500, clear: []string{"c"}, suspected: []string{"b", "x c"}, blocked: []string{"b x"},
+			},
+			{
+				name: "an answer to a request with one of them leaves the other",
+				events: []partEvent{
+					{at: 20000, crashed: "e1", sent: 19900, parts: "b x"}, {at: 20300, crashed: "e2", sent: 20010, parts: "b x"},
+					{at: 20400, parts: "b"},
+				},
+				at: 20500, clear: []string{"b"}, blocked: []string{"x c"},
+			},
+			{
+				name: "another crash without one of them leaves the other",
+				events: []partEvent{
+					{at: 20000, crashed: "e1", sent: 19900, parts: "b x"}, {at: 20300, crashed: "e2", sent: 20010, parts: "b x"},
+					{at: 20700, crashed: "e3", sent: 20400, parts: "c x"},
+				},
+				at: 20800, blocked: []string{"x"},
+			},
+			{
+				name: "crashes at one moment count once",
+				events: []partEvent{
+					{at: 20000, crashed: "e1", sent: 19900, parts: "b"}, {at: 20010, crashed: "e2", sent: 19950, parts: "b"},
+					{at: 20020, crashed: "e3", sent: 19950, parts: "b"},
+				},
+				at: 20100, suspected: []string{"b"},
+			},
+			{
+				name: "requests that waited count only if they were sent after the last crash",
+				events: []partEvent{
+					{at: 20000, crashed: "e1", sent: 19900, parts: "b", pending: true}, {at: 20500, crashed: "e2", sent: 19950, parts: "b", pending: true},
+					{at: 21000, crashed: "e3", sent: 19950, parts: "b", pending: true},
+				},
+				at: 21100, suspected: []string{"b"},
+			},
+			{
+				name: "three crashes before the beginning of an answer block",
+				events: []partEvent{
+					{at: 20000, crashed: "e1", sent: 19900, parts: "b", pending: true}, {at: 20500, crashed: "e2", sent: 20100, parts: "b", pending: true},
+					{at: 21000, crashed: "e3", sent: 20600, parts: "b", pending: true},
+				},
+				at: 21100, blocked: []string{"b"},
+			},
+			{
+				name: "requests that waited beside one whose answer was beginning are not charged",
+				events: []partEvent{
+					{at: 20000, crashed: "e1", sent: 19900, parts: "c", pending: true}, {at: 20001, crashed: "e1", sent: 19900, parts: "x"},
+				},
+				at: 20100, clear: []string{"c"}, suspected: []string{"x"},
+			},
+			{
+				name: "two reports of one crash count once",
+				events: []partEvent{
+					{at: 20000, crashed: "e1", sent: 19900, parts: "x"}, {at: 20500, crashed: "e1", sent: 20100, parts: "x"},
+				},
+				at: 20600, suspected: []string{"x"},
+			},
+			{
+				name: "one request with blocked parts is tried again after the retention period",
+				events: []partEvent{
+					{at: 20000, crashed: "e1", sent: 19900, parts: "x"}, {at: 20300, crashed: "e2", sent: 20010, parts: "x"},
+				},
+				at: 700000, suspected: []string{"x"},
+			},
+			{
+				name: "a crash after the retention period blocks at once",
+				events: []partEvent{
+					{at: 20000, crashed: "e1", sent: 19900, parts: "x"}, {at: 20300, crashed: "e2", sent: 20010, parts: "x"},
+					{at: 700000, crashed: "e3", sent: 699900, parts: "x"},
+				},
+				at: 700100, blocked: []string{"x"},
+			},
+		} {
+			Convey(c.name, func() {
+				table := applyPartEvents(c.events)
+				for want, requests := range map[suspect.Status][]string{
+					suspect.Clear: c.clear, suspect.Suspected: c.suspected, suspect.Blocked: c.blocked,
+				} {
+					for _, parts := range requests {
+						status, _ := table.Check(instant(c.at), strings.Fields(parts))
+						So(fmt.Sprint(parts, " ", status), ShouldEqual, fmt.Sprint(parts, " ", want))
+					}
+				}
+			})
+		}
+	})
+	Convey("an answer returns the parts that it clears", t, func() {
+		table := applyPartEvents([]partEvent{{at: 20000, crashed: "e1", sent: 19900, parts: "a x"}})
+		So(table.RecordAnswer(instant(20100), []string{"a", "c"}), ShouldResemble, []string{"a"})
+		So(table.RecordAnswer(instant(20200), []string{"a", "c"}), ShouldBeEmpty)
+	})
+	Convey("a block that another instance has found applies", t, func() {
+		table := suspect.NewPartTable()
+		So(table.AddBlock(instant(1000), []string{"x", "b"}), ShouldBeTrue)
+		So(table.AddBlock(instant(1100), []string{"b", "x"}), ShouldBeFalse)
+		status, _ := table.Check(instant(1200), []string{"a", "b", "x"})
+		So(status, ShouldEqual, suspect.Blocked)
+		So(table.Blocks(instant(1200)), ShouldResemble, [][]string{{"b", "x"}})
+	})
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -34,6 +34,9 @@
 	AttemptFailed        Number = 403
 	EndpointCrashed      Number = 404
 	RequestBlocked       Number = 405
+	PartSuspected        Number = 406
+	PartCleared          Number = 407
+	PartBlocked          Number = 408
 	ClaimFailed          Number = 500
 	OutcomeUnknown       Number = 501
 	PagesDeleted         Number = 502
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +17,7 @@
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/protocol/exchange"
 	"gypsumvale/internal/state/clock"
+	"gypsumvale/internal/state/prompt"
 	"gypsumvale/internal/state/route"
 	"gypsumvale/internal/transport/upstream"
 )
@@ -128,11 +130,11 @@
 	n.log.Info(event.AttemptFailed, "attempt failed", zap.String("request", j.head.ID), zap.String("endpoint", choice.Endpoint),
 		zap.Error(err))
 	if errors.Is(err, upstream.ErrNotSent) {
-		n.reportCrash(choice.Endpoint)
+		n.reportCrash(choice.Endpoint, errors.Is(err, syscall.ECONNREFUSED))
 		return retry.NotSent, placement.OutcomeUnreachable
 	}
 	n.suspects.recordBroken(choice.Endpoint, &brokenExchange{
-		digest: j.digest, shared: j.sharedParts(), headReceived: j.headReceived, begun: j.begun, sentAt: j.sentAt, brokenAt: clock.Now(),
+		digest: j.digest, service: j.service, shared: prompt.IDs(j.placementReq.SharedParts()), headReceived: j.headReceived, begun: j.begun, sentAt: j.sentAt, brokenAt: clock.Now(),
 	})
 	if errors.Is(err, upstream.ErrStrayResponse) {
 		return retry.Broken, placement.OutcomeFailed
@@ -160,10 +162,10 @@
 		return retry.Broken, placement.OutcomeFailed
 	}
 	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
-	j.node.placer.reportFirstEvent(&j.placementReq, j.owner)
 	if err != nil {
 		return j.classifyError(ctx, choice, err)
 	}
+	j.recordFirstEvent()
 	if len(body) == maxBufferedBytes {
 		return j.forwardOversized(ctx, choice, resp, body)
 	}
@@ -174,6 +176,13 @@
 	return retry.Answered, placement.OutcomeAnswered
 }
 
+// recordFirstEvent records that the answer has begun.
+func (j *job) recordFirstEvent() {
+	j.begun = true
+	j.node.clearParts(&j.placementReq)
+	j.node.placer.reportFirstEvent(&j.placementReq, j.owner)
+}
+
 // impliesNotRun reports whether callers read a status as a guarantee that the request has not run.
 func impliesNotRun(status int) bool {
 	switch status {
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -84,7 +84,7 @@
 			zap.String("service", c.Registration.Service), zap.String("address", c.Registration.Address), zap.Uint64("revision", uint64(revision)))
 		if c.Kind == registry.Restarted {
 			n.upstreams.CloseIdle(c.Registration.Address)
-			n.reportCrash(c.Registration.ID)
+			n.reportCrash(c.Registration.ID, true)
 		}
 	}
 	d.loaded.Store(true)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -55,7 +55,14 @@
 		if err != nil {
 			return nil, err
 		}
-		h.suspects.recordReported(m.Digest, m.Endpoint)
+		(*Node)(h).recordReportedCrash(m)
+		return peer.Empty{}, nil
+	case peer.KindPartsCleared:
+		m, err := decode[peer.PartsCleared](body)
+		if err != nil {
+			return nil, err
+		}
+		h.suspects.recordAnswer(m.Service, m.Parts)
 		return peer.Empty{}, nil
 	case peer.KindCatchUp:
 		return (*Node)(h).serveCatchUp(), nil
@@ -103,6 +110,8 @@
 		return peer.PlaceReply{Verdict: peer.VerdictOverloaded, RetryAfter: overload.RetryAt.Sub(clock.Now()), Expected: overload.Expected}
 	case errors.Is(err, placement.ErrNoEndpoint):
 		return peer.PlaceReply{Verdict: peer.VerdictNoEndpoint}
+	case errors.Is(err, placement.ErrBlocked):
+		return peer.PlaceReply{Verdict: peer.VerdictBlocked}
 	}
 	return peer.PlaceReply{Verdict: peer.VerdictNotOwner}
 }
@@ -172,6 +181,8 @@
 		return placed.Choice, nil
 	case peer.VerdictNoEndpoint:
 		return placement.Choice{}, placement.ErrNoEndpoint
+	case peer.VerdictBlocked:
+		return placement.Choice{}, placement.ErrBlocked
 	case peer.VerdictOverloaded:
 		return placement.Choice{}, &placement.OverloadError{RetryAt: clock.Now().Add(placed.RetryAfter), Expected: placed.Expected}
 	}
--- /dev/null
+++ b/internal/gateway/parts_test.go
@@ -0,0 +1,115 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumvale/internal/standin/hosted"
+)
+
+const (
+	// deadlyPart crashes each engine that begins to answer a prompt with it.
+	deadlyPart = "d7"
+	// partContact is how long after the fifth crash requests with the part may still reach engines.
+	partContact = time.Second
+)
+
+// startPartSite starts entries before eight engines, which crash on deadlyPart and are back after 0.8 s.
+func startPartSite(entryCount int) *site {
+	s := newSite()
+	s.putConfiguration(defaultSpec())
+	for i := range 8 {
+		e := s.addEndpoint(hosted.EndpointConfig{ID: fmt.Sprintf("llm-%d", i), Service: "llm", Model: testModel, Version: 1, Events: 6, Work: 20 * time.Millisecond})
+		e.SetFault(hosted.EndpointFault{CrashOnPart: deadlyPart, RestartAfter: 800 * time.Millisecond})
+	}
+	for range entryCount {
+		s.addEntry()
+	}
+	for _, e := range s.entries {
+		e.expectReady(true)
+	}
+	eventually("a leader is elected", func() bool { return s.store.Value("gypsum/lead") != nil })
+	return s
+}
+
+// partRuns returns how many requests whose prompts have a part have reached engines.
+func (s *site) partRuns(part string) int {
+	n := 0
+	for _, e := range s.endpoints {
+		for _, r := range e.Runs() {
+			if strings.Contains(r.Header.Get("Prompt-Prefix"), part+":") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// sendSteadily sends requests at intervals until stopped, at the entries in turn, and counts those sent and those answered. The last part of
+// each prompt is its own.
+func (s *site) sendSteadily(wg *sync.WaitGroup, stop <-chan struct{}, interval time.Duration, shared string, sent, answered *atomic.Int64) {
+	wg.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(interval):
+			}
+			e := s.entries[i%len(s.entries)]
+			sent.Add(1)
+			wg.Go(func() {
+				own := fmt.Sprintf("e%d", s.requests.Add(1))
+				if a := s.send(e, http.MethodPost, "/redraft/", own, "Prompt-Prefix", shared+","+own+":100"); a.status == http.StatusOK && a.complete {
+					answered.Add(1)
+				}
+			})
+		}
+	})
+}
+
+func TestPartThatCrashesEngines(t *testing.T) {
+	Convey("requests that differ but share a part that crashes engines", t, func() {
+		s := startPartSite(3)
+		var wg sync.WaitGroup
+		stop := make(chan struct{})
+		var deadly, deadlyAnswered, sound, soundAnswered atomic.Int64
+		stopped := false
+		end := func() {
+			if !stopped {
+				stopped = true
+				close(stop)
+				wg.Wait()
+			}
+		}
+		Reset(end)
+		// The sound ones have their first part and their workspace's part in common with the others.
+		s.sendSteadily(&wg, stop, 15*time.Millisecond, "a1:600,b2:300", &sound, &soundAnswered)
+		time.Sleep(500 * time.Millisecond)
+		s.sendSteadily(&wg, stop, 40*time.Millisecond, "a1:600,b2:300,"+deadlyPart+":50", &deadly, &deadlyAnswered)
+
+		deadline := time.Now().Add(2 * time.Second)
+		for s.partRuns(deadlyPart) < 5 && time.Now().Before(deadline) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		Convey("reach engines three times at most after the fifth crash, and sound requests are served meanwhile", func() {
+			time.Sleep(partContact)
+			runs, sentBefore, answeredBefore := s.partRuns(deadlyPart), sound.Load(), soundAnswered.Load()
+			time.Sleep(2 * time.Second)
+			later := s.partRuns(deadlyPart) - runs
+			sentLater, answeredLater := sound.Load()-sentBefore, soundAnswered.Load()-answeredBefore
+			end()
+			t.Logf("%d of %d requests with the part reached engines, %d of them late; %d of %d sound ones answered meanwhile",
+				s.partRuns(deadlyPart), deadly.Load(), later, answeredLater, sentLater)
+			So(later, ShouldBeLessThanOrEqualTo, 3)
+			So(deadlyAnswered.Load(), ShouldEqual, 0)
+			So(float64(answeredLater), ShouldBeGreaterThanOrEqualTo, 0.5*float64(sentLater))
+		})
+	})
+}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -15,6 +15,7 @@
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/state/clock"
+	"gypsumvale/internal/state/prompt"
 	"gypsumvale/internal/state/registration"
 	"gypsumvale/internal/state/route"
 )
@@ -58,7 +59,7 @@
 	if pool == nil {
 		pool = placement.NewPool(placement.Config{
 			PrefillRate: float64(p.node.cfg.PrefillRate), OldWeightsGrace: p.node.bounds.Load().OldWeightsGrace - oldWeightsMargin,
-			Reachability: p.reachability,
+			Reachability: p.reachability, Suspicions: p.node.suspects,
 		})
 		for model, list := range p.targets {
 			for _, target := range list {
@@ -428,7 +429,9 @@
 	defer p.mu.Unlock()
 	now := clock.Now()
 	pool := p.pool(req.Service)
-	pool.FirstEvent(now, req.ID)
+	if placed := pool.FirstEvent(now, req.ID); placed != nil {
+		p.node.suspects.recordAnswer(placed.Service, prompt.IDs(placed.SharedParts()))
+	}
 	p.grantWaiting(pool, now)
 }
 
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -25,6 +25,12 @@
 	return &refusal{http.StatusServiceUnavailable, reason, retryAt}
 }
 
+// refusalOfBlockedParts returns the refusal of a request with parts on which engines crash. Its status doesn't state that the request has not
+// run, since callers would then send it again.
+func refusalOfBlockedParts() *refusal {
+	return &refusal{http.StatusInternalServerError, "part_crashes_endpoints", 0}
+}
+
 // writeRefusal sends a refusal to the caller and records the end of the request.
 func (j *job) writeRefusal(refused *refusal) {
 	h := j.w.Header()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -206,6 +206,9 @@
 			j.placementReq.TargetDeadline = j.arrived.Add(j.route.TargetLatency)
 		}
 	}
+	if n.partsBlocked(&j.placementReq) {
+		return refusalOfBlockedParts()
+	}
 	if j.workspace != nil && j.workspace.Isolated {
 		j.placementReq.IsolationKey = j.workspace.Name
 	}
@@ -213,16 +216,6 @@
 	return nil
 }
 
-// sharedParts returns the identifiers of the shared parts of the prompt.
-func (j *job) sharedParts() []string {
-	shared := j.placementReq.SharedParts()
-	ids := make([]string, len(shared))
-	for i, part := range shared {
-		ids[i] = part.ID
-	}
-	return ids
-}
-
 // run makes attempts until one returns the answer, or no further attempt is allowed.
 func (j *job) run() {
 	n := j.node
@@ -240,6 +233,12 @@
 			j.fail(ctx, refused)
 			return
 		}
+		if n.partsBlocked(&j.placementReq) {
+			// Blocked while the request was being placed.
+			n.placer.reportDone(&j.placementReq, owner, placement.OutcomeWithdrawn)
+			j.fail(ctx, refusalOfBlockedParts())
+			return
+		}
 		outcome, placementOutcome := j.attempt(ctx, &choice)
 		n.placer.reportDone(&j.placementReq, owner, placementOutcome)
 		n.metrics.Attempts.WithLabelValues(outcome.String()).Inc()
@@ -269,8 +268,13 @@
 
 func (j *job) refusalOf(err error) *refusal {
 	var overload *placement.OverloadError
-	if errors.As(err, &overload) {
+	switch {
+	case errors.As(err, &overload):
 		return unavailable("overload", overload.RetryAt)
+	case errors.Is(err, placement.ErrBlocked):
+		return refusalOfBlockedParts()
+	case errors.Is(err, placement.ErrSuspected):
+		return unavailable("part_suspected", clock.Now().Add(shortRetryDelay))
 	}
 	return unavailable("no_endpoint", clock.Now().Add(shortRetryDelay))
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -90,8 +90,7 @@
 			}
 			if len(events) > 0 {
 				if !j.begun {
-					j.begun = true
-					j.node.placer.reportFirstEvent(&j.placementReq, j.owner)
+					j.recordFirstEvent()
 				}
 				if err := j.writeEvents(resp, flusher, events); err != nil {
 					return retry.Broken, placement.OutcomeWithdrawn
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -12,10 +12,12 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"gypsumvale/internal/coordination/placement"
 	"gypsumvale/internal/coordination/suspect"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/state/clock"
+	"gypsumvale/internal/state/prompt"
 )
 
 // crashWindow is how long before the detection of a crash an exchange with the endpoint may have failed because of it.
@@ -23,7 +25,8 @@
 
 // brokenExchange is an exchange with an endpoint that ended prematurely.
 type brokenExchange struct {
-	digest string
+	digest  string
+	service string
 	// shared holds the shared parts of the prompt, in order.
 	shared []string
 	// headReceived is true if the head of the answer had arrived, and begun if a complete event had.
@@ -40,10 +43,53 @@
 	mu     sync.Mutex
 	table  *suspect.Table
 	broken map[string][]*brokenExchange
+	// parts holds the crashes attributed to parts of prompts, by service.
+	parts map[string]*suspect.PartTable
 }
 
 func newSuspects() *suspects {
-	return &suspects{table: suspect.NewTable(), broken: make(map[string][]*brokenExchange)}
+	return &suspects{table: suspect.NewTable(), broken: make(map[string][]*brokenExchange), parts: make(map[string]*suspect.PartTable)}
+}
+
+// service returns a service's table, creating it if necessary; the caller holds the lock.
+func (s *suspects) service(name string) *suspect.PartTable {
+	t := s.parts[name]
+	if t == nil {
+		t = suspect.NewPartTable()
+		s.parts[name] = t
+	}
+	return t
+}
+
+// Check reports whether a request with some shared parts must not run, and otherwise which of the parts are suspected.
+func (s *suspects) Check(now clock.Instant, service string, shared []prompt.Part) (blocked bool, suspected []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.parts[service]
+	if t == nil || t.Empty() {
+		return false, nil
+	}
+	status, suspected := t.Check(now, prompt.IDs(shared))
+	return status == suspect.Blocked, suspected
+}
+
+// recordPartCrash attributes a crash to the parts of a broken exchange's prompt, and returns the combinations of parts that are blocked from
+// now on and the suspected parts of the prompt.
+func (s *suspects) recordPartCrash(endpoint, service string, b *brokenExchange) (blocked [][]string, suspected []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Now()
+	t := s.service(service)
+	blocked = t.RecordCrash(now, endpoint, b.brokenAt, suspect.Exchange{Parts: b.shared, Answering: b.headReceived, SentAt: b.sentAt})
+	_, suspected = t.Check(now, b.shared)
+	return blocked, suspected
+}
+
+// recordAnswer records that an answer to a request with some shared parts has begun, and returns those that it clears.
+func (s *suspects) recordAnswer(service string, parts []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.service(service).RecordAnswer(clock.Now(), parts)
 }
 
 func (s *suspects) blocked(digest string) bool {
@@ -99,18 +145,84 @@
 // whose exchanges broke, so that it might be back before another request is sent there.
 func (n *Node) checkCrash(ctx context.Context, endpoint, address string) {
 	if err := n.upstreams.Probe(ctx, address); errors.Is(err, syscall.ECONNREFUSED) {
-		n.reportCrash(endpoint)
+		n.reportCrash(endpoint, true)
 	}
 }
 
 // reportCrash counts an endpoint's crash against the requests that were in flight there, on this instance and on every peer.
-func (n *Node) reportCrash(endpoint string) {
+//
+// Parts of prompts are charged only if the endpoint refused a connection: one that can't be reached may be cut off.
+func (n *Node) reportCrash(endpoint string, refused bool) {
 	for _, b := range n.suspects.recordCrash(endpoint) {
+		now := clock.Now()
 		n.log.Warn(event.EndpointCrashed, "endpoint crashed with a request in flight", zap.String("endpoint", endpoint),
 			zap.String("digest", b.digest), zap.Bool("head", b.headReceived), zap.Bool("begun", b.begun), zap.Strings("shared", b.shared),
-			zap.Int64("broken_ms", clock.Now().Sub(b.brokenAt).Milliseconds()))
-		for _, name := range n.members.peerNames() {
-			n.notify(name, peer.KindCrashReport, peer.CrashReport{Digest: b.digest, Endpoint: endpoint})
+			zap.Int64("broken_ms", now.Sub(b.brokenAt).Milliseconds()))
+		report := peer.CrashReport{Digest: b.digest, Endpoint: endpoint}
+		if refused && !b.begun && len(b.shared) > 0 {
+			report.Service, report.Parts, report.Answering = b.service, b.shared, b.headReceived
+			report.SentAge, report.BrokenAge = now.Sub(b.sentAt), now.Sub(b.brokenAt)
+			n.attributeCrash(endpoint, b.service, b)
+		}
+		n.notifyPeers(peer.KindCrashReport, report)
+	}
+}
+
+// attributeCrash attributes a crash to the parts of a broken exchange's prompt.
+func (n *Node) attributeCrash(endpoint, service string, b *brokenExchange) {
+	blocked, suspected := n.suspects.recordPartCrash(endpoint, service, b)
+	if len(suspected) > 0 {
+		n.log.Warn(event.PartSuspected, "engine crashed while it ran a prompt with these parts", zap.String("endpoint", endpoint),
+			zap.String("service", service), zap.Strings("parts", suspected), zap.Bool("head", b.headReceived))
+	}
+	for _, parts := range blocked {
+		n.log.Warn(event.PartBlocked, "prompts with these parts are blocked", zap.String("service", service), zap.Strings("parts", parts),
+			zap.String("endpoint", endpoint))
+	}
+}
+
+// recordReportedCrash counts a crash that a peer reported.
+func (n *Node) recordReportedCrash(r *peer.CrashReport) {
+	n.suspects.recordReported(r.Digest, r.Endpoint)
+	if len(r.Parts) == 0 {
+		return
+	}
+	now := clock.Now()
+	n.attributeCrash(r.Endpoint, r.Service, &brokenExchange{
+		shared: r.Parts, headReceived: r.Answering, sentAt: now.Add(-r.SentAge), brokenAt: now.Add(-r.BrokenAge),
+	})
+}
+
+// clearParts records that an answer to a request has begun, and reports the parts that this clears to all peers.
+func (n *Node) clearParts(req *placement.Request) {
+	if req == nil || len(req.Parts) < 2 {
+		return
+	}
+	cleared := n.suspects.recordAnswer(req.Service, prompt.IDs(req.SharedParts()))
+	if len(cleared) == 0 {
+		return
+	}
+	n.log.Info(event.PartCleared, "an answer has begun to a prompt with suspected parts", zap.String("service", req.Service),
+		zap.Strings("parts", cleared))
+	n.notifyPeers(peer.KindPartsCleared, peer.PartsCleared{Service: req.Service, Parts: cleared})
+}
+
+// partsBlocked reports whether engines crash on parts of a request's prompt.
+func (n *Node) partsBlocked(req *placement.Request) bool {
+	blocked, _ := n.suspects.Check(clock.Now(), req.Service, req.SharedParts())
+	return blocked
+}
+
+// notifyPeers sends a message to all peers. It waits only for the instance that places requests, which must know of a crash before it hears
+// that the request has ended.
+func (n *Node) notifyPeers(kind peer.Kind, msg any) {
+	owner := n.members.owner()
+	if owner != n.cfg.Name {
+		n.notify(owner, kind, msg)
+	}
+	for _, name := range n.members.peerNames() {
+		if name != owner {
+			n.wg.Go(func() { n.notify(name, kind, msg) })
 		}
 	}
 }
--- a/internal/protocol/peer/frame.go
+++ b/internal/protocol/peer/frame.go
@@ -49,6 +49,7 @@
 	KindAwaitPlacement
 	KindSync
 	KindCatchUp
+	KindPartsCleared
 )
 
 var kindNames = [...]string{
@@ -57,6 +58,7 @@
 	KindRegisterStream: "register", KindFindStream: "find", KindCrashReport: "suspect", KindLink: "link", KindExport: "export",
 	KindInstanceList: "roster", KindMemberRequest: "want",
 	KindPlace: "place", KindAssignmentUpdate: "use", KindAwaitPlacement: "await", KindSync: "sync", KindCatchUp: "catchup",
+	KindPartsCleared: "cleared",
 }
 
 // String returns the label used in metrics, or "unknown".
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -34,6 +34,8 @@
 	VerdictQueued
 	// VerdictNotOwner means that the receiving instance doesn't own the placement.
 	VerdictNotOwner
+	// VerdictBlocked means that engines crash on parts of the prompt.
+	VerdictBlocked
 )
 
 // AwaitPlacement waits for the result of a queued placement request. It has the same reply as the placement request itself.
--- a/internal/protocol/peer/messages.go
+++ b/internal/protocol/peer/messages.go
@@ -146,4 +146,18 @@
 type CrashReport struct {
 	Digest   string
 	Endpoint string
+	// Service and Parts are the service and the shared parts of the request's prompt. Parts is nil if the answer had begun.
+	Service string
+	Parts   []string
+	// Answering is true if the head of the answer had arrived.
+	Answering bool
+	// SentAge and BrokenAge are the times since the request was sent and since its exchange broke.
+	SentAge   time.Duration
+	BrokenAge time.Duration
+}
+
+// PartsCleared reports that an answer has begun to a request with parts on which engines were suspected to crash.
+type PartsCleared struct {
+	Service string
+	Parts   []string
 }
--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -88,6 +88,10 @@
 	// OrderDelay leaves weight orders without an answer and carries them out after this time, if the number of accepted orders is still
 	// the expected one. Zero disables it.
 	OrderDelay time.Duration
+	// CrashOnPart crashes the endpoint when it begins to answer a prompt that has this part. It is disabled if empty.
+	CrashOnPart string
+	// RestartAfter is how long after a crash the endpoint starts again. Zero leaves it down.
+	RestartAfter time.Duration
 }
 
 // Run is a request whose execution an endpoint has started.
@@ -105,13 +109,14 @@
 type Endpoint struct {
 	cfg       EndpointConfig
 	registrar Registrar
-	listener  net.Listener
-	server    *http.Server
+	// listening is the address that the endpoint listens on.
+	listening string
+
+	mu     sync.Mutex
+	server *http.Server
 	// startedMilli is the start time in milliseconds since the Unix epoch.
 	startedMilli int64
-
-	mu    sync.Mutex
-	fault EndpointFault
+	fault        EndpointFault
 
 	endlessBytes atomic.Int64
 	version      int
@@ -119,7 +124,9 @@
 	running      int
 	runs         []Run
 	leaving      bool
-	stopped      bool
+	// stopped is true while the endpoint is down, and ended once it won't start again.
+	stopped bool
+	ended   bool
 }
 
 // StartEndpoint starts serving an endpoint and registers it.
@@ -134,16 +141,42 @@
 	if cfg.Advertise == "" {
 		cfg.Advertise = listener.Addr().String()
 	}
-	e := &Endpoint{cfg: cfg, registrar: registrar, listener: listener, version: cfg.Version, startedMilli: time.Now().UnixMilli()}
-	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second}
-	// Serve always returns an error; here it is the one that reports that the server was closed.
-	go func() { _ = e.server.Serve(listener) }()
+	e := &Endpoint{cfg: cfg, registrar: registrar, listening: listener.Addr().String(), version: cfg.Version}
+	e.mu.Lock()
+	e.serveOn(listener)
+	e.mu.Unlock()
 	if err := e.appendJournal(JournalEntry{Started: true}); err != nil {
 		return nil, err
 	}
 	return e, e.register()
 }
 
+// serveOn starts serving on a listener; the caller holds the lock.
+func (e *Endpoint) serveOn(listener net.Listener) {
+	server := &http.Server{Handler: e, ReadHeaderTimeout: time.Second}
+	e.server, e.startedMilli, e.stopped = server, time.Now().UnixMilli(), false
+	// Serve always returns an error; here it is the one that reports that the server was closed.
+	go func() { _ = server.Serve(listener) }()
+}
+
+// restart starts serving and registers again after a crash, unless the endpoint has ended.
+func (e *Endpoint) restart() {
+	e.mu.Lock()
+	if e.ended {
+		e.mu.Unlock()
+		return
+	}
+	listener, err := net.Listen("tcp", e.listening)
+	if err != nil {
+		e.mu.Unlock()
+		return
+	}
+	e.serveOn(listener)
+	e.mu.Unlock()
+	// An endpoint that isn't registered shows in the test that expects it.
+	_ = e.register()
+}
+
 // Address returns the address that the endpoint registers.
 func (e *Endpoint) Address() string { return e.cfg.Advertise }
 
@@ -161,6 +194,7 @@
 	if e.cfg.Model != "" {
 		models = append(models, model{e.cfg.Model, e.version})
 	}
+	startedMilli := e.startedMilli
 	e.mu.Unlock()
 	return e.registrar.Put("servers/"+e.cfg.ID, struct {
 		Backend, Address, Zone, Version string
@@ -169,7 +203,7 @@
 		ColdLeftMs, Sequence            int
 		Models                          []model
 		Born                            int64 `json:"born"`
-	}{e.cfg.Service, e.Address(), e.cfg.Zone, "v1", e.cfg.Slots, state, 0, 1, models, e.startedMilli})
+	}{e.cfg.Service, e.Address(), e.cfg.Zone, "v1", e.cfg.Slots, state, 0, 1, models, startedMilli})
 }
 
 // Leave registers the endpoint as leaving. It continues to serve requests.
@@ -201,6 +235,9 @@
 
 // Stop closes all connections at once and removes the registration.
 func (e *Endpoint) Stop() {
+	e.mu.Lock()
+	e.ended = true
+	e.mu.Unlock()
 	e.crash()
 	e.registrar.Delete("servers/" + e.cfg.ID)
 }
@@ -209,8 +246,12 @@
 func (e *Endpoint) crash() {
 	e.mu.Lock()
 	e.stopped = true
+	server, after := e.server, e.fault.RestartAfter
 	e.mu.Unlock()
-	_ = e.server.Close()
+	_ = server.Close()
+	if after > 0 {
+		time.AfterFunc(after, e.restart)
+	}
 }
 
 // SetFault replaces the simulated faults.
@@ -348,7 +389,14 @@
 		Events      [][]any
 		ClockMs     int64 `json:"clock_ms"`
 		Born        int64 `json:"born"`
-	}{1, 0, false, [][]any{}, time.Now().UnixMilli(), e.startedMilli})
+	}{1, 0, false, [][]any{}, time.Now().UnixMilli(), e.started()})
+}
+
+// started returns the start time in milliseconds since the Unix epoch.
+func (e *Endpoint) started() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.startedMilli
 }
 
 // Running returns the number of requests in progress.
--- a/internal/standin/hosted/responses.go
+++ b/internal/standin/hosted/responses.go
@@ -87,6 +87,12 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	if f.CrashOnPart != "" && hasPart(r, f.CrashOnPart) {
+		e.sleep(r, e.cfg.Work)
+		_ = http.NewResponseController(w).Flush()
+		e.crash()
+		panic(http.ErrAbortHandler)
+	}
 	lastEvent, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	if err != nil {
 		lastEvent = 0
@@ -110,6 +116,16 @@
 	}
 }
 
+// hasPart reports whether a request's prompt has a part.
+func hasPart(r *http.Request, id string) bool {
+	for _, part := range strings.Split(r.Header.Get("Prompt-Prefix"), ",") {
+		if name, _, _ := strings.Cut(part, ":"); name == id {
+			return true
+		}
+	}
+	return false
+}
+
 // writeEndlessLine writes until the caller closes the connection.
 func (e *Endpoint) writeEndlessLine(w http.ResponseWriter) {
 	block := strings.Repeat("x", endlessBlockBytes)
