Keep blocked parts of prompts in the store, so that restarted entries know them

Entries that had been restarted knew nothing of blocked parts: once the leader and the others had all been replaced, requests with the part crashed engines again until they had been blocked anew.

Cause: blocks were kept in memory and reported once, when the crash happened. The leader now writes them to the store under a lease of ten minutes, the time for which a block lasts, compares four times a second, and removes what an answer has lifted. All entries read them with the system's other keys, directly or through their relay, and so before they are ready. An entry adopts a key once, so that a block that has been lifted meanwhile isn't taken from an older read.

Ruled out: asking peers at the start, which helps nothing if all are new.

Without the task that writes them, TestBlockedPartAfterRestart failed: a request with the part was sent to an engine (Expected: 500, Actual: 502).

--- a/internal/coordination/suspect/parts.go
+++ b/internal/coordination/suspect/parts.go
@@ -136,7 +136,7 @@
 			return
 		}
 	}
-	t.crashes = slices.DeleteFunc(t.crashes, func(c *engineCrash) bool { return now.Sub(c.at) >= retention })
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *engineCrash) bool { return now.Sub(c.at) >= Retention })
 	t.crashes = append(t.crashes[max(0, len(t.crashes)-maxCrashes+1):], &engineCrash{endpoint, brokenAt, []Exchange{e}})
 	slices.SortStableFunc(t.crashes, func(a, b *engineCrash) int { return int(a.at - b.at) })
 }
@@ -233,7 +233,7 @@
 func (t *PartTable) Blocks(now clock.Instant) [][]string {
 	var list [][]string
 	for _, b := range t.blocks {
-		if now.Sub(b.since) < retention {
+		if now.Sub(b.since) < Retention {
 			list = append(list, slices.Clone(b.parts))
 		}
 	}
@@ -289,13 +289,13 @@
 func (t *PartTable) Check(now clock.Instant, parts []string) (Status, []string) {
 	var suspected []string
 	for _, b := range t.blocks {
-		if containsAll(parts, b.parts) && now.Sub(b.since) < retention {
+		if containsAll(parts, b.parts) && now.Sub(b.since) < Retention {
 			return Blocked, b.parts
 		}
 		suspected = append(suspected, intersect(parts, b.parts)...)
 	}
 	for _, part := range parts {
-		if s := t.evidence[part]; s != nil && now.Sub(s.lastAt) < retention && (s.crashes > 1 || !t.answeredShortlyBefore(part, s.lastAt)) {
+		if s := t.evidence[part]; s != nil && now.Sub(s.lastAt) < Retention && (s.crashes > 1 || !t.answeredShortlyBefore(part, s.lastAt)) {
 			suspected = append(suspected, part)
 		}
 	}
--- a/internal/coordination/suspect/table.go
+++ b/internal/coordination/suspect/table.go
@@ -18,8 +18,8 @@
 const (
 	// blockThreshold is the number of crashes at which a request is blocked.
 	blockThreshold = 2
-	// retention is how long a crash counts.
-	retention = 10 * time.Minute
+	// Retention is how long a crash counts, and how long a block lasts.
+	Retention = 10 * time.Minute
 	// sameCrashWindow is the window within which reported crashes of one endpoint count as one.
 	sameCrashWindow = 2 * time.Second
 	// pruneThreshold is the number of digests from which on expired crashes are removed.
@@ -67,7 +67,7 @@
 func (t *Table) Status(now time.Time, digest string) Status {
 	n := 0
 	for _, c := range t.crashes[digest] {
-		if now.Sub(c.at) < retention {
+		if now.Sub(c.at) < Retention {
 			n++
 		}
 	}
@@ -88,7 +88,7 @@
 		return
 	}
 	for digest, list := range t.crashes {
-		if now.Sub(list[len(list)-1].at) >= retention {
+		if now.Sub(list[len(list)-1].at) >= Retention {
 			delete(t.crashes, digest)
 		}
 	}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -30,6 +30,7 @@
 	leaderKey     = "gypsum/lead"
 	lastLeaderKey = "gypsum/last"
 	secretKey     = "gypsum/secret"
+	blockPrefix   = "gypsum/blocked/"
 )
 
 const (
@@ -200,6 +201,7 @@
 			zap.Uint64("revision", uint64(revision)))
 	}
 	m.node.retryBudgets.setInstances(len(m.entries))
+	m.node.blocks.apply(items)
 	return true
 }
 
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -38,6 +38,7 @@
 	upstreams    *upstream.Pool
 	placer       *placer
 	suspects     *suspects
+	blocks       *blocks
 	retryBudgets *retryBudgets
 
 	configuration *configuration
@@ -67,6 +68,7 @@
 	n.upstreams = upstream.NewPool(n.metrics.Dials.Inc)
 	n.placer = newPlacer(n)
 	n.suspects = newSuspects()
+	n.blocks = newBlocks(n)
 	n.retryBudgets = newRetryBudgets(cfg.RetryShare, cfg.RetryReserve)
 	n.configuration = &configuration{node: n, targets: make(map[string]targetVersion), items: make(map[string]kv.Item)}
 	n.discovery = newDiscovery(n)
@@ -106,8 +108,8 @@
 	defer stopBackground()
 	n.background = background
 	for _, task := range []func(context.Context){
-		n.poller.run, n.members.renew, n.relay.run, n.catchUp.run, n.placer.run, n.leadership.run, n.follower.run, n.follower.freeStores, n.follower.logUsage,
-		n.rollout.run, n.watchReadiness, n.sweep,
+		n.poller.run, n.members.renew, n.relay.run, n.catchUp.run, n.placer.run, n.leadership.run, n.follower.run, n.follower.freeStores,
+		n.follower.logUsage, n.rollout.run, n.blocks.run, n.watchReadiness, n.sweep,
 	} {
 		n.wg.Go(func() { task(background) })
 	}
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -113,3 +113,28 @@
 		})
 	})
 }
+
+func TestBlockedPartAfterRestart(t *testing.T) {
+	Convey("entries that have all been restarted send no request with a blocked part to an engine", t, func() {
+		s := startPartSite(2)
+		call := func(e *entry, i int) response {
+			return s.call(e, http.MethodPost, "/redraft/", fmt.Sprint(i), "Prompt-Prefix", fmt.Sprintf("a1:600,b2:300,%s:50,f%d:100", deadlyPart, i))
+		}
+		for i := range 4 {
+			call(s.entries[i%2], i)
+		}
+		So(call(s.entries[0], 4).status, ShouldEqual, http.StatusInternalServerError)
+		time.Sleep(time.Second)
+		for _, e := range s.entries {
+			e.stop()
+		}
+		runs := s.partRuns(deadlyPart)
+		e := s.addEntry()
+		e.expectReady(true)
+		for i := range 3 {
+			So(call(e, 10+i).status, ShouldEqual, http.StatusInternalServerError)
+		}
+		So(s.partRuns(deadlyPart), ShouldEqual, runs)
+		Convey("and serve sound ones", func() { s.expectAnswered(s.call(e, http.MethodPost, "/redraft/", "sound")) })
+	})
+}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -92,6 +92,27 @@
 	return s.service(service).RecordAnswer(clock.Now(), parts)
 }
 
+// blocks returns the blocked combinations of parts by service.
+func (s *suspects) blocks() map[string][][]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Now()
+	list := make(map[string][][]string)
+	for name, t := range s.parts {
+		if blocks := t.Blocks(now); len(blocks) > 0 {
+			list[name] = blocks
+		}
+	}
+	return list
+}
+
+// addBlock blocks a combination of parts that another instance has found, and reports whether it wasn't blocked before.
+func (s *suspects) addBlock(service string, parts []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.service(service).AddBlock(clock.Now(), parts)
+}
+
 func (s *suspects) blocked(digest string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
