Treat a stream that ends inside an event, or unframed before its first one, as broken off

A stream without length and chunks ends with its connection. Callers got one that had ended inside an event as complete, with the rest of that event, and an engine that crashed before the first event of such a stream counted as having answered with nothing.

Cause: the end of the body was taken for the end of the stream. Each whole event ends with an empty line, so a stream that leaves something behind the last one has been broken off, however it is framed. A body of which only the connection's end says that it is over, and that has no event, isn't an answer either. Both now end like any broken exchange: resumed elsewhere if the route allows it, and cut for the caller otherwise. Streams that end behind an event, and other answers without a length, were and are delivered whole; the caller gets them with chunks or a length, so that a cut shows.

Ruled out: the connections' side; a reset is an error there, and a connection that has ended isn't used again.

--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -241,3 +241,43 @@
 		})
 	})
 }
+
+// An answer may have neither a length nor chunks, and end with its connection.
+func TestStreamWithoutLength(t *testing.T) {
+	Convey("answers that end with their connections", t, func() {
+		s := startSite(1)
+		e := s.entries[0]
+
+		Convey("are delivered whole", func() {
+			s.eachEndpoint(hosted.EndpointFault{Unframed: true})
+			a := s.call(e, http.MethodPost, "/redraft/", "plan")
+			s.expectAnswered(a)
+			So(a.body, ShouldEqual, hosted.Stream(6))
+			a = s.call(e, http.MethodGet, "/read/", "")
+			s.expectAnswered(a)
+			So(a.body, ShouldEqual, hosted.Body(a.id))
+		})
+		Convey("are broken off if they end inside an event, and are resumed elsewhere", func() {
+			s.endpoints[2].SetFault(hosted.EndpointFault{Unframed: true, CutAfter: 3})
+			s.endpoints[3].SetFault(hosted.EndpointFault{Unframed: true, CutAfter: 3})
+			for range 6 {
+				a := s.call(e, http.MethodPost, "/redraft/", "plan")
+				So(strings.HasPrefix(hosted.Stream(6), a.body), ShouldBeTrue)
+				if a.complete {
+					So(a.body, ShouldEqual, hosted.Stream(6))
+				}
+			}
+		})
+		Convey("never look complete if they end inside an event", func() {
+			s.eachEndpoint(hosted.EndpointFault{Unframed: true, CutAfter: 3})
+			a := s.call(e, http.MethodPost, "/brief/", "notes")
+			So(a.complete, ShouldBeFalse)
+			So(a.body, ShouldEqual, hosted.Stream(3))
+		})
+		Convey("are broken off if they end before their first event", func() {
+			s.eachEndpoint(hosted.EndpointFault{Unframed: true, CrashOnPart: deadlyPart})
+			a := s.call(e, http.MethodPost, "/brief/", "notes", "Prompt-Prefix", "a1:600,"+deadlyPart+":50,own:100")
+			s.expectRefused(a, http.StatusBadGateway, 1)
+		})
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -25,6 +25,8 @@
 var (
 	// errOutOfOrder is returned for an event whose number is not higher than that of the last one sent to the caller.
 	errOutOfOrder = errors.New("event out of order")
+	// errIncompleteStream is returned for a stream that ends inside an event, or before its first one.
+	errIncompleteStream = errors.New("stream ends inside an event")
 	// errEventTooLong is returned for an event of more than maxEventBytes.
 	errEventTooLong = errors.New("event too long")
 )
@@ -100,6 +102,9 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
+			if err := j.checkEnd(resp, &splitter); err != nil {
+				return j.classifyError(ctx, choice, err)
+			}
 			if err := j.writeEvents(resp, flusher, splitter.pending); err != nil {
 				return retry.Broken, placement.OutcomeWithdrawn
 			}
@@ -110,6 +115,15 @@
 	}
 }
 
+// checkEnd returns errIncompleteStream if a stream has been broken off although its body is complete by its framing: it ends inside an event
+// or, if only the connection's end shows the end of the body, before the first one.
+func (j *job) checkEnd(resp *upstream.Response, s *eventSplitter) error {
+	if len(bytes.TrimLeft(s.pending, "\r\n")) > 0 || !resp.Framed && !j.begun {
+		return errIncompleteStream
+	}
+	return nil
+}
+
 func (j *job) writeEvents(resp *upstream.Response, flusher *http.ResponseController, data []byte) error {
 	j.writeHead(resp.Status, resp.Header)
 	if len(data) == 0 {
--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -79,6 +79,8 @@
 	// Status, if not zero, is the status of every response. The response is signed and has a body of StatusBody bytes.
 	Status     int
 	StatusBody int
+	// Unframed sends streams without length and chunks, which end with their connections; with CutAfter they end inside an event.
+	Unframed bool
 	// EndlessEvent sends, in place of a stream's second event, a line that never ends, until the caller closes the connection.
 	EndlessEvent bool
 	// StartDelay is how long each request waits before it runs. One whose connection closes meanwhile doesn't run.
--- a/internal/standin/hosted/responses.go
+++ b/internal/standin/hosted/responses.go
@@ -63,6 +63,10 @@
 		e.writeRaw(w, id, f)
 		return
 	}
+	if f.Unframed {
+		e.writeUnframed(w, r, id, f)
+		return
+	}
 	e.respond(w, r, id, f)
 }
 
@@ -185,6 +189,37 @@
 	time.Sleep(50 * time.Millisecond)
 }
 
+// writeUnframed writes to the connection directly, since net/http would send chunks.
+func (e *Endpoint) writeUnframed(w http.ResponseWriter, r *http.Request, id string, f EndpointFault) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	lastEvent, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		lastEvent = 0
+	}
+	// Write errors mean that the caller has disconnected.
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Type: text/event-stream\r\n\r\n", id, Seal(e.cfg.ID, id))
+	if f.CrashOnPart != "" && hasPart(r, f.CrashOnPart) {
+		_ = conn.Close()
+		e.crash()
+		return
+	}
+	if e.cfg.Events == 0 {
+		_, _ = io.WriteString(conn, Body(id))
+		return
+	}
+	for n := lastEvent + 1; n <= e.cfg.Events; n++ {
+		if f.CutAfter > 0 && n > f.CutAfter {
+			_, _ = io.WriteString(conn, "id: "+strconv.Itoa(n)+"\ndata: ha")
+			return
+		}
+		_, _ = io.WriteString(conn, Event(n))
+	}
+}
+
 func (e *Endpoint) rawResponse(id string) string {
 	body := Body(id)
 	if e.cfg.Events > 0 {
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -43,6 +43,8 @@
 	Header http.Header
 	// Length is the body's length, or -1 if the head doesn't state it.
 	Length int64
+	// Framed is false if the body has neither a length nor chunks and ends with its connection.
+	Framed bool
 
 	body      io.ReadCloser
 	conn      *conn
@@ -85,7 +87,7 @@
 		if r.Accepts(resp.StatusCode, resp.Header) {
 			return &Response{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body, conn: c,
-				keepAlive: !resp.Close,
+				keepAlive: !resp.Close, Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 			}, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes))
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -59,6 +59,9 @@
 		_, _ = io.Copy(io.Discard, req.Body)
 		text := <-pending
 		_, _ = io.WriteString(c, text)
+		if strings.HasPrefix(text, unframedHead) {
+			return
+		}
 		if text == "" || reset {
 			if reset {
 				_ = c.(*net.TCPConn).SetLinger(0)
@@ -81,6 +84,9 @@
 	return string(body), err
 }
 
+// unframedHead starts a response without a length, after which the server closes the connection.
+const unframedHead = "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\n"
+
 const okResponse = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
 
 func (s *server) expectAnswers(n int) {
@@ -130,6 +136,14 @@
 		Convey("returns ErrIncomplete for a truncated body", func() {
 			newServer(true, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nok").expectError(upstream.ErrIncomplete)
 		})
+		Convey("reads a body of unknown length until the connection ends", func() {
+			s := newServer(false, unframedHead+"ok", okResponse)
+			s.expectAnswers(2)
+			So(s.dials, ShouldEqual, 2)
+		})
+		Convey("returns ErrIncomplete when the connection is reset within a body of unknown length", func() {
+			newServer(true, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nok").expectError(upstream.ErrIncomplete)
+		})
 		Convey("returns ErrIncomplete for bytes that are not HTTP", func() {
 			newServer(false, "\x00\x01 nonsense\r\n\r\n").expectError(upstream.ErrIncomplete)
 		})
