Attribute crashes to pieces of context on the native edge too

Requests that begin with the same piece of context (2,048 tokens) that crashes engines, and differ behind it, crashed engine after engine.

Pieces are named with all that comes before them, so that requests which share only the pieces before the one that crashes are told apart by suspect.PartTable, as parts of prompts are on the hosted edge. A crash is charged to the pieces of the requests in flight there that had brought no token; a first token clears the pieces of its request on all entries; three crashes block, since an engine here may crash before it sends a head. While a piece is suspected, requests with it are kept on separate endpoints, as suspected requests were.

Open: blocks of this edge are in memory and reported to peers when the crash happens; an entry that is started later learns them from crashes it sees.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -43,6 +43,7 @@
 	if j.stream != "" {
 		go n.registerStream(j.stream, grant.Endpoint.Name)
 	}
+	j.begun = false
 	j.sentAt = time.Now()
 	j.engineRunID = n.health.runID(grant.Endpoint.Name)
 	err := n.endpoints.Generate(ctx, grant.Endpoint.Address, r, func(c *engine.Chunk) error {
@@ -81,6 +82,10 @@
 	if err != nil {
 		return err
 	}
+	if !j.begun {
+		j.begun = true
+		j.node.clearPieces(j.pieces)
+	}
 	if c.End {
 		j.endChunk = *c
 		return errAnswerComplete
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -12,6 +12,7 @@
 	"gypsumvale/internal/coordination/group"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/protocol/peer"
+	"gypsumvale/internal/state/clock"
 )
 
 // handler serves the messages of peers.
@@ -80,9 +81,17 @@
 	case peer.KindCrashReport:
 		return serve(body, func(m *peer.CrashReport) (any, error) {
 			h.suspects.recordCrash(m.Digest, m.Endpoint)
+			if now := clock.Now(); len(m.Parts) > 0 {
+				h.suspects.recordPieceCrash(m.Endpoint, m.Parts, now.Add(-m.SentAge), now.Add(-m.BrokenAge))
+			}
 			h.health.markCrashed(m.Endpoint)
 			return peer.Empty{}, nil
 		})
+	case peer.KindPartsCleared:
+		return serve(body, func(m *peer.PartsCleared) (any, error) {
+			h.suspects.recordAnswer(m.Parts)
+			return peer.Empty{}, nil
+		})
 	}
 	return nil, fmt.Errorf("kind %d: %w", kind, errUnknownKind)
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -92,7 +92,7 @@
 		hedgeBudget: allowance.New(hedgeShare, hedgeReserve),
 		estimates:   newEstimates(),
 		streams:     newStreams(),
-		suspects:    &suspects{table: suspect.NewTable()},
+		suspects:    &suspects{table: suspect.NewTable(), pieces: suspect.NewPartTable()},
 	}
 	seed := xxhash.Sum64String(n.incarnation)
 	limits := budget.New(budget.Config{WritesPerSecond: float64(cfg.WritesPerSecond), ReadsPerSecond: float64(cfg.ReadsPerSecond), Seed: seed})
--- a/internal/entry/prompt.go
+++ b/internal/entry/prompt.go
@@ -18,6 +18,7 @@
 	"gypsumvale/internal/protocol/answer"
 	"gypsumvale/internal/protocol/api"
 	"gypsumvale/internal/protocol/engine"
+	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/state/catalog"
 	"gypsumvale/internal/state/claim"
 	"gypsumvale/internal/state/piece"
@@ -40,8 +41,10 @@
 	deployment *catalog.Deployment
 	text       string
 	digest     string
-	stream     string
-	deadline   time.Time
+	// pieces names the complete pieces of the context.
+	pieces   []string
+	stream   string
+	deadline time.Time
 
 	verifier *answer.Verifier
 	// avoid names the endpoints on which the request has failed.
@@ -49,8 +52,10 @@
 	// resumeAt names the endpoint that is believed to be generating the answer already, or is empty.
 	resumeAt string
 	// sentAt is when the current attempt was sent, and engineRunID identifies the run of the engine's process as known at that time.
-	sentAt       time.Time
-	engineRunID  string
+	sentAt      time.Time
+	engineRunID string
+	// begun is true once the current attempt has brought a token.
+	begun        bool
 	firstTokenAt time.Time
 	lastTokenAt  time.Time
 	endChunk     engine.Chunk
@@ -95,6 +100,9 @@
 	text := p.Request.Prompt()
 	content := claim.DigestOf(d.Name, text)
 	j := &job{node: n, prompt: p, sink: s, deployment: d, text: text, digest: hex.EncodeToString(content[:]), deadline: deadline}
+	for _, name := range piece.Names(j.cacheScope(d.Version), text) {
+		j.pieces = append(j.pieces, string(name))
+	}
 	if p.Key != "" {
 		// The stream's name includes the prompt, so that a key that is reused for another prompt can't attach to this answer.
 		name := claim.DigestOf(p.Workspace.Name, p.Key, d.Name, text, strconv.Itoa(p.Request.MaxTokens))
@@ -110,7 +118,7 @@
 }
 
 func (j *job) attempt(ctx context.Context) *attemptError {
-	status := j.node.suspects.status(j.digest)
+	status := max(j.node.suspects.status(j.digest), j.node.suspects.pieceStatus(j.pieces))
 	if status == suspect.Blocked {
 		j.node.log.Info(event.RequestBlocked, "request blocked: endpoints crashed while running it", zap.String("digest", j.digest))
 		return &attemptError{err: api.NewError(http.StatusUnprocessableEntity, api.CodeCrashing, api.RunUnknown,
@@ -253,7 +261,11 @@
 		return
 	}
 	h.markCrashed(e.Name)
-	j.node.reportCrash(ctx, j.digest, e.Name)
+	report := &peer.CrashReport{Digest: j.digest, Endpoint: e.Name}
+	if !j.begun {
+		report.Parts, report.SentAge = j.pieces, time.Since(j.sentAt)
+	}
+	j.node.reportCrash(ctx, e.Name, report)
 }
 
 func attemptLabel(err error) string {
--- a/internal/proof/duties_test.go
+++ b/internal/proof/duties_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -20,6 +21,7 @@
 	"gypsumvale/internal/standin/model"
 	"gypsumvale/internal/standin/weights"
 	"gypsumvale/internal/state/catalog"
+	"gypsumvale/internal/state/piece"
 )
 
 // weightsTicket returns a ticket that changes the weight version of the layout's deployment.
@@ -211,6 +213,41 @@
 	c.reportResult("a crashing request stops", 1, 40, fmt.Sprintf("%d crashes, %d definite refusals, %d neighbours answered", crashes, rejected, r.Answered))
 }
 
+// TestProveCrashingPiece checks that requests that differ but begin with a piece of context that crashes endpoints are blocked, and that
+// requests which share only the piece before it are answered.
+func TestProveCrashingPiece(t *testing.T) {
+	c := newCluster(t, clusterSizes, nil)
+	const pieceBytes = piece.Tokens * piece.BytesPerToken
+	first := strings.Repeat("the house rules ", pieceBytes/16)
+	second := model.CrashMarker + strings.Repeat("y", pieceBytes)
+	client := load.NewClient()
+	ask := func(attempt int, text string) string {
+		return client.Stream(context.Background(), load.Target{
+			Address: c.entry(attempt).Callers, APIKey: c.layout.Workspaces[0].Key, IdempotencyKey: uuid.Must(uuid.NewV7()).String(),
+		}, chatOf(text, 20)).Code
+	}
+	rejected, refused := 0, 0
+	for attempt := range 30 {
+		if ask(attempt, first+second+fmt.Sprint(attempt)) == string(api.CodeCrashing) {
+			rejected++
+		}
+		if ask(attempt, first+fmt.Sprint(attempt)) == string(api.CodeCrashing) {
+			refused++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	// Five crashes and three more requests are the most that operators accept.
+	if crashes := c.engineStats().Crashes; crashes > 8 {
+		t.Errorf("requests with the piece crashed %d endpoints", crashes)
+	}
+	if rejected == 0 {
+		t.Error("no request was rejected as crashing")
+	}
+	if refused > 0 {
+		t.Errorf("%d requests that share the first piece were rejected as crashing", refused)
+	}
+}
+
 // TestProveCutZones checks what a partitioned zone still serves: one zone is separated from the other zones, one from the platform, and
 // one from both.
 func TestProveCutZones(t *testing.T) {
