Send crash reports outside the group of tasks that a stopping entry waits for

Requests that are still running while an entry stops could add to the group during its wait, which sync.WaitGroup forbids. Seen by reading, not in a run. Race tests of the gateway's parts, streams and stop pass.

--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -243,7 +243,7 @@
 	}
 	for _, name := range n.members.peerNames() {
 		if name != owner {
-			n.wg.Go(func() { n.notify(name, kind, msg) })
+			go n.notify(name, kind, msg)
 		}
 	}
 }
