Ask all other engines for weights before one that can't be reached

Cause: an engine whose report couldn't be read, or that rejected its order, counted as never asked, and engines without load come first, as those that are cut off are. With four of them, the others were never asked. Class: that of orders without an answer, a place for what brings no result.

Ruled out: orders without an answer, which have had a pause since.

Test: TestPlan, "asks all others before endpoints that can't be reached".

--- a/internal/coordination/rollout/plan.go
+++ b/internal/coordination/rollout/plan.go
@@ -65,13 +65,21 @@
 	term Term
 	// pending holds the deadlines of orders that count as loads, by endpoint.
 	pending map[string]time.Time
-	// resendAt holds when endpoints that left an order unanswered may be ordered again.
-	resendAt map[string]time.Time
+	// retries holds the endpoints that the last order brought no result from.
+	retries map[string]retry
+}
+
+// retry is an order that is to be repeated.
+type retry struct {
+	// at is when the endpoint may be ordered again.
+	at time.Time
+	// unanswered is true if the endpoint may still execute the earlier order.
+	unanswered bool
 }
 
 // NewPlanner returns a planner that doesn't hold the lease.
 func NewPlanner(cfg Config) *Planner {
-	return &Planner{cfg: cfg, pending: make(map[string]time.Time), resendAt: make(map[string]time.Time)}
+	return &Planner{cfg: cfg, pending: make(map[string]time.Time), retries: make(map[string]retry)}
 }
 
 // SetLease records that this process holds the lease until the given time. A new fencing number starts a new term.
@@ -79,7 +87,7 @@
 	if fence != p.term.Fence {
 		p.term = Term{Fence: fence, Since: now}
 		clear(p.pending)
-		clear(p.resendAt)
+		clear(p.retries)
 	}
 	p.term.Until = until
 }
@@ -101,7 +109,7 @@
 // SetSettleTime changes how long a new lease holder waits, from its next lease on.
 func (p *Planner) SetSettleTime(d time.Duration) { p.cfg.SettleTime = d }
 
-// Plan returns the orders to send now: first to endpoints that have left no order unanswered, otherwise in the order of the replicas. It
+// Plan returns the orders to send now: first to endpoints that no order has failed at, otherwise in the order of the replicas. It
 // keeps the number of loads in progress within the limit, and returns no orders that could not be sent before the lease expires.
 func (p *Planner) Plan(now time.Time, replicas []Replica) []Order {
 	if now.Sub(p.term.Since) < p.cfg.SettleTime || !p.HoldsLease(now) {
@@ -112,20 +120,20 @@
 	return append(orders, p.planOrders(now, replicas, true, places-len(orders))...)
 }
 
-// planOrders returns up to limit orders, either to endpoints that left an order unanswered or to the others.
-func (p *Planner) planOrders(now time.Time, replicas []Replica, resend bool, limit int) []Order {
+// planOrders returns up to limit orders, either to endpoints that an order failed at or to the others.
+func (p *Planner) planOrders(now time.Time, replicas []Replica, repeat bool, limit int) []Order {
 	var orders []Order
 	deadline := now.Add(p.cfg.OrderTime)
 	for _, r := range replicas {
 		if len(orders) >= limit {
 			break
 		}
-		resendAt, unanswered := p.resendAt[r.Name]
-		if unanswered != resend || now.Before(resendAt) || r.Loading || r.Running == "" || r.Running == r.Wanted || !p.pending[r.Name].IsZero() {
+		last, failed := p.retries[r.Name]
+		if failed != repeat || now.Before(last.at) || r.Loading || r.Running == "" || r.Running == r.Wanted || !p.pending[r.Name].IsZero() {
 			continue
 		}
 		p.pending[r.Name] = deadline
-		orders = append(orders, Order{Endpoint: r.Name, Version: r.Wanted, Fence: p.term.Fence, Deadline: deadline, Resend: resend})
+		orders = append(orders, Order{Endpoint: r.Name, Version: r.Wanted, Fence: p.term.Fence, Deadline: deadline, Resend: last.unanswered})
 	}
 	return orders
 }
@@ -148,19 +156,26 @@
 
 // OrderUnanswered records that an endpoint has not answered an order: the order no longer counts as a load, and the endpoint gets another
 // one from the given time on.
-func (p *Planner) OrderUnanswered(endpoint string, resendAt time.Time) {
+func (p *Planner) OrderUnanswered(endpoint string, retryAt time.Time) {
+	delete(p.pending, endpoint)
+	p.retries[endpoint] = retry{at: retryAt, unanswered: true}
+}
+
+// OrderFailed records that an endpoint could not be reached or executes no order now: others go first, and it gets another order from the
+// given time on.
+func (p *Planner) OrderFailed(endpoint string, retryAt time.Time) {
 	delete(p.pending, endpoint)
-	p.resendAt[endpoint] = resendAt
+	p.retries[endpoint] = retry{at: retryAt, unanswered: p.retries[endpoint].unanswered}
 }
 
 // LoadStarted records that an endpoint executes an order, which counts as a load until the deadline.
 func (p *Planner) LoadStarted(endpoint string, deadline time.Time) {
 	p.pending[endpoint] = deadline
-	delete(p.resendAt, endpoint)
+	delete(p.retries, endpoint)
 }
 
 // OrderEnded records that an order has ended.
 func (p *Planner) OrderEnded(endpoint string) {
 	delete(p.pending, endpoint)
-	delete(p.resendAt, endpoint)
+	delete(p.retries, endpoint)
 }
--- a/internal/coordination/rollout/plan_test.go
+++ b/internal/coordination/rollout/plan_test.go
@@ -59,6 +59,18 @@
 			So(orders[1].Endpoint, ShouldEqual, "m00")
 			So(orders[1].Resend, ShouldBeTrue)
 		})
+		Convey("asks all others before endpoints that can't be reached", func() {
+			asked := make(map[string]bool)
+			for i := range 2 {
+				now := settled.Add(time.Duration(i) * time.Second)
+				for _, o := range p.Plan(now, replicas(6, "v1")) {
+					asked[o.Endpoint] = true
+					So(o.Resend, ShouldBeFalse)
+					p.OrderFailed(o.Endpoint, now.Add(200*time.Millisecond))
+				}
+			}
+			So(asked, ShouldHaveLength, 6)
+		})
 		Convey("counts an order as a load once it is answered late", func() {
 			expectOrders(p, settled, replicas(5, "v1"), 3)
 			p.OrderUnanswered("m00", settled)
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -200,15 +200,18 @@
 	}
 	report, err := w.report(ctx, e)
 	switch {
-	case err != nil, w.recordReport(e, &report):
-		w.finishOrder(ctx, e, "not_needed", err)
+	case err != nil:
+		w.failOrder(e, "unreachable", err)
+		return
+	case w.recordReport(e, &report):
+		w.finishOrder(ctx, e, "not_needed")
 		return
 	case report.Busy:
 		// An earlier order, possibly one without an answer, is being executed.
 		w.awaitLoaded(ctx, e)
 		return
 	case !w.canSendOrder():
-		w.finishOrder(ctx, e, "lease_lapsing", nil)
+		w.finishOrder(ctx, e, "lease_lapsing")
 		return
 	}
 	w.node.log.Info(event.OrderSent, "weight order sent", zap.String("endpoint", e.ID), zap.String("model", e.model),
@@ -221,7 +224,7 @@
 	case err != nil:
 		w.recordUnanswered(e, err)
 	case result == rollout.Rejected:
-		w.finishOrder(ctx, e, "rejected", nil)
+		w.failOrder(e, "rejected", nil)
 	default:
 		w.awaitLoaded(ctx, e)
 	}
@@ -257,7 +260,7 @@
 	w.mu.Lock()
 	w.planner.OrderUnanswered(e.ID, toTime(clock.Now().Add(orderResendDelay)))
 	w.mu.Unlock()
-	w.logEnd(e, "unanswered", err)
+	w.returnToService(e, "unanswered", err)
 	w.wake()
 }
 
@@ -297,11 +300,11 @@
 	for clock.Now().Before(deadline) && duty.Sleep(ctx, reportPeriod) {
 		report, err := w.report(ctx, e)
 		if err == nil && w.recordReport(e, &report) {
-			w.finishOrder(ctx, e, "loaded", nil)
+			w.finishOrder(ctx, e, "loaded")
 			return
 		}
 	}
-	w.finishOrder(ctx, e, "unknown", nil)
+	w.finishOrder(ctx, e, "unknown")
 }
 
 func (w *weightRollout) report(ctx context.Context, e *outdatedEngine) (rollout.Report, error) {
@@ -330,9 +333,18 @@
 	return true
 }
 
+// failOrder ends an order that has had no effect. Other engines are asked before this one.
+func (w *weightRollout) failOrder(e *outdatedEngine, result string, err error) {
+	w.mu.Lock()
+	w.planner.OrderFailed(e.ID, toTime(clock.Now().Add(reportPeriod)))
+	w.mu.Unlock()
+	w.returnToService(e, result, err)
+	w.wake()
+}
+
 // finishOrder ends an order, after a short pause in which an engine that can't take an order yet gets no other one.
-func (w *weightRollout) finishOrder(ctx context.Context, e *outdatedEngine, result string, err error) {
-	w.logEnd(e, result, err)
+func (w *weightRollout) finishOrder(ctx context.Context, e *outdatedEngine, result string) {
+	w.returnToService(e, result, nil)
 	_ = duty.Sleep(ctx, reportPeriod)
 	w.mu.Lock()
 	w.planner.OrderEnded(e.ID)
@@ -340,8 +352,8 @@
 	w.wake()
 }
 
-// logEnd returns an engine to service and records the result of its order.
-func (w *weightRollout) logEnd(e *outdatedEngine, result string, err error) {
+// returnToService lets an engine get requests again and records the result of its order.
+func (w *weightRollout) returnToService(e *outdatedEngine, result string, err error) {
 	w.node.placer.setLoadingUntil(e.Service, e.ID, 0)
 	w.node.metrics.Orders.WithLabelValues(result).Inc()
 	w.node.log.Info(event.OrderEnded, "weight order ended", zap.String("endpoint", e.ID), zap.Int("version", e.targetVersion),
