Save nothing to stores from an engine that may execute a weight order at any moment

Class: an act of unknown fate, treated as if it had not happened. Ruled out: in the engine's own cache, whose entries are dropped when its version changes.

Change: the leader lets stores save nothing from an engine from an order without an answer until its version has changed or it has restarted.

Test: TestCacheStores, the new case; without the condition in saveTargets the request gets a store (SaveTo [10.1.0.1:80], nil expected).

--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -60,6 +60,8 @@
 	failures     int
 	backoffUntil clock.Instant
 	loadingUntil clock.Instant
+	// orderPending is true while the endpoint may execute a weight order at any moment.
+	orderPending bool
 
 	slowdown  slowdown
 	errorRate float64
@@ -76,6 +78,7 @@
 	if s.StartMilli != r.StartMilli || s.Address != r.Address {
 		s.cache.clear()
 		s.version = make(map[string]int)
+		s.orderPending = false
 		s.failures, s.backoffUntil, s.loadingUntil, s.errorRate, s.slowdown, s.link, s.unresponsiveSince = 0, 0, 0, 0, slowdown{}, link{}, 0
 	}
 	s.Registration = r
@@ -91,6 +94,7 @@
 			s.cache.clear()
 		}
 		s.version[model] = version
+		s.orderPending = false
 	}
 }
 
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -253,6 +253,14 @@
 	}
 }
 
+// OrderPending records that an endpoint may execute a weight order at any moment until its version changes. Stores save nothing from it: what
+// is computed during the change would be stored as computed with the old weights.
+func (p *Pool) OrderPending(endpoint string) {
+	if s := p.endpoints[endpoint]; s != nil {
+		s.orderPending = true
+	}
+}
+
 // WeightsLoaded records the weight version that an endpoint has finished loading.
 func (p *Pool) WeightsLoaded(endpoint, model string, version int) {
 	if s := p.endpoints[endpoint]; s != nil {
--- a/internal/coordination/placement/pool_test.go
+++ b/internal/coordination/placement/pool_test.go
@@ -415,6 +415,16 @@
 			So(place(p, start.Add(time.Second), newRequest("c", 8000)).SaveTo, ShouldBeNil)
 		})
 		updateAll(p, ready)
+		Convey("saves nothing from engines that may execute a weight order at any moment, until their weights have changed", func() {
+			for _, e := range endpoints(2) {
+				p.OrderPending(e.ID)
+			}
+			So(place(p, ready, withLaterDeadline(newRequest("n", 8000))).SaveTo, ShouldBeNil)
+			for _, e := range endpoints(2) {
+				p.WeightsLoaded(e.ID, model, 2)
+			}
+			So(place(p, ready, withLaterDeadline(newRequest("n", 8000))).SaveTo, ShouldNotBeNil)
+		})
 		first := withLaterDeadline(newRequest("c", 8000))
 		first.Deadline = ready.Add(time.Minute)
 		c := place(p, ready, first)
--- a/internal/coordination/placement/retention.go
+++ b/internal/coordination/placement/retention.go
@@ -10,7 +10,7 @@
 
 // saveTargets returns, for each shared part, the address of the store that should save it, or an empty string; nil saves nothing.
 func (p *Pool) saveTargets(now clock.Instant, s *endpointState, req *Request, c *Choice) []string {
-	if !p.isOwner {
+	if !p.isOwner || s.orderPending {
 		return nil
 	}
 	var addresses []string
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -454,6 +454,12 @@
 	p.pool(service).WeightsLoading(endpoint, until)
 }
 
+func (p *placer) setOrderPending(service, endpoint string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pool(service).OrderPending(endpoint)
+}
+
 func (p *placer) endpointLoad(service, endpoint string) placement.Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -260,6 +260,7 @@
 	w.mu.Lock()
 	w.planner.OrderUnanswered(e.ID, toTime(clock.Now().Add(orderResendDelay)))
 	w.mu.Unlock()
+	w.node.placer.setOrderPending(e.Service, e.ID)
 	w.returnToService(e, "unanswered", err)
 	w.wake()
 }
