Clear no parts of prompts for answers that are errors

Found by review: an answer of any status cleared the parts of its request on all entries, also an error that an engine gives before it runs the prompt. Beside engines that answer with errors, engines went on crashing on the part.

Test: TestErrorsClearNoParts. Four of eight engines answer 500, the others crash on the part; 60 requests, at most five crashes allowed.

Change: a buffered answer counts as the beginning of an answer only below status 400.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -165,7 +165,10 @@
 	if err != nil {
 		return j.classifyError(ctx, choice, err)
 	}
-	j.recordFirstEvent()
+	if resp.Status < http.StatusBadRequest {
+		// An error may come from an engine that has not begun to run the prompt, and says nothing of its parts.
+		j.recordFirstEvent()
+	}
 	if len(body) == maxBufferedBytes {
 		return j.forwardOversized(ctx, choice, resp, body)
 	}
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -138,3 +138,31 @@
 		Convey("and serve sound ones", func() { s.expectAnswered(s.call(e, http.MethodPost, "/redraft/", "sound")) })
 	})
 }
+
+func TestErrorsClearNoParts(t *testing.T) {
+	Convey("engines that answer with errors, beside others that crash on a part", t, func() {
+		s := startPartSite(2)
+		for i, e := range s.endpoints {
+			if i%2 == 0 {
+				e.SetFault(hosted.EndpointFault{Status: http.StatusInternalServerError, StatusBody: 10})
+			}
+		}
+		crashes := func() int {
+			n := 0
+			for i, e := range s.endpoints {
+				if i%2 == 1 {
+					n += len(e.Runs())
+				}
+			}
+			return n
+		}
+		Convey("don't lift the suspicion of the part", func() {
+			for i := range 60 {
+				own := fmt.Sprint("f", i)
+				s.call(s.entries[i%2], http.MethodPost, "/redraft/", own, "Prompt-Prefix", "a1:600,"+deadlyPart+":50,"+own+":100")
+				time.Sleep(20 * time.Millisecond)
+			}
+			So(crashes(), ShouldBeLessThanOrEqualTo, 5)
+		})
+	})
+}
