Return a copy of a block's parts

Found by review: Check returned the block's own list, which an answer changes in place while the caller logs it without the lock.

Test: TestPartTable, the parts of a block stay as they were. Before, the list read [x ] instead of [b x].

--- a/internal/coordination/suspect/parts.go
+++ b/internal/coordination/suspect/parts.go
@@ -290,7 +290,7 @@
 	var suspected []string
 	for _, b := range t.blocks {
 		if containsAll(parts, b.parts) && now.Sub(b.since) < Retention {
-			return Blocked, b.parts
+			return Blocked, slices.Clone(b.parts)
 		}
 		suspected = append(suspected, intersect(parts, b.parts)...)
 	}
--- a/internal/coordination/suspect/parts_test.go
+++ b/internal/coordination/suspect/parts_test.go
@@ -157,6 +157,13 @@
 		So(table.RecordAnswer(instant(20100), []string{"a", "c"}), ShouldResemble, []string{"a"})
 		So(table.RecordAnswer(instant(20200), []string{"a", "c"}), ShouldBeEmpty)
 	})
+	Convey("the parts of a block that a check returned stay as they were while answers clear some", t, func() {
+		table := suspect.NewPartTable()
+		So(table.AddBlock(instant(0), []string{"b", "x"}), ShouldBeTrue)
+		_, blocked := table.Check(instant(1), []string{"a", "b", "x"})
+		table.RecordAnswer(instant(2), []string{"b"})
+		So(blocked, ShouldResemble, []string{"b", "x"})
+	})
 	Convey("a block that another instance has found applies", t, func() {
 		table := suspect.NewPartTable()
 		So(table.AddBlock(instant(1000), []string{"x", "b"}), ShouldBeTrue)
