--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -31,7 +31,8 @@
 	// newestSeen is the newest weight version of each model that any endpoint has been seen to run.
 	newestSeen map[string]int
 	index      *index
-	// queue is ordered by priority, most urgent first; then come requests that can still meet their targets, then by arrival. queuedTokens holds the sum of its unique tokens by priority.
+	// queue is ordered by priority, most urgent first; then come requests that can still meet their targets, then by arrival. queuedTokens
+	// holds the sum of its unique tokens by priority.
 	queue        []*queuedRequest
 	queuedTokens map[int]int
 	// queued holds the identifiers of the requests in the queue, each of which is there once.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -134,7 +134,8 @@
 		return retry.NotSent, placement.OutcomeUnreachable
 	}
 	n.suspects.recordBroken(choice.Endpoint, &brokenExchange{
-		digest: j.digest, service: j.service, shared: prompt.IDs(j.placementReq.SharedParts()), headReceived: j.headReceived, begun: j.begun, sentAt: j.sentAt, brokenAt: clock.Now(),
+		digest: j.digest, service: j.service, shared: prompt.IDs(j.placementReq.SharedParts()),
+		headReceived: j.headReceived, begun: j.begun, sentAt: j.sentAt, brokenAt: clock.Now(),
 	})
 	if errors.Is(err, upstream.ErrStrayResponse) {
 		return retry.Broken, placement.OutcomeFailed
