Charge a part again only for requests sent after the crash before

Found by review: engines killed one after the other over 0.25 s apart, or one loss of several that peers report late, blocked a sound part if the answers of two requests with it were just beginning. A rare part has no other answers that clear it, so that its callers got 500 for ten minutes.

Cause: an answer that was beginning counted as evidence of its own, however long before the first crash the request had been sent. What was in flight at the first crash can't tell two causes from one.

Ruled out: a longer window (a rolling restart or a fault that spreads outlasts any).

Change: independence has one condition, for both kinds of evidence; the window goes. While a part is suspected one request with it runs at a time, so that evidence comes from requests sent after each crash anyway.

Test: TestPartTable, "engines killed one after the other count once"; before, the part was blocked (status 2, 1 expected).

--- a/internal/coordination/suspect/parts.go
+++ b/internal/coordination/suspect/parts.go
@@ -14,8 +14,6 @@
 	answeringEvidence = 3
 	pendingEvidence   = 2
 	blockEvidence     = 6
-	// commonCauseWindow is the time within which crashes may have a common cause, such as the failure of a rack.
-	commonCauseWindow = 250 * time.Millisecond
 	// recentAnswer is how long an answer protects a part from being suspected because of a single crash.
 	recentAnswer = 5 * time.Second
 	// forgetBlock is how long after its last crash a block is forgotten.
@@ -102,7 +100,7 @@
 //	crash of e3 with {a, b, x}           requests with both b and x are blocked
 //	{a, b} answered on e4                b is cleared: requests with x are blocked
 //
-// Crashes that may have a common cause count once, so that the failure of many engines blocks nothing.
+// Crashes that may have a common cause count once: a part is charged again only for requests sent after the crash before.
 type PartTable struct {
 	crashes  []*engineCrash
 	answered map[string]clock.Instant
@@ -158,7 +156,7 @@
 		common := make(map[string][]string)
 		for _, e := range c.candidates() {
 			for _, part := range e.Parts {
-				if at, ok := t.answered[part]; ok && !at.Before(c.at) || !t.independent(part, c, &e) {
+				if at, ok := t.answered[part]; ok && !at.Before(c.at) || !t.independent(part, &e) {
 					continue
 				}
 				charged[part] = e
@@ -189,11 +187,11 @@
 	}
 }
 
-// independent reports whether an exchange is evidence beyond the crashes that a part is charged with already: the request was sent after
-// the last one, or its answer was beginning and the crashes hardly have a common cause.
-func (t *PartTable) independent(part string, c *engineCrash, e *Exchange) bool {
+// independent reports whether an exchange is evidence beyond the crashes that a part is charged with already: its request was sent after the
+// last one, so that the crashes have no common cause, such as the loss of a rack.
+func (t *PartTable) independent(part string, e *Exchange) bool {
 	s := t.evidence[part]
-	return s == nil || s.lastAt.Before(e.SentAt) || e.Answering && c.at.Sub(s.lastAt) >= commonCauseWindow
+	return s == nil || s.lastAt.Before(e.SentAt)
 }
 
 // addBlocks adds blocks for the parts with enough evidence, and returns their parts.
--- a/internal/coordination/suspect/parts_test.go
+++ b/internal/coordination/suspect/parts_test.go
@@ -93,6 +93,14 @@
 				},
 				at: 20100, suspected: []string{"b"},
 			},
+			{
+				name: "engines killed one after the other count once for requests sent before",
+				events: []partEvent{
+					{at: 20000, crashed: "e1", sent: 19900, parts: "b"}, {at: 20300, crashed: "e2", sent: 19950, parts: "b"},
+					{at: 21000, crashed: "e3", sent: 19990, parts: "b"},
+				},
+				at: 21100, suspected: []string{"b"},
+			},
 			{
 				name: "requests that waited count only if they were sent after the last crash",
 				events: []partEvent{
