Lift a block that a later report of the same crash refutes

Found by review: whether a part was blocked depended on the order in which the reports of one crash arrive. A part of requests that waited was blocked at its third crash if its report came before that of the request whose answer was beginning there, and stayed blocked; in the other order nothing was blocked. Entries could so disagree, and the leader published its own view.

Cause: evidence was computed anew from the crashes at each report, but blocks were only ever added. Class: derived state that is kept on its own.

Ruled out: waiting until reports have settled, which would leave engines exposed for that time.

Change: a block knows the crash that led to it; each further report of that crash removes it if the evidence no longer suffices. Blocks that another instance has found are not touched.

--- a/internal/coordination/suspect/parts.go
+++ b/internal/coordination/suspect/parts.go
@@ -88,6 +88,8 @@
 	parts []string
 	// since is when a crash last confirmed the block.
 	since clock.Instant
+	// cause is the crash that led to the block, or nil if another instance has found it.
+	cause *engineCrash
 }
 
 // PartTable attributes crashes of engines to parts of prompts, for faults that a part causes whatever else a request holds.
@@ -119,24 +121,42 @@
 	if len(e.Parts) == 0 {
 		return nil
 	}
-	t.addExchange(now, endpoint, brokenAt, e)
+	c := t.addExchange(now, endpoint, brokenAt, e)
 	if e.Answering {
 		t.confirm(brokenAt, &e)
 	}
 	t.evaluate()
-	return t.addBlocks(now)
+	t.removeRefuted(c)
+	return t.addBlocks(now, c)
 }
 
-func (t *PartTable) addExchange(now clock.Instant, endpoint string, brokenAt clock.Instant, e Exchange) {
+// removeRefuted removes the blocks that a crash led to and that a later report of the same crash has refuted: the request whose answer was
+// beginning may be reported after those that waited beside it.
+func (t *PartTable) removeRefuted(c *engineCrash) {
+	t.blocks = slices.DeleteFunc(t.blocks, func(b *block) bool {
+		return b.cause == c && slices.ContainsFunc(b.parts, func(part string) bool { return !t.suffices(part) })
+	})
+}
+
+// suffices reports whether there is enough evidence against a part to block it.
+func (t *PartTable) suffices(part string) bool {
+	s := t.evidence[part]
+	return s != nil && s.evidence >= blockEvidence
+}
+
+// addExchange adds an exchange to the crash that broke it, which may be a new one, and returns the crash.
+func (t *PartTable) addExchange(now clock.Instant, endpoint string, brokenAt clock.Instant, e Exchange) *engineCrash {
 	for _, c := range t.crashes {
 		if c.endpoint == endpoint && max(c.at.Sub(brokenAt), brokenAt.Sub(c.at)) < sameCrashWindow {
 			c.exchanges = append(c.exchanges, e)
-			return
+			return c
 		}
 	}
 	t.crashes = slices.DeleteFunc(t.crashes, func(c *engineCrash) bool { return now.Sub(c.at) >= Retention })
-	t.crashes = append(t.crashes[max(0, len(t.crashes)-maxCrashes+1):], &engineCrash{endpoint, brokenAt, []Exchange{e}})
+	crash := &engineCrash{endpoint, brokenAt, []Exchange{e}}
+	t.crashes = append(t.crashes[max(0, len(t.crashes)-maxCrashes+1):], crash)
 	slices.SortStableFunc(t.crashes, func(a, b *engineCrash) int { return int(a.at - b.at) })
+	return crash
 }
 
 // confirm renews the blocks that apply to the exchange.
@@ -194,36 +214,37 @@
 	return s == nil || s.lastAt.Before(e.SentAt)
 }
 
-// addBlocks adds blocks for the parts with enough evidence, and returns their parts.
-func (t *PartTable) addBlocks(now clock.Instant) [][]string {
+// addBlocks adds blocks for the parts with enough evidence after a crash, and returns their parts.
+func (t *PartTable) addBlocks(now clock.Instant, cause *engineCrash) [][]string {
 	var added [][]string
-	for _, s := range t.evidence {
-		if s.evidence < blockEvidence {
+	for part, s := range t.evidence {
+		if !t.suffices(part) {
 			continue
 		}
-		var parts []string
-		for _, other := range s.common {
-			if o := t.evidence[other]; o != nil && o.evidence >= blockEvidence {
-				parts = append(parts, other)
-			}
-		}
-		if t.AddBlock(now, parts) {
+		parts := slices.DeleteFunc(slices.Clone(s.common), func(other string) bool { return !t.suffices(other) })
+		if t.addBlock(&block{parts: parts, since: now, cause: cause}) {
 			added = append(added, parts)
 		}
 	}
 	return added
 }
 
-// AddBlock blocks requests whose prompts have all the parts, unless fewer parts suffice for that already. It reports whether it added the
-// block.
+// AddBlock blocks requests whose prompts have all the parts, as another instance has found, unless fewer parts suffice for that already. It
+// reports whether it added the block.
 func (t *PartTable) AddBlock(now clock.Instant, parts []string) bool {
+	return t.addBlock(&block{parts: parts, since: now})
+}
+
+func (t *PartTable) addBlock(added *block) bool {
+	parts := added.parts
 	if len(parts) == 0 || slices.ContainsFunc(t.blocks, func(b *block) bool { return containsAll(parts, b.parts) }) {
 		return false
 	}
 	t.blocks = slices.DeleteFunc(t.blocks, func(b *block) bool {
-		return now.Sub(b.since) >= forgetBlock || containsAll(b.parts, parts)
+		return added.since.Sub(b.since) >= forgetBlock || containsAll(b.parts, parts)
 	})
-	t.blocks = append(t.blocks[max(0, len(t.blocks)-maxBlocks+1):], &block{parts: slices.Sorted(slices.Values(parts)), since: now})
+	added.parts = slices.Sorted(slices.Values(parts))
+	t.blocks = append(t.blocks[max(0, len(t.blocks)-maxBlocks+1):], added)
 	return true
 }
 
--- a/internal/coordination/suspect/parts_test.go
+++ b/internal/coordination/suspect/parts_test.go
@@ -124,6 +124,14 @@
 				},
 				at: 20100, clear: []string{"c"}, suspected: []string{"x"},
 			},
+			{
+				name: "the report of the answer that was beginning lifts a block of those that waited, when it comes last",
+				events: []partEvent{
+					{at: 20000, crashed: "e1", sent: 19900, parts: "w", pending: true}, {at: 22000, crashed: "e2", sent: 21900, parts: "w", pending: true},
+					{at: 24000, crashed: "e3", sent: 23900, parts: "w", pending: true}, {at: 24001, crashed: "e3", sent: 23900, parts: "x"},
+				},
+				at: 24100, suspected: []string{"w", "x"},
+			},
 			{
 				name: "two reports of one crash count once",
 				events: []partEvent{
