Keep the answers that cleared parts of crashes when old answers are pruned

Found by review: with more than 16,384 parts answered, the answer that had cleared a part was forgotten before the crash it cleared, since a cleared part has no evidence. The next evaluation charged the part with up to ten minutes of old crashes and blocked it at one more.

Ruled out: a larger table, which only takes longer to fill.

Change: answers to parts of the crashes that are held (64 at most) are kept.

Test: TestPartTable, "an answer that cleared a part of a crash is remembered among many others"; before, [[w]] was blocked.

--- a/internal/coordination/suspect/parts.go
+++ b/internal/coordination/suspect/parts.go
@@ -282,13 +282,21 @@
 	return slices.Compact(slices.Sorted(slices.Values(cleared)))
 }
 
-// prune removes old answers once there are too many; they only protect parts for recentAnswer and clear crashes before them.
+// prune removes old answers once there are too many, except those that clear parts of the crashes held here.
 func (t *PartTable) prune(now clock.Instant) {
 	if len(t.answered) <= maxAnswered {
 		return
 	}
+	charged := make(map[string]bool)
+	for _, c := range t.crashes {
+		for _, e := range c.exchanges {
+			for _, part := range e.Parts {
+				charged[part] = true
+			}
+		}
+	}
 	for part, at := range t.answered {
-		if now.Sub(at) >= recentAnswer && t.evidence[part] == nil {
+		if now.Sub(at) >= recentAnswer && !charged[part] {
 			delete(t.answered, part)
 		}
 	}
@@ -296,7 +304,9 @@
 		if len(t.answered) <= maxAnswered {
 			return
 		}
-		delete(t.answered, part)
+		if !charged[part] {
+			delete(t.answered, part)
+		}
 	}
 }
 
--- a/internal/coordination/suspect/parts_test.go
+++ b/internal/coordination/suspect/parts_test.go
@@ -173,6 +173,16 @@
 		So(table.RecordAnswer(instant(20100), []string{"a", "c"}), ShouldResemble, []string{"a"})
 		So(table.RecordAnswer(instant(20200), []string{"a", "c"}), ShouldBeEmpty)
 	})
+	Convey("an answer that cleared a part of a crash is remembered among many others", t, func() {
+		table := applyPartEvents([]partEvent{
+			{at: 1000, crashed: "e1", sent: 900, parts: "s w"}, {at: 1200, parts: "w"}, {at: 1300, parts: "s"},
+		})
+		for i := range 17000 {
+			table.RecordAnswer(instant(2000+i), []string{fmt.Sprint("p", i)})
+		}
+		blocked := table.RecordCrash(instant(60000), "e2", instant(60000), suspect.Exchange{Parts: []string{"w"}, Answering: true, SentAt: instant(59900)})
+		So(blocked, ShouldBeEmpty)
+	})
 	Convey("the parts of a block that a check returned stay as they were while answers clear some", t, func() {
 		table := suspect.NewPartTable()
 		So(table.AddBlock(instant(0), []string{"b", "x"}), ShouldBeTrue)
