End a block of prompt parts at every entry when it is gone from the store

Found by review: an entry that missed the message which cleared a part went on answering 500 for ten minutes, and a restarted one counted the ten minutes anew and, as leader, wrote the block again, so that a block could outlive any number of leases.

Cause: blocks were adopted from the store, but never ended from there; each process dated them by its own adoption. Class: a copy that outlives what it was copied from.

Ruled out: sending the message again (an entry that was cut off for longer misses that too); the remaining time in the record (entries share no clock).

Change: a block that was read and is gone at a later read ends. Its parts remain suspected, so that one request is tried first. What a leader has written and not read yet doesn't count as gone.

--- a/internal/coordination/suspect/parts.go
+++ b/internal/coordination/suspect/parts.go
@@ -248,6 +248,15 @@
 	return true
 }
 
+// ExpireBlock ends the blocks of requests with these parts. What was blocked remains suspected until an answer clears it.
+func (t *PartTable) ExpireBlock(now clock.Instant, parts []string) {
+	for _, b := range t.blocks {
+		if containsAll(parts, b.parts) {
+			b.since = min(b.since, now.Add(-Retention))
+		}
+	}
+}
+
 // Blocks returns the combinations of parts that are blocked now.
 func (t *PartTable) Blocks(now clock.Instant) [][]string {
 	var list [][]string
--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -46,9 +47,10 @@
 
 	mu sync.Mutex
 	// stored holds the blocks that are in the store, by key, and adopted the keys that have been adopted: a block that has been lifted since
-	// isn't adopted again.
+	// isn't adopted again. read holds the blocks of the last read; one that is gone from the store has been lifted or has expired.
 	stored  map[string]blockRecord
 	adopted map[string]bool
+	read    map[string]blockRecord
 }
 
 func newBlocks(n *Node) *blocks {
@@ -71,7 +73,15 @@
 		stored[item.Key] = record
 	}
 	b.mu.Lock()
-	b.stored = stored
+	for key, record := range b.read {
+		if _, ok := stored[key]; !ok {
+			n.suspects.expireBlock(record.Service, record.Parts)
+			n.log.Info(event.PartCleared, "a block of prompt parts has ended in the store", zap.String("service", record.Service),
+				zap.Strings("parts", record.Parts))
+		}
+	}
+	b.read = stored
+	b.stored = maps.Clone(stored)
 	var added []blockRecord
 	for key, record := range stored {
 		if !b.adopted[key] {
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"gypsumvale/internal/standin/hosted"
 )
@@ -139,6 +140,29 @@
 	})
 }
 
+func TestBlockOutlivesItsKey(t *testing.T) {
+	Convey("entries that have adopted a block of a sound part", t, func() {
+		s := startPartSite(2)
+		call := func(e *entry) int {
+			own := fmt.Sprintf("f%d", s.requests.Add(1))
+			return s.call(e, http.MethodPost, "/redraft/", own, "Prompt-Prefix", "a1:600,b2:300,"+own+":100").status
+		}
+		const key = "gypsum/blocked/00"
+		data, err := msgpack.Marshal(map[string]any{"service": "llm", "parts": []string{"a1", "b2"}})
+		So(err, ShouldBeNil)
+		s.store.PutRaw(key, data)
+		for _, e := range s.entries {
+			eventually("the block applies", func() bool { return call(e) == http.StatusInternalServerError })
+		}
+		Convey("serve it once the block is gone from the store", func() {
+			s.store.Delete(key)
+			for _, e := range s.entries {
+				eventually("prompts with the part are served", func() bool { return call(e) == http.StatusOK })
+			}
+		})
+	})
+}
+
 func TestErrorsClearNoParts(t *testing.T) {
 	Convey("engines that answer with errors, beside others that crash on a part", t, func() {
 		s := startPartSite(2)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -113,6 +113,13 @@
 	return s.service(service).AddBlock(clock.Now(), parts)
 }
 
+// expireBlock ends a block that another instance has lifted.
+func (s *suspects) expireBlock(service string, parts []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.service(service).ExpireBlock(clock.Now(), parts)
+}
+
 func (s *suspects) blocked(digest string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
