Hold target versions by number, name what UsableUntil returns, and run test networks in one place

Found by reading the change again: a struct with one number was left of the former dates of target versions, ReplacedAt returned when weights may no longer be used, and two tests ran a peer network by the same ten lines.

No behaviour was changed.

--- a/internal/coordination/placement/targets.go
+++ b/internal/coordination/placement/targets.go
@@ -68,9 +68,9 @@
 	return oldest
 }
 
-// ReplacedAt returns until when a weight version may be used as far as is known, or zero if no newer one has been announced.
-func (p *Pool) ReplacedAt(model string, version int) clock.Instant {
-	var replacedAt clock.Instant
+// UsableUntil returns until when a weight version may be used as far as is known, or zero if no newer one has been announced.
+func (p *Pool) UsableUntil(model string, version int) clock.Instant {
+	var until clock.Instant
 	for _, target := range p.targets[model] {
 		announced := target.AnnouncedAfter
 		if announced == 0 {
@@ -79,11 +79,11 @@
 		if target.Version <= version || announced == 0 {
 			continue
 		}
-		if end := announced.Add(p.cfg.OldWeightsGrace); replacedAt == 0 || end.Before(replacedAt) {
-			replacedAt = end
+		if end := announced.Add(p.cfg.OldWeightsGrace); until == 0 || end.Before(until) {
+			until = end
 		}
 	}
-	return replacedAt
+	return until
 }
 
 // Replaced reports whether a weight version may certainly not be used any more, whatever others know of the announcement of newer ones.
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -17,15 +18,13 @@
 	"gypsumvale/internal/state/kv"
 )
 
-// targetVersion is the weight version that a model should run.
-type targetVersion struct{ version int }
-
 // configuration holds what the operator wrote: routes, keys and target weight versions.
 type configuration struct {
 	node *Node
 
-	mu      sync.Mutex
-	targets map[string]targetVersion
+	mu sync.Mutex
+	// targets holds the weight version that each model should run.
+	targets map[string]int
 	// items holds the operator's newest items by key, and newest is the highest of their revisions.
 	items  map[string]kv.Item
 	newest kv.Revision
@@ -150,10 +149,9 @@
 		return
 	}
 	c.mu.Lock()
-	current := c.targets[model]
-	newer := version > current.version
+	newer := version > c.targets[model]
 	if newer {
-		c.targets[model] = targetVersion{version}
+		c.targets[model] = version
 	}
 	c.mu.Unlock()
 	if !newer {
@@ -171,14 +169,10 @@
 }
 
 // targetVersions returns a copy of the target weight versions by model.
-func (c *configuration) targetVersions() map[string]targetVersion {
+func (c *configuration) targetVersions() map[string]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	targets := make(map[string]targetVersion, len(c.targets))
-	for model, target := range c.targets {
-		targets[model] = target
-	}
-	return targets
+	return maps.Clone(c.targets)
 }
 
 // applyRelayed applies what a relay knows of the operator's writes; its ages hold as of the given instant or later.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -70,7 +70,7 @@
 	n.suspects = newSuspects()
 	n.blocks = newBlocks(n)
 	n.retryBudgets = newRetryBudgets(cfg.RetryShare, cfg.RetryReserve)
-	n.configuration = &configuration{node: n, targets: make(map[string]targetVersion), items: make(map[string]kv.Item)}
+	n.configuration = &configuration{node: n, targets: make(map[string]int), items: make(map[string]kv.Item)}
 	n.discovery = newDiscovery(n)
 	n.members = newMembers(n)
 	n.leadership = &leadership{node: n}
--- a/internal/gateway/placement_peers_test.go
+++ b/internal/gateway/placement_peers_test.go
@@ -33,6 +33,20 @@
 func (stubPeerHandler) ConnectionClosed(peer.Hello, bool) {}
 func (stubPeerHandler) ConnectionRejected(string, error)  {}
 
+// runNetwork runs a peer network until the end of the test.
+func runNetwork(network *peers.Network) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		network.Run(ctx)
+	}()
+	Reset(func() {
+		cancel()
+		<-done
+	})
+}
+
 // startPeer returns a peer of a site's only entry, once that leads.
 func (s *site) startPeer() *testPeer {
 	e := s.entries[0]
@@ -43,16 +57,7 @@
 	}, stubPeerHandler{})}
 	_, err := p.network.Listen()
 	So(err, ShouldBeNil)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		p.network.Run(ctx)
-	}()
-	Reset(func() {
-		cancel()
-		<-done
-	})
+	runNetwork(p.network)
 	return p
 }
 
@@ -179,16 +184,7 @@
 	}, l)
 	address, err := network.Listen()
 	So(err, ShouldBeNil)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		network.Run(ctx)
-	}()
-	Reset(func() {
-		cancel()
-		<-done
-	})
+	runNetwork(network)
 	put := func(key string, record map[string]any) {
 		data, err := msgpack.Marshal(record)
 		So(err, ShouldBeNil)
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -202,11 +202,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	replacedAt := p.pool(req.Service).ReplacedAt(req.Model, choice.Version)
-	if replacedAt == 0 {
+	usableUntil := p.pool(req.Service).UsableUntil(req.Model, choice.Version)
+	if usableUntil == 0 {
 		return 0
 	}
-	return replacedAt.Add(oldWeightsMargin - withdrawalMargin)
+	return usableUntil.Add(oldWeightsMargin - withdrawalMargin)
 }
 
 // replaced reports whether a weight version may certainly not be used any more, whatever the instance knows that chose it.
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -169,7 +169,7 @@
 			loads[r.ID] = w.node.placer.endpointLoad(service, r.ID)
 			for model, running := range r.Versions {
 				running = max(running, w.reported[r.Incarnation()][model])
-				target := targetVersions[model].version
+				target := targetVersions[model]
 				if target <= running {
 					continue
 				}
