Remember a withdrawal that overtakes its request on the native edge too

The hosted edge's fault of placements answered late, found there by looking for the same cause: a group's owner handles the messages of a connection concurrently, and forgot the withdrawal of a request that it didn't know yet. The request was then queued or granted with nobody waiting, and held a slot until ten seconds after its deadline.

Ruled out: requests that come again with their number (each Acquire has its own; groups have queues of their own).

Change: a queue remembers such withdrawals for 5 s and refuses the request.

Test: TestQueue, "grants no request that was withdrawn before it arrived"; before, it was granted (action 1, 2 expected).

--- a/internal/coordination/group/queue.go
+++ b/internal/coordination/group/queue.go
@@ -29,7 +29,9 @@
 	waiting map[GrantID]*waiter
 	// running maps each active grant to its endpoint.
 	running map[GrantID]string
-	random  *rand.Rand
+	// withdrawn holds the requests that were withdrawn before they arrived, and when.
+	withdrawn map[GrantID]time.Time
+	random    *rand.Rand
 	// lastEndpoints maps each conversation to the endpoint that last served it.
 	lastEndpoints *lru.Cache[string, string]
 }
@@ -47,6 +49,7 @@
 		endpoints: make(map[string]*endpointState),
 		waiting:   make(map[GrantID]*waiter),
 		running:   make(map[GrantID]string),
+		withdrawn: make(map[GrantID]time.Time),
 		random:    rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
 	// lru.New fails only for a size below one.
@@ -82,6 +85,10 @@
 		return nil
 	}
 	wait := q.expectedWait(now, &req)
+	if _, withdrawn := q.withdrawn[id]; withdrawn {
+		delete(q.withdrawn, id)
+		return []Action{q.refuse(now, id, wait)}
+	}
 	late := now.Add(wait + req.Cost).After(req.Deadline)
 	if late || len(q.waiting) >= q.cfg.MaxWaiting {
 		return []Action{q.refuse(now, id, wait)}
@@ -99,12 +106,20 @@
 	}
 }
 
-// Withdraw removes a queued request, or ends a grant that was not used.
+// withdrawalTimeout is how long the withdrawal of a request that has not arrived is remembered. Messages of one connection are handled
+// concurrently, so that the request follows within the time for which a process may be delayed.
+const withdrawalTimeout = 5 * time.Second
+
+// Withdraw removes a queued request, or ends a grant that was not used. The withdrawal of an unknown request is remembered, since it may
+// overtake the request.
 func (q *Queue) Withdraw(now time.Time, id GrantID) []Action {
 	if w := q.waiting[id]; w != nil {
 		q.removeWaiting(w)
 		return nil
 	}
+	if q.running[id] == "" {
+		q.withdrawn[id] = now
+	}
 	return q.release(now, id)
 }
 
@@ -153,6 +168,11 @@
 		q.ejectIfSlow(now, q.endpoints[name])
 	}
 	q.reclaim(now)
+	for id, at := range q.withdrawn {
+		if now.Sub(at) > withdrawalTimeout {
+			delete(q.withdrawn, id)
+		}
+	}
 	actions := q.dispatch(now)
 	for _, id := range q.expired(now) {
 		w := q.waiting[id]
--- a/internal/coordination/group/queue_test.go
+++ b/internal/coordination/group/queue_test.go
@@ -52,6 +52,16 @@
 			So(q.Add(start, newRequest(4, group.ClassLong)), ShouldBeEmpty)
 			expectGrant(q.Add(start, newRequest(5, group.ClassShort)), 5, "e0")
 		})
+		Convey("grants no request that was withdrawn before it arrived, and forgets withdrawals of others", func() {
+			q.Withdraw(start, requestID(1))
+			q.Withdraw(start, requestID(2))
+			actions := q.Add(start.Add(time.Second), newRequest(1, group.ClassShort))
+			So(actions, ShouldHaveLength, 1)
+			So(actions[0].Kind, ShouldEqual, group.ActionRefuse)
+			So(q.Running(), ShouldEqual, 0)
+			q.Tick(start.Add(6 * time.Second))
+			expectGrant(q.Add(start.Add(6*time.Second), newRequest(2, group.ClassShort)), 2, "e0")
+		})
 		Convey("grants a queued request when a grant ends", func() {
 			for n := range uint64(4) {
 				q.Add(start, newRequest(n+1, group.ClassShort))
