Keep a block of prompt parts whose key the leader replaces

Callers with a part that crashes engines got past its block once more at each entry.

Cause: the leader keeps a block under a key derived from its parts. When the parts change because an answer clears one of them (or, in the test, the key was another's), it writes the new key and removes the old one in one transaction. Entries ended the block of the removed key, and with it the block of the remaining parts, which they had under the new key already; the leader ended its own and then deleted the new key too. Class: a copy that is ended though its original lives.

Ruled out: a lost message between entries (the clearing isn't sent here); load (it failed on an idle machine).

Change: a block that is gone from the store ends only what no block in the store covers.

TestPartTable, "a block whose key in the store is replaced". TestBlockOutlivesItsKey was wrong in two ways and is replaced by a stricter one: it deleted a key that the leader had replaced, so that it passed only by this fault, and it polled with sound prompts, whose answers refute a block that is adopted meanwhile. Now nothing is sent before the block applies, it must apply to the first prompt at each entry, and all keys of blocks are deleted.

--- a/internal/coordination/suspect/parts.go
+++ b/internal/coordination/suspect/parts.go
@@ -92,6 +92,8 @@
 	cause *engineCrash
 }
 
+func (b *block) appliesAt(now clock.Instant) bool { return now.Sub(b.since) < Retention }
+
 // PartTable attributes crashes of engines to parts of prompts, for faults that a part causes whatever else a request holds.
 //
 // A part is charged with a crash if a request with it was in flight and its answer had not begun, and cleared by the first event of any
@@ -229,8 +231,7 @@
 	return added
 }
 
-// AddBlock blocks requests whose prompts have all the parts, as another instance has found, unless fewer parts suffice for that already. It
-// reports whether it added the block.
+// AddBlock blocks requests whose prompts have all the parts, as another instance has found, unless fewer parts suffice for that already. It reports whether it added the block.
 func (t *PartTable) AddBlock(now clock.Instant, parts []string) bool {
 	return t.addBlock(&block{parts: parts, since: now})
 }
@@ -248,10 +249,12 @@
 	return true
 }
 
-// ExpireBlock ends the blocks of requests with these parts. What was blocked remains suspected until an answer clears it.
-func (t *PartTable) ExpireBlock(now clock.Instant, parts []string) {
+// ExpireBlock ends the block of these parts, also where some of them have been cleared since, unless one of the blocks that still hold covers
+// it. What was blocked remains suspected until an answer clears it.
+func (t *PartTable) ExpireBlock(now clock.Instant, parts []string, held [][]string) {
 	for _, b := range t.blocks {
-		if containsAll(parts, b.parts) {
+		covered := slices.ContainsFunc(held, func(other []string) bool { return containsAll(b.parts, other) })
+		if containsAll(parts, b.parts) && !covered {
 			b.since = min(b.since, now.Add(-Retention))
 		}
 	}
@@ -261,7 +264,7 @@
 func (t *PartTable) Blocks(now clock.Instant) [][]string {
 	var list [][]string
 	for _, b := range t.blocks {
-		if now.Sub(b.since) < Retention {
+		if b.appliesAt(now) {
 			list = append(list, slices.Clone(b.parts))
 		}
 	}
@@ -327,7 +330,7 @@
 func (t *PartTable) Check(now clock.Instant, parts []string) (Status, []string) {
 	var suspected []string
 	for _, b := range t.blocks {
-		if containsAll(parts, b.parts) && now.Sub(b.since) < Retention {
+		if containsAll(parts, b.parts) && b.appliesAt(now) {
 			return Blocked, slices.Clone(b.parts)
 		}
 		suspected = append(suspected, intersect(parts, b.parts)...)
--- a/internal/coordination/suspect/parts_test.go
+++ b/internal/coordination/suspect/parts_test.go
@@ -198,4 +198,16 @@
 		So(status, ShouldEqual, suspect.Blocked)
 		So(table.Blocks(instant(1200)), ShouldResemble, [][]string{{"b", "x"}})
 	})
+	Convey("a block whose key in the store is replaced after an answer has cleared one of its parts applies", t, func() {
+		table := suspect.NewPartTable()
+		table.AddBlock(instant(1000), []string{"b", "x"})
+		table.RecordAnswer(instant(2000), []string{"a", "b"})
+		table.ExpireBlock(instant(3000), []string{"b", "x"}, [][]string{{"x"}})
+		status, _ := table.Check(instant(4000), []string{"a", "x"})
+		So(status, ShouldEqual, suspect.Blocked)
+
+		table.ExpireBlock(instant(5000), []string{"x"}, nil)
+		status, _ = table.Check(instant(6000), []string{"a", "x"})
+		So(status, ShouldEqual, suspect.Suspected)
+	})
 }
--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -61,6 +61,7 @@
 func (b *blocks) apply(items []kv.Item) {
 	n := b.node
 	stored := make(map[string]blockRecord)
+	held := make(map[string][][]string)
 	for _, item := range items {
 		if !strings.HasPrefix(item.Key, blockPrefix) {
 			continue
@@ -71,11 +72,12 @@
 			continue
 		}
 		stored[item.Key] = record
+		held[record.Service] = append(held[record.Service], record.Parts)
 	}
 	b.mu.Lock()
 	for key, record := range b.read {
 		if _, ok := stored[key]; !ok {
-			n.suspects.expireBlock(record.Service, record.Parts)
+			n.suspects.expireBlock(record.Service, record.Parts, held[record.Service])
 			n.log.Info(event.PartCleared, "a block of prompt parts has ended in the store", zap.String("service", record.Service),
 				zap.Strings("parts", record.Parts))
 		}
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -140,26 +140,50 @@
 	})
 }
 
-func TestBlockOutlivesItsKey(t *testing.T) {
-	Convey("entries that have adopted a block of a sound part", t, func() {
+// blockPrefix begins the keys of the blocks that entries keep in the store.
+const blockPrefix = "gypsum/blocked/"
+
+// putBlock stores a block of two sound parts under another key than the leader's, and waits until the leader has replaced the key and all
+// entries have read that.
+func (s *site) putBlock() {
+	const key = blockPrefix + "00"
+	data, err := msgpack.Marshal(map[string]any{"service": "llm", "parts": []string{"a1", "b2"}})
+	So(err, ShouldBeNil)
+	s.store.PutRaw(key, data)
+	eventually("the leader replaces the key", func() bool { return s.store.Value(key) == nil })
+	time.Sleep(time.Second)
+}
+
+// callBlocked sends a prompt with the parts of putBlock's block. Prompts are sent only once the block applies: an answer would refute it.
+func (s *site) callBlocked(e *entry) int {
+	own := fmt.Sprintf("f%d", s.requests.Add(1))
+	return s.call(e, http.MethodPost, "/redraft/", own, "Prompt-Prefix", "a1:600,b2:300,"+own+":100").status
+}
+
+func TestBlockEndsWithReplacedKey(t *testing.T) {
+	Convey("a block applies at all entries after the leader has replaced its key", t, func() {
 		s := startPartSite(2)
-		call := func(e *entry) int {
-			own := fmt.Sprintf("f%d", s.requests.Add(1))
-			return s.call(e, http.MethodPost, "/redraft/", own, "Prompt-Prefix", "a1:600,b2:300,"+own+":100").status
+		s.putBlock()
+		So(s.store.Keys(blockPrefix), ShouldHaveLength, 1)
+		for _, e := range s.entries {
+			So(s.callBlocked(e), ShouldEqual, http.StatusInternalServerError)
 		}
-		const key = "gypsum/blocked/00"
-		data, err := msgpack.Marshal(map[string]any{"service": "llm", "parts": []string{"a1", "b2"}})
-		So(err, ShouldBeNil)
-		s.store.PutRaw(key, data)
+	})
+}
+
+func TestBlockOutlivesItsKey(t *testing.T) {
+	Convey("entries that have adopted a block of sound parts serve prompts with them once the block is gone from the store", t, func() {
+		s := startPartSite(2)
+		s.putBlock()
 		for _, e := range s.entries {
-			eventually("the block applies", func() bool { return call(e) == http.StatusInternalServerError })
+			So(s.callBlocked(e), ShouldEqual, http.StatusInternalServerError)
 		}
-		Convey("serve it once the block is gone from the store", func() {
+		for _, key := range s.store.Keys(blockPrefix) {
 			s.store.Delete(key)
-			for _, e := range s.entries {
-				eventually("prompts with the part are served", func() bool { return call(e) == http.StatusOK })
-			}
-		})
+		}
+		for _, e := range s.entries {
+			eventually("prompts with the parts are served", func() bool { return s.callBlocked(e) == http.StatusOK })
+		}
 	})
 }
 
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -113,11 +113,11 @@
 	return s.service(service).AddBlock(clock.Now(), parts)
 }
 
-// expireBlock ends a block that another instance has lifted.
-func (s *suspects) expireBlock(service string, parts []string) {
+// expireBlock ends a block that another instance has lifted, except where one of the blocks still held covers it.
+func (s *suspects) expireBlock(service string, parts []string, held [][]string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.service(service).ExpireBlock(clock.Now(), parts)
+	s.service(service).ExpireBlock(clock.Now(), parts, held)
 }
 
 func (s *suspects) blocked(digest string) bool {
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -113,6 +115,20 @@
 	return nil
 }
 
+// Keys returns the keys with a prefix, in order.
+func (s *Store) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // ModRevision returns the revision of the last write to a key, or zero if the key does not exist.
 func (s *Store) ModRevision(key string) uint64 {
 	s.mu.Lock()
