Adopt a block of prompt parts again that has ended here before

Callers with a part that crashes engines would pass at an entry whose own block of it had ended, although the part crashed engines anew and the leader had blocked it again.

Cause: a block that had ended stays in the table, since its parts remain suspected, and a new block of the same parts counted as one that is there already.

Ruled out: the renewal by a crash report (an entry that was restarted or cut off misses it).

Change: only a block that still applies stands for another.

Test: TestPartTable, "a block that has ended applies again when another instance has found it anew"; before, AddBlock returned false.

--- a/internal/coordination/suspect/parts.go
+++ b/internal/coordination/suspect/parts.go
@@ -231,14 +231,15 @@
 	return added
 }
 
-// AddBlock blocks requests whose prompts have all the parts, as another instance has found, unless fewer parts suffice for that already. It reports whether it added the block.
+// AddBlock blocks requests whose prompts have all the parts, as another instance has found, unless a block of fewer parts applies to them
+// already. It reports whether it added the block.
 func (t *PartTable) AddBlock(now clock.Instant, parts []string) bool {
 	return t.addBlock(&block{parts: parts, since: now})
 }
 
 func (t *PartTable) addBlock(added *block) bool {
 	parts := added.parts
-	if len(parts) == 0 || slices.ContainsFunc(t.blocks, func(b *block) bool { return containsAll(parts, b.parts) }) {
+	if len(parts) == 0 || slices.ContainsFunc(t.blocks, func(b *block) bool { return b.appliesAt(added.since) && containsAll(parts, b.parts) }) {
 		return false
 	}
 	t.blocks = slices.DeleteFunc(t.blocks, func(b *block) bool {
--- a/internal/coordination/suspect/parts_test.go
+++ b/internal/coordination/suspect/parts_test.go
@@ -210,4 +210,13 @@
 		status, _ = table.Check(instant(6000), []string{"a", "x"})
 		So(status, ShouldEqual, suspect.Suspected)
 	})
+	Convey("a block that has ended applies again when another instance has found it anew", t, func() {
+		table := suspect.NewPartTable()
+		table.AddBlock(instant(1000), []string{"x"})
+		table.ExpireBlock(instant(2000), []string{"x"}, nil)
+		So(table.AddBlock(instant(3000), []string{"x"}), ShouldBeTrue)
+		status, _ := table.Check(instant(4000), []string{"x"})
+		So(status, ShouldEqual, suspect.Blocked)
+		So(table.Blocks(instant(4000)), ShouldResemble, [][]string{{"x"}})
+	})
 }
