Compare the blocks of the store with the leader's own under one lock

Found by reading, not seen in a run: for an instant a leader could write a block again that had just ended in the store, or remove one that it was about to adopt, for all entries.

Cause: publish listed its own blocks before it took the lock of the store's copy, and apply adopted new ones after it had released it, so that a read of the store between the two steps made a block look missing, or in excess.

Ruled out: a conflict of the transaction (it has no condition on the keys, since only the leader writes them).

Change: both compare under the lock; suspects' lock is taken inside it in both.

--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -45,6 +45,8 @@
 type blocks struct {
 	node *Node
 
+	// mu also covers the comparison of the store's blocks with this instance's own, so that a block being adopted or ended by a read isn't
+	// taken for one that the store has in excess or lacks.
 	mu sync.Mutex
 	// stored holds the blocks that are in the store, by key, and adopted the keys that have been adopted: a block that has been lifted since
 	// isn't adopted again. read holds the blocks of the last read; one that is gone from the store has been lifted or has expired.
@@ -75,6 +77,7 @@
 		held[record.Service] = append(held[record.Service], record.Parts)
 	}
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	for key, record := range b.read {
 		if _, ok := stored[key]; !ok {
 			n.suspects.expireBlock(record.Service, record.Parts, held[record.Service])
@@ -82,25 +85,18 @@
 				zap.Strings("parts", record.Parts))
 		}
 	}
-	b.read = stored
-	b.stored = maps.Clone(stored)
-	var added []blockRecord
 	for key, record := range stored {
-		if !b.adopted[key] {
-			added = append(added, record)
+		if !b.adopted[key] && n.suspects.addBlock(record.Service, record.Parts) {
+			n.log.Info(event.PartBlocked, "prompts with these parts are blocked, by the store", zap.String("service", record.Service),
+				zap.Strings("parts", record.Parts))
 		}
 	}
+	b.read = stored
+	b.stored = maps.Clone(stored)
 	b.adopted = make(map[string]bool, len(stored))
 	for key := range stored {
 		b.adopted[key] = true
 	}
-	b.mu.Unlock()
-	for _, record := range added {
-		if n.suspects.addBlock(record.Service, record.Parts) {
-			n.log.Info(event.PartBlocked, "prompts with these parts are blocked, by the store", zap.String("service", record.Service),
-				zap.Strings("parts", record.Parts))
-		}
-	}
 }
 
 func (b *blocks) run(ctx context.Context) {
@@ -117,13 +113,13 @@
 // publish writes the blocks that the store lacks, and removes those that have been lifted.
 func (b *blocks) publish(ctx context.Context) error {
 	own := make(map[string]blockRecord)
+	b.mu.Lock()
 	for service, list := range b.node.suspects.blocks() {
 		for _, parts := range list {
 			record := blockRecord{Service: service, Parts: parts}
 			own[record.key()] = record
 		}
 	}
-	b.mu.Lock()
 	var missing []blockRecord
 	var lifted []string
 	for key, record := range own {
