Log the end of a block of prompt parts in the store only where one has ended

The line said so also when the leader had only replaced the block's key, which would have led an operator to look for an answer that cleared it.

Cause: it was written for each key that is gone. Change: ExpireBlock reports whether it ended a block that applied. Ruled out: another event for replaced keys (nothing changes for requests). Tests of blocks and parts pass.

--- a/internal/coordination/suspect/parts.go
+++ b/internal/coordination/suspect/parts.go
@@ -251,14 +251,16 @@
 }
 
 // ExpireBlock ends the block of these parts, also where some of them have been cleared since, unless one of the blocks that still hold covers
-// it. What was blocked remains suspected until an answer clears it.
-func (t *PartTable) ExpireBlock(now clock.Instant, parts []string, held [][]string) {
+// it, and reports whether it ended one that applied. What was blocked remains suspected until an answer clears it.
+func (t *PartTable) ExpireBlock(now clock.Instant, parts []string, held [][]string) bool {
+	ended := false
 	for _, b := range t.blocks {
 		covered := slices.ContainsFunc(held, func(other []string) bool { return containsAll(b.parts, other) })
-		if containsAll(parts, b.parts) && !covered {
-			b.since = min(b.since, now.Add(-Retention))
+		if b.appliesAt(now) && containsAll(parts, b.parts) && !covered {
+			b.since, ended = now.Add(-Retention), true
 		}
 	}
+	return ended
 }
 
 // Blocks returns the combinations of parts that are blocked now.
--- a/internal/coordination/suspect/parts_test.go
+++ b/internal/coordination/suspect/parts_test.go
@@ -202,11 +202,11 @@
 		table := suspect.NewPartTable()
 		table.AddBlock(instant(1000), []string{"b", "x"})
 		table.RecordAnswer(instant(2000), []string{"a", "b"})
-		table.ExpireBlock(instant(3000), []string{"b", "x"}, [][]string{{"x"}})
+		So(table.ExpireBlock(instant(3000), []string{"b", "x"}, [][]string{{"x"}}), ShouldBeFalse)
 		status, _ := table.Check(instant(4000), []string{"a", "x"})
 		So(status, ShouldEqual, suspect.Blocked)
 
-		table.ExpireBlock(instant(5000), []string{"x"}, nil)
+		So(table.ExpireBlock(instant(5000), []string{"x"}, nil), ShouldBeTrue)
 		status, _ = table.Check(instant(6000), []string{"a", "x"})
 		So(status, ShouldEqual, suspect.Suspected)
 	})
--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -79,8 +79,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for key, record := range b.read {
-		if _, ok := stored[key]; !ok {
-			n.suspects.expireBlock(record.Service, record.Parts, held[record.Service])
+		if _, ok := stored[key]; ok {
+			continue
+		}
+		if n.suspects.expireBlock(record.Service, record.Parts, held[record.Service]) {
 			n.log.Info(event.PartCleared, "a block of prompt parts has ended in the store", zap.String("service", record.Service),
 				zap.Strings("parts", record.Parts))
 		}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -113,11 +113,12 @@
 	return s.service(service).AddBlock(clock.Now(), parts)
 }
 
-// expireBlock ends a block that another instance has lifted, except where one of the blocks still held covers it.
-func (s *suspects) expireBlock(service string, parts []string, held [][]string) {
+// expireBlock ends a block that another instance has lifted, except where one of the blocks still held covers it, and reports whether it ended
+// one that applied.
+func (s *suspects) expireBlock(service string, parts []string, held [][]string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.service(service).ExpireBlock(clock.Now(), parts, held)
+	return s.service(service).ExpireBlock(clock.Now(), parts, held)
 }
 
 func (s *suspects) blocked(digest string) bool {
