Take an engine that rejects a request for its weights for what it names, not for the newest

Cause: a rejection for the weights set the engine's version to the newest target. Versions only rise, so that its registration, which names the true one, was ignored, and nothing held further requests back. It takes two versions named shortly after each other and an order carried out late.

Ruled out: a backoff alone (the engine stays taken for the newest until its next load).

Change: the version that the answer names goes to the placement with the end of the request. Where it names none, the next target version is assumed, and what is assumed gives way to the first newer version that the engine itself names. Old entries send no version, and are served as those engines that name none.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -302,7 +302,7 @@
 func (p *Pool) assign(now clock.Instant, req *Request, best *candidate) {
 	s, c := best.endpoint, &best.choice
 	a := &assignment{
-		req: req, endpoint: s, space: c.CacheSpace, sentAt: now, expected: c.Expected,
+		req: req, endpoint: s, space: c.CacheSpace, version: c.Version, sentAt: now, expected: c.Expected,
 		prefillTokens: max(1, req.Prompt-c.Cached-c.Fetched), saves: c.SaveTo != nil,
 	}
 	a.slowestLinks = best.fetch.slowestLinks(s)
--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -22,6 +22,8 @@
 	req      *Request
 	endpoint *endpointState
 	space    string
+	// version is the weight version that the endpoint must run, or zero if any will do.
+	version  int
 	sentAt   clock.Instant
 	expected time.Duration
 	// prefillTokens is the number of prompt tokens still to be prefilled; it is zero after the first event.
@@ -46,8 +48,9 @@
 	link           link
 	// clockOffset is the endpoint's clock minus the local boot clock, in milliseconds; zero means unknown.
 	clockOffset int64
-	// version holds the best known weight version of each model; registrations lag behind.
-	version map[string]int
+	// version holds the best known weight version of each model, and confirmedVersion the newest that the endpoint has named; registrations
+	// lag behind.
+	version, confirmedVersion map[string]int
 
 	// lastResponse is when the endpoint last showed any activity. unresponsiveSince is when the endpoint was found to have shown none for
 	// longer than its assignments explain; zero means responsive.
@@ -68,7 +71,9 @@
 }
 
 func newEndpointState(r *registration.Registration, x *index) *endpointState {
-	s := &endpointState{Registration: r, assignments: make(map[AssignmentID]*assignment), version: make(map[string]int)}
+	s := &endpointState{
+		Registration: r, assignments: make(map[AssignmentID]*assignment), version: make(map[string]int), confirmedVersion: make(map[string]int),
+	}
 	s.cache = newCache(s, x)
 	return s
 }
@@ -77,7 +82,7 @@
 func (s *endpointState) update(r *registration.Registration) {
 	if s.StartMilli != r.StartMilli || s.Address != r.Address {
 		s.cache.clear()
-		s.version = make(map[string]int)
+		s.version, s.confirmedVersion = make(map[string]int), make(map[string]int)
 		s.orderPending = false
 		s.failures, s.backoffUntil, s.loadingUntil, s.errorRate, s.slowdown, s.link, s.unresponsiveSince = 0, 0, 0, 0, slowdown{}, link{}, 0
 	}
@@ -87,15 +92,32 @@
 	}
 }
 
-// setVersion applies a weight version from any source; versions only rise while an endpoint runs.
+// setVersion applies a weight version that an endpoint has named; versions only rise while it runs.
 func (s *endpointState) setVersion(model string, version int) {
-	if version > s.version[model] {
-		if s.version[model] != 0 {
-			s.cache.clear()
-		}
-		s.version[model] = version
-		s.orderPending = false
+	if version > s.confirmedVersion[model] {
+		s.confirmedVersion[model] = version
+		s.assumeVersion(model, version)
+	}
+}
+
+// observeVersion applies a weight version that an endpoint has named in an answer, which doesn't lag behind.
+func (s *endpointState) observeVersion(model string, version int) {
+	if version >= s.confirmedVersion[model] {
+		s.confirmedVersion[model] = version
+		s.assumeVersion(model, version)
+	}
+}
+
+// assumeVersion applies a weight version that an endpoint may run, until it names one that is newer than the last it named.
+func (s *endpointState) assumeVersion(model string, version int) {
+	if version == s.version[model] {
+		return
+	}
+	if s.version[model] != 0 {
+		s.cache.clear()
 	}
+	s.version[model] = version
+	s.orderPending = false
 }
 
 // runsVersion reports whether the endpoint runs a weight version of any model.
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -240,13 +240,38 @@
 	case OutcomeMisdirected:
 		s.backoffUntil = now.Add(maxBackoff)
 	case OutcomeStale:
-		if w, ok := p.target(a.req.Model); ok {
-			s.setVersion(a.req.Model, w.Version)
-		}
+		s.recordResponse(now)
+		p.cfg.Reachability.recordContact(a.req.Zone, s)
+		p.assumeNextVersion(now, a)
 	case OutcomeWithdrawn:
 	}
 }
 
+// assumeNextVersion takes an endpoint that has rejected a request for its weights to run the next target version after the one expected. If
+// there is none, it gets no new requests for a moment.
+func (p *Pool) assumeNextVersion(now clock.Instant, a *assignment) {
+	s, model := a.endpoint, a.req.Model
+	if s.version[model] != a.version {
+		// It has named another one since the request was placed.
+		return
+	}
+	for _, target := range p.targets[model] {
+		if target.Version > a.version {
+			s.assumeVersion(model, target.Version)
+			return
+		}
+	}
+	s.backoffUntil = now.Add(rejectedBackoff)
+}
+
+// WeightsObserved records the weight version that the endpoint of an assignment has named in its answer.
+func (p *Pool) WeightsObserved(id AssignmentID, version int) {
+	if a := p.assignments[id]; a != nil {
+		a.endpoint.observeVersion(a.req.Model, version)
+		p.recordCapacityChange(a.endpoint)
+	}
+}
+
 // WeightsLoading records that an endpoint loads weights until an instant; the zero instant means that it has finished.
 func (p *Pool) WeightsLoading(endpoint string, until clock.Instant) {
 	if s := p.endpoints[endpoint]; s != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -41,7 +41,7 @@
 func (j *job) attempt(ctx context.Context, choice *placement.Choice) (retry.Outcome, placement.Outcome) {
 	watchedCtx, wd := j.startWatchdog(ctx)
 	defer wd.stop()
-	j.headReceived, j.begun, j.sentAt = false, false, clock.Now()
+	j.headReceived, j.begun, j.sentAt, j.namedVersion = false, false, clock.Now(), 0
 	resp, err := j.send(watchedCtx, choice)
 	if err != nil && errors.Is(context.Cause(watchedCtx), errNotStarted) {
 		return j.withdrawn(choice, err)
@@ -56,7 +56,11 @@
 	if reply.NotRun {
 		// Reading the rest allows the connection to be reused.
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxBufferedBytes))
-		return retry.NotRun, rejectionOutcome(&reply, choice)
+		outcome := rejectionOutcome(&reply, choice)
+		if outcome == placement.OutcomeStale {
+			j.namedVersion = reply.Version
+		}
+		return retry.NotRun, outcome
 	}
 	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
 	if success && (!reply.Sealed || resp.Header.Get("Content-Encoding") != "") {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -122,7 +122,7 @@
 		h.placer.recordFirstEvent(req)
 		return
 	}
-	h.placer.recordDone(req, msg.Outcome)
+	h.placer.recordDone(req, msg.Outcome, msg.Version)
 }
 
 // ConnectionClosed drops the assignments of a peer whose connection has closed, since its process may have ended.
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -252,7 +252,7 @@
 			choice, err = p.awaitGrant(ctx, req.ID, awaitTimeout)
 		}
 		if errors.Is(err, placement.ErrQueued) {
-			p.recordDone(req, placement.OutcomeWithdrawn)
+			p.recordDone(req, placement.OutcomeWithdrawn, 0)
 			return choice, "", errQueueAborted
 		}
 		return choice, "", err
@@ -309,11 +309,17 @@
 
 // reportDone reports the end of an assignment to the instance that placed it; an empty owner is this instance.
 func (p *placer) reportDone(req *placement.Request, owner string, outcome placement.Outcome) {
+	p.reportEnd(req, owner, outcome, 0)
+}
+
+// reportEnd is reportDone for an endpoint that has named its weight version in its answer; zero is unknown.
+func (p *placer) reportEnd(req *placement.Request, owner string, outcome placement.Outcome, version int) {
 	if owner != "" {
-		p.node.notify(owner, peer.KindAssignmentUpdate, peer.AssignmentUpdate{Service: req.Service, Number: req.ID.Number, Outcome: outcome})
+		p.node.notify(owner, peer.KindAssignmentUpdate,
+			peer.AssignmentUpdate{Service: req.Service, Number: req.ID.Number, Outcome: outcome, Version: version})
 		return
 	}
-	p.recordDone(req, outcome)
+	p.recordDone(req, outcome, version)
 }
 
 const (
@@ -435,11 +441,15 @@
 	p.grantWaiting(pool, now)
 }
 
-func (p *placer) recordDone(req *placement.Request, outcome placement.Outcome) {
+// recordDone records the end of an assignment, and the weight version that its endpoint has named; zero is unknown.
+func (p *placer) recordDone(req *placement.Request, outcome placement.Outcome, version int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Now()
 	pool := p.pool(req.Service)
+	if version > 0 {
+		pool.WeightsObserved(req.ID, version)
+	}
 	pool.Done(now, req.ID, outcome)
 	if p.waiters[req.ID] != nil {
 		pool.Withdraw(req.ID)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -54,10 +54,12 @@
 	// buffered is the endpoint's last complete answer, not yet delivered to the caller.
 	buffered *bufferedReply
 	// headSent is true once the head of an answer has been sent to the caller.
-	headSent    bool
-	lastEvent   int64
-	firstByteAt clock.Instant
-	choice      placement.Choice
+	headSent bool
+	// namedVersion is the weight version that the endpoint of the last attempt named when it rejected the request for its weights, or zero.
+	namedVersion int
+	lastEvent    int64
+	firstByteAt  clock.Instant
+	choice       placement.Choice
 	// owner is the instance that placed the request, empty for this one, and placedAt is when it did.
 	owner    string
 	placedAt clock.Instant
@@ -240,7 +242,7 @@
 			return
 		}
 		outcome, placementOutcome := j.attempt(ctx, &choice)
-		n.placer.reportDone(&j.placementReq, owner, placementOutcome)
+		n.placer.reportEnd(&j.placementReq, owner, placementOutcome, j.namedVersion)
 		n.metrics.Attempts.WithLabelValues(outcome.String()).Inc()
 		action := j.attempts.RecordAttempt(clock.Now(), outcome, n.retryBudgets.forService(j.service).Take)
 		if outcome == retry.Answered {
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -60,6 +60,8 @@
 	Number  uint64
 	// Outcome is the assignment's outcome; zero reports the first event.
 	Outcome placement.Outcome `msgpack:"End"`
+	// Version is the weight version that the endpoint named in its answer, or zero if unknown.
+	Version int `msgpack:",omitempty"`
 }
 
 // SyncRequest requests everything that is newer than the sender's state. The receiver may delay the reply until it has something new.
