Keep a broken exchange until its endpoint refuses connections or two seconds have passed

A part that crashes engines was not charged with a crash when another request's dial to the engine timed out first, as on a lossy link, so that more requests with it reached engines.

Cause: any failed dial reported the exchanges that had broken there and forgot them; parts are charged only at a refused connection, which then found none. Class: an observation that is used up by the wrong reader.

Ruled out: charging parts at dials that time out (an endpoint may only be cut off).

Change: suspect.BrokenExchanges decides what a sign of a crash is reported for, apart from input and output: each exchange at the first sign, and again at a refused connection where its parts may be the cause. It also forgets exchanges of endpoints that never crash, which the node kept.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,6 +14,7 @@
 
 	"gypsumvale/internal/coordination/placement"
 	"gypsumvale/internal/coordination/retry"
+	"gypsumvale/internal/coordination/suspect"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/protocol/exchange"
 	"gypsumvale/internal/state/clock"
@@ -137,9 +138,9 @@
 		n.reportCrash(choice.Endpoint, errors.Is(err, syscall.ECONNREFUSED))
 		return retry.NotSent, placement.OutcomeUnreachable
 	}
-	n.suspects.recordBroken(choice.Endpoint, &brokenExchange{
-		digest: j.digest, service: j.service, shared: prompt.IDs(j.placementReq.SharedParts()),
-		headReceived: j.headReceived, begun: j.begun, sentAt: j.sentAt, brokenAt: clock.Now(),
+	n.suspects.recordBroken(choice.Endpoint, suspect.BrokenExchange{
+		Exchange: suspect.Exchange{Parts: prompt.IDs(j.placementReq.SharedParts()), Answering: j.headReceived, SentAt: j.sentAt},
+		Digest:   j.digest, Service: j.service, Begun: j.begun, BrokenAt: clock.Now(),
 	})
 	if errors.Is(err, upstream.ErrStrayResponse) {
 		return retry.Broken, placement.OutcomeFailed
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -20,35 +20,19 @@
 	"gypsumvale/internal/state/prompt"
 )
 
-// crashWindow is how long before the detection of a crash an exchange with the endpoint may have failed because of it.
-const crashWindow = 2 * time.Second
-
-// brokenExchange is an exchange with an endpoint that ended prematurely.
-type brokenExchange struct {
-	digest  string
-	service string
-	// shared holds the shared parts of the prompt, in order.
-	shared []string
-	// headReceived is true if the head of the answer had arrived, and begun if a complete event had.
-	headReceived bool
-	begun        bool
-	sentAt       clock.Instant
-	brokenAt     clock.Instant
-}
-
 // suspects guards the table of requests that were in flight when endpoints crashed.
 //
 // A broken connection alone is not a crash. It counts as one if the endpoint refuses connections or registers anew shortly afterwards.
 type suspects struct {
 	mu     sync.Mutex
 	table  *suspect.Table
-	broken map[string][]*brokenExchange
+	broken *suspect.BrokenExchanges
 	// parts holds the crashes attributed to parts of prompts, by service.
 	parts map[string]*suspect.PartTable
 }
 
 func newSuspects() *suspects {
-	return &suspects{table: suspect.NewTable(), broken: make(map[string][]*brokenExchange), parts: make(map[string]*suspect.PartTable)}
+	return &suspects{table: suspect.NewTable(), broken: suspect.NewBrokenExchanges(), parts: make(map[string]*suspect.PartTable)}
 }
 
 // service returns a service's table, creating it if necessary; the caller holds the lock.
@@ -75,13 +59,13 @@
 
 // recordPartCrash attributes a crash to the parts of a broken exchange's prompt, and returns the combinations of parts that are blocked from
 // now on and the suspected parts of the prompt.
-func (s *suspects) recordPartCrash(endpoint, service string, b *brokenExchange) (blocked [][]string, suspected []string) {
+func (s *suspects) recordPartCrash(endpoint string, b *suspect.BrokenExchange) (blocked [][]string, suspected []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
-	t := s.service(service)
-	blocked = t.RecordCrash(now, endpoint, b.brokenAt, suspect.Exchange{Parts: b.shared, Answering: b.headReceived, SentAt: b.sentAt})
-	_, suspected = t.Check(now, b.shared)
+	t := s.service(b.Service)
+	blocked = t.RecordCrash(now, endpoint, b.BrokenAt, b.Exchange)
+	_, suspected = t.Check(now, b.Parts)
 	return blocked, suspected
 }
 
@@ -128,33 +112,23 @@
 }
 
 // recordBroken records that an exchange with an endpoint ended prematurely.
-func (s *suspects) recordBroken(endpoint string, exchange *brokenExchange) {
+func (s *suspects) recordBroken(endpoint string, e suspect.BrokenExchange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := clock.Now()
-	kept := s.broken[endpoint][:0]
-	for _, b := range s.broken[endpoint] {
-		if now.Sub(b.brokenAt) < crashWindow {
-			kept = append(kept, b)
-		}
-	}
-	s.broken[endpoint] = append(kept, exchange)
+	s.broken.Record(endpoint, e)
 }
 
-// recordCrash marks the requests whose exchanges with an endpoint recently broke as suspects, and returns the exchanges of those newly
-// marked.
-func (s *suspects) recordCrash(endpoint string) []*brokenExchange {
+// recordCrash counts an endpoint's crash against the requests whose exchanges with it recently broke, and returns the exchanges to report.
+func (s *suspects) recordCrash(endpoint string, refused bool) []suspect.BrokenExchange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := clock.Now()
-	var suspected []*brokenExchange
-	for _, b := range s.broken[endpoint] {
-		if now.Sub(b.brokenAt) < crashWindow && s.table.RecordCrash(time.Now(), b.digest, endpoint) {
-			suspected = append(suspected, b)
+	var reported []suspect.BrokenExchange
+	for _, b := range s.broken.Crashed(clock.Now(), endpoint, refused) {
+		if counted := s.table.RecordCrash(time.Now(), b.Digest, endpoint); counted || refused && b.Chargeable() {
+			reported = append(reported, b)
 		}
 	}
-	delete(s.broken, endpoint)
-	return suspected
+	return reported
 }
 
 // recordReported counts a crash reported by a peer.
@@ -182,30 +156,30 @@
 //
 // Parts of prompts are charged only if the endpoint refused a connection: one that can't be reached may be cut off.
 func (n *Node) reportCrash(endpoint string, refused bool) {
-	for _, b := range n.suspects.recordCrash(endpoint) {
+	for _, b := range n.suspects.recordCrash(endpoint, refused) {
 		now := clock.Now()
 		n.log.Warn(event.EndpointCrashed, "endpoint crashed with a request in flight", zap.String("endpoint", endpoint),
-			zap.String("digest", b.digest), zap.Bool("head", b.headReceived), zap.Bool("begun", b.begun), zap.Strings("shared", b.shared),
-			zap.Int64("broken_ms", now.Sub(b.brokenAt).Milliseconds()))
-		report := peer.CrashReport{Digest: b.digest, Endpoint: endpoint}
-		if refused && !b.begun && len(b.shared) > 0 {
-			report.Service, report.Parts, report.Answering = b.service, b.shared, b.headReceived
-			report.SentAge, report.BrokenAge = now.Sub(b.sentAt), now.Sub(b.brokenAt)
-			n.attributeCrash(endpoint, b.service, b)
+			zap.String("digest", b.Digest), zap.Bool("head", b.Answering), zap.Bool("begun", b.Begun), zap.Strings("shared", b.Parts),
+			zap.Int64("broken_ms", now.Sub(b.BrokenAt).Milliseconds()))
+		report := peer.CrashReport{Digest: b.Digest, Endpoint: endpoint}
+		if refused && b.Chargeable() {
+			report.Service, report.Parts, report.Answering = b.Service, b.Parts, b.Answering
+			report.SentAge, report.BrokenAge = now.Sub(b.SentAt), now.Sub(b.BrokenAt)
+			n.attributeCrash(endpoint, &b)
 		}
 		n.notifyPeers(peer.KindCrashReport, report)
 	}
 }
 
 // attributeCrash attributes a crash to the parts of a broken exchange's prompt.
-func (n *Node) attributeCrash(endpoint, service string, b *brokenExchange) {
-	blocked, suspected := n.suspects.recordPartCrash(endpoint, service, b)
+func (n *Node) attributeCrash(endpoint string, b *suspect.BrokenExchange) {
+	blocked, suspected := n.suspects.recordPartCrash(endpoint, b)
 	if len(suspected) > 0 {
 		n.log.Warn(event.PartSuspected, "engine crashed while it ran a prompt with these parts", zap.String("endpoint", endpoint),
-			zap.String("service", service), zap.Strings("parts", suspected), zap.Bool("head", b.headReceived))
+			zap.String("service", b.Service), zap.Strings("parts", suspected), zap.Bool("head", b.Answering))
 	}
 	for _, parts := range blocked {
-		n.log.Warn(event.PartBlocked, "prompts with these parts are blocked", zap.String("service", service), zap.Strings("parts", parts),
+		n.log.Warn(event.PartBlocked, "prompts with these parts are blocked", zap.String("service", b.Service), zap.Strings("parts", parts),
 			zap.String("endpoint", endpoint))
 	}
 }
@@ -217,8 +191,9 @@
 		return
 	}
 	now := clock.Now()
-	n.attributeCrash(r.Endpoint, r.Service, &brokenExchange{
-		shared: r.Parts, headReceived: r.Answering, sentAt: now.Add(-r.SentAge), brokenAt: now.Add(-r.BrokenAge),
+	n.attributeCrash(r.Endpoint, &suspect.BrokenExchange{
+		Exchange: suspect.Exchange{Parts: r.Parts, Answering: r.Answering, SentAt: now.Add(-r.SentAge)},
+		Service:  r.Service, BrokenAt: now.Add(-r.BrokenAge),
 	})
 }
 
