Let a late report of any earlier crash refute a block of prompt parts

Callers with a sound part got 500 for up to ten minutes when it had waited at three engines that another part crashed, and the guilty request of the second crash was reported after the third.

Cause: a block was lifted only by a later report of the last crash that led to it, though its evidence comes from all of them. Class: a conclusion that is kept when one of its premises falls.

Ruled out: lifting each block whose evidence has become too little (crashes are forgotten when there are many, which refutes nothing).

Change: a block remembers the crashes it was found by, and a report of any of them has it checked again.

Test: TestPartTable, "a late report of the crash before the last refutes a block"; before, [[s]] stayed blocked.

--- a/internal/coordination/suspect/parts.go
+++ b/internal/coordination/suspect/parts.go
@@ -88,8 +88,8 @@
 	parts []string
 	// since is when a crash last confirmed the block.
 	since clock.Instant
-	// cause is the crash that led to the block, or nil if another instance has found it.
-	cause *engineCrash
+	// causes are the crashes that had been recorded when the block was found here; there are none if another instance has found it.
+	causes []*engineCrash
 }
 
 func (b *block) appliesAt(now clock.Instant) bool { return now.Sub(b.since) < Retention }
@@ -129,14 +129,14 @@
 	}
 	t.evaluate()
 	t.removeRefuted(c)
-	return t.addBlocks(now, c)
+	return t.addBlocks(now)
 }
 
-// removeRefuted removes the blocks that a crash led to and that a later report of the same crash has refuted: the request whose answer was
-// beginning may be reported after those that waited beside it.
+// removeRefuted removes the blocks that a crash has led to and that a later report of it has refuted: the request whose answer was beginning
+// may be reported after those that waited beside it, and after the engines' next crashes.
 func (t *PartTable) removeRefuted(c *engineCrash) {
 	t.blocks = slices.DeleteFunc(t.blocks, func(b *block) bool {
-		return b.cause == c && slices.ContainsFunc(b.parts, func(part string) bool { return !t.suffices(part) })
+		return slices.Contains(b.causes, c) && slices.ContainsFunc(b.parts, func(part string) bool { return !t.suffices(part) })
 	})
 }
 
@@ -217,14 +217,14 @@
 }
 
 // addBlocks adds blocks for the parts with enough evidence after a crash, and returns their parts.
-func (t *PartTable) addBlocks(now clock.Instant, cause *engineCrash) [][]string {
+func (t *PartTable) addBlocks(now clock.Instant) [][]string {
 	var added [][]string
 	for part, s := range t.evidence {
 		if !t.suffices(part) {
 			continue
 		}
 		parts := slices.DeleteFunc(slices.Clone(s.common), func(other string) bool { return !t.suffices(other) })
-		if t.addBlock(&block{parts: parts, since: now, cause: cause}) {
+		if t.addBlock(&block{parts: parts, since: now, causes: slices.Clone(t.crashes)}) {
 			added = append(added, parts)
 		}
 	}
--- a/internal/coordination/suspect/parts_test.go
+++ b/internal/coordination/suspect/parts_test.go
@@ -190,6 +190,15 @@
 		table.RecordAnswer(instant(2), []string{"b"})
 		So(blocked, ShouldResemble, []string{"b", "x"})
 	})
+	Convey("a late report of the crash before the last refutes a block", t, func() {
+		table := applyPartEvents([]partEvent{
+			{at: 10000, crashed: "e1", sent: 9900, parts: "s", pending: true}, {at: 10500, crashed: "e2", sent: 10400, parts: "s", pending: true},
+			{at: 11000, crashed: "e3", sent: 10900, parts: "s", pending: true},
+		})
+		So(table.Blocks(instant(11100)), ShouldResemble, [][]string{{"s"}})
+		table.RecordCrash(instant(11200), "e2", instant(10500), suspect.Exchange{Parts: []string{"x"}, Answering: true, SentAt: instant(10400)})
+		So(table.Blocks(instant(11300)), ShouldBeEmpty)
+	})
 	Convey("a block that another instance has found applies", t, func() {
 		table := suspect.NewPartTable()
 		So(table.AddBlock(instant(1000), []string{"x", "b"}), ShouldBeTrue)
