Adopt no grant that has ended on the native edge

Found by review with a trial test. Callers saw nothing wrong in their own answers; others waited longer or were refused, since a group had one slot too few: with a deadline of 60 s the slot was occupied for 70.2 s, until the queue reclaimed it 10 s after the deadline.

Cause: after a change of the group's owner, grants are reported to the new one in the background, each after a withdrawal at the old owner that may take a second, while the end of a grant goes to the new owner at once. The queue dropped the end of a grant that it did not know, and then adopted the grant.

Ruled out: to skip only the report of a grant that has ended (messages of one connection are handled concurrently, so that the end may overtake a report that has been sent).

Change: the queue remembers the end of an unknown grant for 5 s, as it did for withdrawals, and adopts no grant with such an end or withdrawal. The client reports no grant that has ended by the time of sending.

Tests, before and after: TestEndedGrantAdopted, slot occupied for 70.2 s after a Done and after a withdrawal, and 0 s; TestGrantEndsBeforeReassignment, an ended grant reported once, and not at all. Both pass in 5 of 5 runs with -race, and the package's other tests pass.

Conclusion: an end is honoured in whatever order it arrives. A withdrawal that the old owner handles after it has become the owner again still ends the grant there; that was so before.

--- a/internal/coordination/group/client.go
+++ b/internal/coordination/group/client.go
@@ -326,11 +326,20 @@
 		for i := range pending {
 			r := &pending[i]
 			c.Owners.Withdraw(r.from, r.key, r.request.ID)
-			c.Owners.Adopt(r.to, r.key, r.request, r.endpoint)
+			// The grant may have ended while the withdrawal was being sent.
+			if c.holds(r.request.ID) {
+				c.Owners.Adopt(r.to, r.key, r.request, r.endpoint)
+			}
 		}
 	}()
 }
 
+func (c *Client) holds(id uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held[id] != nil
+}
+
 func (c *Client) reassignments() []reassignment {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/coordination/group/client_test.go
+++ b/internal/coordination/group/client_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -135,3 +136,50 @@
 		}
 	})
 }
+
+// changingOwners has one owner, which the test replaces, and takes withdrawDelay for each withdrawal.
+type changingOwners struct {
+	delayedOwners
+	owner         atomic.Pointer[string]
+	withdrawDelay time.Duration
+	adopted       atomic.Int64
+}
+
+func (o *changingOwners) Candidates(string) []string { return []string{*o.owner.Load()} }
+
+func (o *changingOwners) Withdraw(owner string, key group.Key, id uint64) {
+	time.Sleep(o.withdrawDelay)
+	o.delayedOwners.Withdraw(owner, key, id)
+}
+
+func (o *changingOwners) Adopt(string, group.Key, group.GrantRequest, string) { o.adopted.Add(1) }
+
+// TestGrantEndsBeforeReassignment checks that a grant that ends while the withdrawal at the previous owner is being sent is not reported
+// to the new one.
+func TestGrantEndsBeforeReassignment(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			owners := &changingOwners{withdrawDelay: time.Second}
+			previous, next := "a", "b"
+			owners.owner.Store(&previous)
+			client := newClient(t, 1, owners)
+			grant, err := client.Acquire(t.Context(), "deployment/m", newRequest(1, group.ClassShort))
+			if err != nil {
+				t.Fatal(err)
+			}
+			owners.owner.Store(&next)
+			client.ReassignGrants()
+			synctest.Wait()
+			want := int64(1)
+			if ends {
+				grant.Done(0)
+				want = 0
+			}
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+			if adopted := owners.adopted.Load(); adopted != want {
+				t.Errorf("ended is %v: the grant was reported to the new owner %d times, want %d", ends, adopted, want)
+			}
+		})
+	}
+}
--- a/internal/coordination/group/queue.go
+++ b/internal/coordination/group/queue.go
@@ -29,9 +29,9 @@
 	waiting map[GrantID]*waiter
 	// running maps each active grant to its endpoint.
 	running map[GrantID]string
-	// withdrawn holds the requests that were withdrawn before they arrived, and when.
-	withdrawn map[GrantID]time.Time
-	random    *rand.Rand
+	// ended maps each request or grant that ended before it arrived to the time of its end.
+	ended  map[GrantID]time.Time
+	random *rand.Rand
 	// lastEndpoints maps each conversation to the endpoint that last served it.
 	lastEndpoints *lru.Cache[string, string]
 }
@@ -49,7 +49,7 @@
 		endpoints: make(map[string]*endpointState),
 		waiting:   make(map[GrantID]*waiter),
 		running:   make(map[GrantID]string),
-		withdrawn: make(map[GrantID]time.Time),
+		ended:     make(map[GrantID]time.Time),
 		random:    rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
 	// lru.New fails only for a size below one.
@@ -85,8 +85,7 @@
 		return nil
 	}
 	wait := q.expectedWait(now, &req)
-	if _, withdrawn := q.withdrawn[id]; withdrawn {
-		delete(q.withdrawn, id)
+	if q.takeEnd(id) {
 		return []Action{q.refuse(now, id, wait)}
 	}
 	late := now.Add(wait + req.Cost).After(req.Deadline)
@@ -99,27 +98,41 @@
 	return q.dispatch(now)
 }
 
-// Adopt records a grant that a previous owner gave, as reported by the instance that holds it.
+// Adopt records a grant that a previous owner gave, as reported by the instance that holds it, unless the grant has ended already.
 func (q *Queue) Adopt(now time.Time, req GrantRequest, endpoint string) {
+	if q.takeEnd(GrantID{Entry: req.Entry, ID: req.ID}) {
+		return
+	}
 	if e := q.endpoints[endpoint]; e != nil {
 		q.startGrant(now, e, &req)
 	}
 }
 
-// withdrawalTimeout is how long the withdrawal of a request that has not arrived is remembered. Messages of one connection are handled
-// concurrently, so that the request follows within the time for which a process may be delayed.
-const withdrawalTimeout = 5 * time.Second
+// endRetention is how long the end of a request or grant that has not arrived is remembered. Messages of one connection are handled
+// concurrently, so that the request or grant follows within the time for which a process may be delayed.
+const endRetention = 5 * time.Second
+
+// recordEnd remembers the end of an unknown request or grant, since the message of the end may overtake the one that it refers to.
+func (q *Queue) recordEnd(now time.Time, id GrantID) {
+	if q.running[id] == "" {
+		q.ended[id] = now
+	}
+}
+
+// takeEnd reports whether a request or grant that arrives has ended already, and forgets its end.
+func (q *Queue) takeEnd(id GrantID) bool {
+	_, ended := q.ended[id]
+	delete(q.ended, id)
+	return ended
+}
 
-// Withdraw removes a queued request, or ends a grant that was not used. The withdrawal of an unknown request is remembered, since it may
-// overtake the request.
+// Withdraw removes a queued request, or ends a grant that was not used.
 func (q *Queue) Withdraw(now time.Time, id GrantID) []Action {
 	if w := q.waiting[id]; w != nil {
 		q.removeWaiting(w)
 		return nil
 	}
-	if q.running[id] == "" {
-		q.withdrawn[id] = now
-	}
+	q.recordEnd(now, id)
 	return q.release(now, id)
 }
 
@@ -130,6 +143,7 @@
 			q.recordRatio(now, e, g, ratio)
 		}
 	}
+	q.recordEnd(now, id)
 	return q.release(now, id)
 }
 
@@ -168,9 +182,9 @@
 		q.ejectIfSlow(now, q.endpoints[name])
 	}
 	q.reclaim(now)
-	for id, at := range q.withdrawn {
-		if now.Sub(at) > withdrawalTimeout {
-			delete(q.withdrawn, id)
+	for id, at := range q.ended {
+		if now.Sub(at) > endRetention {
+			delete(q.ended, id)
 		}
 	}
 	actions := q.dispatch(now)
--- a/internal/coordination/group/queue_test.go
+++ b/internal/coordination/group/queue_test.go
@@ -279,6 +279,36 @@
 	})
 }
 
+// TestEndedGrantAdopted checks that a grant whose end overtakes its adoption occupies no slot.
+func TestEndedGrantAdopted(t *testing.T) {
+	ends := map[string]func(q *group.Queue, id group.GrantID){
+		"done":      func(q *group.Queue, id group.GrantID) { q.Done(start, id, 0) },
+		"withdrawn": func(q *group.Queue, id group.GrantID) { q.Withdraw(start, id) },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			q := newQueue(1, 1)
+			req := newRequest(1, group.ClassShort)
+			req.Deadline = start.Add(time.Minute)
+			end(q, requestID(1))
+			q.Adopt(start.Add(time.Millisecond), req, "e0")
+			held := time.Duration(0)
+			for ; q.Running() > 0 && held < 2*time.Minute; held += 100 * time.Millisecond {
+				q.Tick(start.Add(held))
+			}
+			if held > 0 {
+				t.Errorf("the slot was occupied for %v", held)
+			}
+			end(q, requestID(2))
+			q.Tick(start.Add(6 * time.Second))
+			q.Adopt(start.Add(6*time.Second), newRequest(2, group.ClassShort), "e0")
+			if q.Running() != 1 {
+				t.Error("an end was remembered for more than 5 s")
+			}
+		})
+	}
+}
+
 // TestQueueInvariants applies random events to a queue and checks that no endpoint has more grants than slots and that every request is
 // answered exactly once.
 func TestQueueInvariants(t *testing.T) {
