Grant a request that is repeated after its connection has closed

Found by review with a trial test. Callers whose entry lost its connection to a group's owner while they waited for a slot could be told to retry later although slots were free.

Cause: when a connection closes, the owner drops the requests of the entry, and the handlers of its calls end and withdraw theirs. A withdrawal that came after the drop found nothing, so it was remembered as one that had overtaken its request, and the same request was refused when the entry repeated it 20 ms later with the same ID.

Ruled out: to forget an entry's withdrawals when it is dropped (the withdrawal comes afterwards); to remember the IDs that were dropped (a call's own withdrawal is enqueued after its request and never has to be remembered).

Change: a call that ends cancels its request without remembering it; only withdrawals that come as messages are remembered. Each repetition has an ID of its own, so that the cancellation of the call before can't end it.

The review's trial calls Queue.Withdraw in place of the call's own withdrawal; it isn't satisfied as written, since a withdrawal by message must still be remembered (TestQueue).

Conclusion: the end of a call over a closed connection has no effect on a later one. Not covered: an entry that has connected again before the owner notices that its old connection closed has its new requests dropped with the old ones.

--- a/internal/coordination/group/client.go
+++ b/internal/coordination/group/client.go
@@ -93,8 +93,10 @@
 func (e *RefusedError) Unwrap() error { return ErrRefused }
 
 type reply struct {
-	key    Key
-	owner  string
+	key   Key
+	owner string
+	// id is the ID of the request that was answered.
+	id     uint64
 	action Action
 	err    error
 }
@@ -129,7 +131,7 @@
 			timer.Stop()
 			open--
 			if grant := c.accept(&r, req); grant != nil {
-				c.withdrawRest(replies, open, req.ID)
+				c.withdrawRest(replies, open)
 				return grant, nil
 			}
 			if r.err != nil {
@@ -174,14 +176,14 @@
 }
 
 // withdrawRest withdraws the grants that still arrive for open requests. It runs in the background.
-func (c *Client) withdrawRest(replies <-chan reply, open int, id uint64) {
+func (c *Client) withdrawRest(replies <-chan reply, open int) {
 	if open == 0 {
 		return
 	}
 	go func() {
 		for range open {
 			if r := <-replies; r.err == nil && r.action.Kind == ActionGrant {
-				c.Owners.Withdraw(r.owner, r.key, id)
+				c.Owners.Withdraw(r.owner, r.key, r.id)
 			}
 		}
 	}()
@@ -205,10 +207,15 @@
 	return max(time.Until(started.Add(plan[sent].Delay)), 0)
 }
 
-// requestGrant requests a grant from a group's owner, and from its successor if the owner is unreachable.
+// requestGrant requests a grant from a group's owner, and from its successor if the owner is unreachable. Each repetition has an ID of its
+// own, since the owner may still handle the end of the one before.
 func (c *Client) requestGrant(ctx context.Context, key Key, req GrantRequest) reply {
 	r := reply{key: key, err: ErrNoOwner}
-	for range ownerAttempts {
+	for attempt := range ownerAttempts {
+		if attempt > 0 {
+			req.ID = c.lastID.Add(1)
+		}
+		r.id = req.ID
 		r.owner = rank.First(key.String(), c.Owners.Candidates(key.Zone))
 		if r.owner == "" {
 			r.err = fmt.Errorf("group %s: %w", key, ErrNoOwner)
@@ -234,9 +241,10 @@
 	}
 	endpoint := c.Catalog.Current().Endpoints[r.action.Endpoint]
 	if endpoint == nil {
-		c.Owners.Withdraw(r.owner, r.key, req.ID)
+		c.Owners.Withdraw(r.owner, r.key, r.id)
 		return nil
 	}
+	req.ID = r.id
 	grant := &Grant{
 		Endpoint: endpoint, Version: r.action.Version, Warm: r.action.Warm, ExpiresAt: time.Now().Add(grantLifetime),
 		key: r.key, request: req, owner: r.owner, client: c,
--- a/internal/coordination/group/client_test.go
+++ b/internal/coordination/group/client_test.go
@@ -183,3 +183,42 @@
 		})
 	}
 }
+
+// unreachableOwners fails the first calls, as if their connections had closed, and records the IDs of all.
+type unreachableOwners struct {
+	delayedOwners
+	failures int
+
+	requests []uint64
+	ended    uint64
+}
+
+func (o *unreachableOwners) Acquire(ctx context.Context, owner string, key group.Key, req group.GrantRequest) (group.Action, error) {
+	o.requests = append(o.requests, req.ID)
+	if len(o.requests) <= o.failures {
+		return group.Action{}, errors.New("connection closed")
+	}
+	return o.delayedOwners.Acquire(ctx, owner, key, req)
+}
+
+func (o *unreachableOwners) Done(_ string, _ group.Key, id uint64, _ float64) { o.ended = id }
+
+// TestRepeatedRequestHasOwnID checks that each repetition of a request has an ID of its own, so that the end of an earlier one doesn't
+// concern it, and that the grant ends under the ID that it was given for.
+func TestRepeatedRequestHasOwnID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owners := &unreachableOwners{failures: 2}
+		grant, err := newClient(t, 1, owners).Acquire(t.Context(), "deployment/m", newRequest(1, group.ClassShort))
+		if err != nil {
+			t.Fatal(err)
+		}
+		grant.Done(0)
+		r := owners.requests
+		if len(r) != 3 || r[0] == r[1] || r[1] == r[2] || r[0] == r[2] {
+			t.Fatalf("the repetitions have the IDs %d, want three different ones", r)
+		}
+		if owners.ended != r[2] {
+			t.Errorf("the grant ended with the ID %d, want %d", owners.ended, r[2])
+		}
+	})
+}
--- a/internal/coordination/group/owner.go
+++ b/internal/coordination/group/owner.go
@@ -31,6 +31,7 @@
 	commandRequest commandKind = iota
 	commandAdopt
 	commandWithdraw
+	commandCancel
 	commandDone
 	commandProgress
 	commandDropEntry
@@ -92,7 +93,8 @@
 	case action := <-reply:
 		return action, nil
 	case <-ctx.Done():
-		o.Withdraw(key, GrantID{Entry: req.Entry, ID: req.ID})
+		// The request was enqueued above, so that it can't be overtaken. If it is unknown by now, its entry was dropped and may repeat it.
+		o.enqueue(command{kind: commandCancel, key: key, id: GrantID{Entry: req.Entry, ID: req.ID}})
 		return Action{}, fmt.Errorf("wait for grant: %w", ctx.Err())
 	}
 }
@@ -209,6 +211,9 @@
 	case commandWithdraw:
 		delete(o.replies, replyKey{cmd.key, cmd.id})
 		o.deliver(cmd.key, q.Withdraw(now, cmd.id))
+	case commandCancel:
+		delete(o.replies, replyKey{cmd.key, cmd.id})
+		o.deliver(cmd.key, q.Cancel(now, cmd.id))
 	case commandDone:
 		o.deliver(cmd.key, q.Done(now, cmd.id, cmd.ratio))
 	case commandProgress:
--- a/internal/coordination/group/queue.go
+++ b/internal/coordination/group/queue.go
@@ -126,13 +126,20 @@
 	return ended
 }
 
-// Withdraw removes a queued request, or ends a grant that was not used.
+// Withdraw removes a queued request, or ends a grant that was not used. It may overtake the request.
 func (q *Queue) Withdraw(now time.Time, id GrantID) []Action {
+	if q.waiting[id] == nil {
+		q.recordEnd(now, id)
+	}
+	return q.Cancel(now, id)
+}
+
+// Cancel removes a queued request, or ends a grant that was not used. It has no effect on a request that has not arrived.
+func (q *Queue) Cancel(now time.Time, id GrantID) []Action {
 	if w := q.waiting[id]; w != nil {
 		q.removeWaiting(w)
 		return nil
 	}
-	q.recordEnd(now, id)
 	return q.release(now, id)
 }
 
