Count the crash of an engine that was started again shortly before

Found by review with a trial test. Callers' requests went on crashing engines that were back within 2 s of a crash: the second of two such requests was answered with `overloaded` or ran into its deadline, and crashed engines again when its caller repeated it. By an entry that doesn't own the engines' group, the crash of an engine that was started again at once wasn't noticed at all, and one request crashed engines in each of its six attempts.

Cause: a request that was sent less than 2 s after a crash was noticed counted as one that had not been in flight at any crash, even if it had been sent to the next run of the engine's process; so nothing was counted, marked down or reported. Only a group's owner reads the runs of its engines; other entries knew none, or, after a mismatch of versions, one of any age.

Ruled out: to compare runs alone (all requests in flight at one crash are suspects, so each counts, although the run has been reported); to read the load before each request (one more exchange for each attempt).

Change: a crash is recorded and reported with the run that ended, and only requests sent to that run after its end was noticed are left out. If a run is unknown, as in messages of the release before, the rule of 2 s applies.

TestFrames covers messages from and to the release before. No test covers the age of a run.

Conclusion: a request is counted at each crash that it was in flight at, whichever entry sent it. What remains, by reading: suspect.Table and PartTable take crashes of one endpoint within 2 s for one, so that a caller's own repetition on the same engine within that time isn't counted.

--- a/internal/coordination/group/client.go
+++ b/internal/coordination/group/client.go
@@ -47,6 +47,8 @@
 	Endpoint *catalog.Endpoint
 	// Version is the weight version that the endpoint is running according to the owner, or empty if unknown.
 	Version string
+	// RunID identifies the run of the endpoint's process according to the owner, or is empty if unknown.
+	RunID string
 	// Warm is true if the endpoint was the last one to serve the conversation.
 	Warm bool
 	// ExpiresAt is the time at which an unused grant expires.
@@ -246,8 +248,8 @@
 	}
 	req.ID = r.id
 	grant := &Grant{
-		Endpoint: endpoint, Version: r.action.Version, Warm: r.action.Warm, ExpiresAt: time.Now().Add(grantLifetime),
-		key: r.key, request: req, owner: r.owner, client: c,
+		Endpoint: endpoint, Version: r.action.Version, RunID: r.action.RunID, Warm: r.action.Warm,
+		ExpiresAt: time.Now().Add(grantLifetime), key: r.key, request: req, owner: r.owner, client: c,
 	}
 	c.register(grant)
 	return grant
--- a/internal/coordination/group/queue.go
+++ b/internal/coordination/group/queue.go
@@ -254,7 +254,7 @@
 			id := GrantID{Entry: w.request.Entry, ID: w.request.ID}
 			warm := q.lastServed(&w.request) == e.Name
 			q.startGrant(now, e, &w.request)
-			actions = append(actions, Action{Kind: ActionGrant, ID: id, Endpoint: e.Name, Version: e.Version, Warm: warm})
+			actions = append(actions, Action{Kind: ActionGrant, ID: id, Endpoint: e.Name, Version: e.Version, RunID: e.RunID, Warm: warm})
 		}
 	}
 	return actions
--- a/internal/coordination/group/types.go
+++ b/internal/coordination/group/types.go
@@ -43,6 +43,8 @@
 	Leaving bool
 	// Version is the weight version that the endpoint is running, or empty if unknown.
 	Version string
+	// RunID identifies the run of the endpoint's process, or is empty if unknown.
+	RunID string
 }
 
 // GrantRequest is a request to a group's owner for the grant of a slot on an endpoint.
@@ -89,6 +91,7 @@
 	ID       GrantID
 	Endpoint string
 	Version  string
+	RunID    string
 	// Warm is true if the endpoint was the last one to serve the conversation.
 	Warm bool
 	// RetryAfter is the earliest time at which a refused caller should retry.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -45,7 +45,10 @@
 	}
 	j.begun = false
 	j.sentAt = time.Now()
-	j.engineRunID = n.health.runID(grant.Endpoint.Name)
+	j.engineRunID = grant.RunID
+	if j.engineRunID == "" {
+		j.engineRunID = n.health.runID(grant.Endpoint.Name)
+	}
 	err := n.endpoints.Generate(ctx, grant.Endpoint.Address, r, func(c *engine.Chunk) error {
 		return j.handleChunk(grant, c)
 	})
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -36,7 +36,7 @@
 type testInstance struct {
 	callers, operators, peers string
 	service                   *plain.Server
-	platform                  string
+	platform, list            string
 }
 
 func freeAddress(t *testing.T) string {
@@ -63,11 +63,21 @@
 // newTestInstanceWith appends sections to the settings.
 func newTestInstanceWith(t *testing.T, extraSettings string) *testInstance {
 	t.Helper()
-	in := &testInstance{callers: freeAddress(t), operators: freeAddress(t), peers: freeAddress(t), service: plain.New(time.Millisecond)}
+	in := &testInstance{service: plain.New(time.Millisecond)}
 	in.platform = serve(t, keyvalue.New(keyvalue.Config{}).Handler())
+	in.list = serve(t, roster.New(0).Handler())
+	in.run(t, "e0", "z0", "", extraSettings)
+	in.configure(t, serve(t, in.service.Handler()))
+	return in
+}
+
+// run starts the instance and stops it at the end of the test.
+func (in *testInstance) run(t *testing.T, name, zone, seeds, extraSettings string) {
+	t.Helper()
+	in.callers, in.operators, in.peers = freeAddress(t), freeAddress(t), freeAddress(t)
 	cfg, err := settings.ParseEntry("test", []byte(fmt.Sprintf(`[instance]
-name = e0
-zone = z0
+name = %s
+zone = %s
 callers = %s
 operators = %s
 peers = %s
@@ -76,11 +86,12 @@
 list = %s
 [peers]
 secret = %s
+seeds = %s
 [operators]
 tokens = tester:%s
 [limits]
 request_timeout = 5s
-%s`, in.callers, in.operators, in.peers, in.platform, serve(t, roster.New(0).Handler()), secret, catalog.KeyDigest(token), extraSettings)))
+%s`, name, zone, in.callers, in.operators, in.peers, in.platform, in.list, secret, seeds, catalog.KeyDigest(token), extraSettings)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -93,8 +104,6 @@
 			t.Error(err)
 		}
 	})
-	in.configure(t, serve(t, in.service.Handler()))
-	return in
 }
 
 func (in *testInstance) configure(t *testing.T, service string) {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -84,7 +84,7 @@
 			if now := clock.Now(); len(m.Parts) > 0 {
 				h.suspects.recordPieceCrash(m.Endpoint, m.Parts, now.Add(-m.SentAge), now.Add(-m.BrokenAge))
 			}
-			h.health.markCrashed(m.Endpoint)
+			h.health.markCrashed(m.Endpoint, m.RunID)
 			return peer.Empty{}, nil
 		})
 	case peer.KindPartsCleared:
@@ -121,6 +121,7 @@
 		Granted:    action.Kind == group.ActionGrant,
 		Endpoint:   action.Endpoint,
 		Version:    action.Version,
+		RunID:      action.RunID,
 		Warm:       action.Warm,
 		RetryAfter: time.Until(action.RetryAfter),
 	}, nil
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -29,21 +29,38 @@
 	downUntil map[string]time.Time
 	versions  map[string]string
 	loading   map[string]bool
-	// runIDs identifies the run of each engine's process as last read.
-	runIDs map[string]string
-	// crashedAt is when each engine's last crash was noticed.
-	crashedAt map[string]time.Time
+	// runs holds the run of each engine's process as last read.
+	runs map[string]engineRun
+	// crashes holds the last noticed crash of each engine.
+	crashes map[string]engineCrash
 	// lastEvent holds the sequence number of the last cache event read from each engine.
 	lastEvent map[string]uint64
 }
 
+// engineRun identifies a run of an engine's process.
+type engineRun struct {
+	id     string
+	readAt time.Time
+}
+
+// engineCrash is the end of a run of an engine's process.
+type engineCrash struct {
+	// runID is empty if it isn't known which run ended.
+	runID     string
+	noticedAt time.Time
+}
+
+// maxRunAge is how long the run that was last read is taken to be the current one. A round of probes takes up to two periods while other
+// engines don't answer.
+const maxRunAge = 3 * probePeriod
+
 // downPeriod is how long an endpoint that refused a connection gets no new work, unless it answers earlier.
 const downPeriod = 2 * time.Second
 
 func newHealth(n *Node) *health {
 	return &health{
 		node: n, downUntil: make(map[string]time.Time), versions: make(map[string]string), loading: make(map[string]bool),
-		runIDs: make(map[string]string), crashedAt: make(map[string]time.Time), lastEvent: make(map[string]uint64),
+		runs: make(map[string]engineRun), crashes: make(map[string]engineCrash), lastEvent: make(map[string]uint64),
 	}
 }
 
@@ -127,31 +144,42 @@
 	}
 	h.versions[name] = load.Version
 	h.loading[name] = load.Loading
-	h.runIDs[name] = load.RunID
+	h.runs[name] = engineRun{id: load.RunID, readAt: time.Now()}
 }
 
-// markCrashed records that an engine's process has ended; this instance's groups grant nothing on it until it answers.
-func (h *health) markCrashed(name string) {
+// markCrashed records that a run of an engine's process has ended; this instance's groups grant nothing on the engine until it answers.
+func (h *health) markCrashed(name, runID string) {
 	h.markDown(name)
 	h.mu.Lock()
-	h.crashedAt[name] = time.Now()
+	h.crashes[name] = engineCrash{runID: runID, noticedAt: time.Now()}
 	h.mu.Unlock()
 	h.node.owner.MarkDown(name)
 }
 
-// wasCrashed reports whether an engine's crash was noticed less than downPeriod before a request was sent, so that the request was not
-// in flight at the crash.
-func (h *health) wasCrashed(name string, sent time.Time) bool {
+// wasCrashed reports whether a request was sent to a run of an engine's process whose end had been noticed before, so that the request was
+// not in flight at the crash. If either run is unknown, they are taken to be the same for downPeriod.
+func (h *health) wasCrashed(name, runID string, sent time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	at, ok := h.crashedAt[name]
-	return ok && at.Before(sent) && sent.Sub(at) < downPeriod
+	crash, ok := h.crashes[name]
+	if !ok || !crash.noticedAt.Before(sent) {
+		return false
+	}
+	if runID != "" && crash.runID != "" {
+		return runID == crash.runID
+	}
+	return sent.Sub(crash.noticedAt) < downPeriod
 }
 
+// runID returns the run of an engine's process, or "" if it hasn't been read for maxRunAge.
 func (h *health) runID(name string) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.runIDs[name]
+	run := h.runs[name]
+	if time.Since(run.readAt) > maxRunAge {
+		return ""
+	}
+	return run.id
 }
 
 // usable reports whether an endpoint may be sent new work: it isn't leaving, answers, and isn't loading weights.
@@ -175,7 +203,9 @@
 	endpoints := group.Endpoints(h.node.follower.Current(), key)
 	members := make([]group.Member, len(endpoints))
 	for i, e := range endpoints {
-		members[i] = group.Member{Name: e.Name, Slots: e.Slots, Leaving: !h.usable(e), Version: h.version(e.Name)}
+		members[i] = group.Member{
+			Name: e.Name, Slots: e.Slots, Leaving: !h.usable(e), Version: h.version(e.Name), RunID: h.runID(e.Name),
+		}
 	}
 	return members
 }
--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -35,7 +35,9 @@
 		}
 		return group.Action{}, err
 	}
-	action := group.Action{Kind: group.ActionRefuse, Endpoint: reply.Endpoint, Version: reply.Version, Warm: reply.Warm}
+	action := group.Action{
+		Kind: group.ActionRefuse, Endpoint: reply.Endpoint, Version: reply.Version, RunID: reply.RunID, Warm: reply.Warm,
+	}
 	if reply.Granted {
 		action.Kind = group.ActionGrant
 	}
--- a/internal/entry/prompt.go
+++ b/internal/entry/prompt.go
@@ -248,7 +248,7 @@
 // handleBrokenStream distinguishes a crash of the engine from an interrupted connection. After an interruption the answer is resumed on
 // the same endpoint.
 //
-// A request that was sent after the engine had crashed was not in flight at the crash, and is not counted as a suspect.
+// A request that was sent after the crash had been noticed was not in flight at the crash, and is not counted as a suspect.
 func (j *job) handleBrokenStream(ctx context.Context, e *catalog.Endpoint) {
 	h := j.node.health
 	if !j.node.endpoints.Crashed(ctx, e.Address, j.engineRunID) {
@@ -257,11 +257,11 @@
 	}
 	j.resumeAt = ""
 	j.avoid = append(j.avoid, e.Name)
-	if h.wasCrashed(e.Name, j.sentAt) {
+	if h.wasCrashed(e.Name, j.engineRunID, j.sentAt) {
 		return
 	}
-	h.markCrashed(e.Name)
-	report := &peer.CrashReport{Digest: j.digest, Endpoint: e.Name}
+	h.markCrashed(e.Name, j.engineRunID)
+	report := &peer.CrashReport{Digest: j.digest, Endpoint: e.Name, RunID: j.engineRunID}
 	if !j.begun {
 		report.Parts, report.SentAge = j.pieces, time.Since(j.sentAt)
 	}
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -74,7 +74,7 @@
 		return
 	}
 	n.log.Warn(event.EndpointCrashed, "endpoint crashed with a request in flight", zap.String("endpoint", endpoint),
-		zap.String("digest", r.Digest), zap.Strings("pieces", r.Parts))
+		zap.String("run", r.RunID), zap.String("digest", r.Digest), zap.Strings("pieces", r.Parts))
 	if len(r.Parts) > 0 {
 		now := clock.Now()
 		n.suspects.recordPieceCrash(endpoint, r.Parts, now.Add(-r.SentAge), now)
--- a/internal/protocol/peer/frame_test.go
+++ b/internal/protocol/peer/frame_test.go
@@ -48,6 +48,35 @@
 		So(msgpack.Unmarshal(data, &got), ShouldBeNil)
 		So(got, ShouldResemble, heartbeat)
 	})
+	Convey("the run of an endpoint's process", t, func() {
+		// earlierReply and earlierReport have the fields of the release before.
+		type earlierReply struct {
+			Granted           bool
+			Endpoint, Version string
+		}
+		type earlierReport struct{ Digest, Endpoint string }
+		transcode := func(from, to any) {
+			data, err := msgpack.Marshal(from)
+			So(err, ShouldBeNil)
+			So(msgpack.Unmarshal(data, to), ShouldBeNil)
+		}
+		Convey("is empty in messages of the release before", func() {
+			var reply peer.GrantReply
+			transcode(earlierReply{true, "e", "v"}, &reply)
+			So(reply, ShouldResemble, peer.GrantReply{Granted: true, Endpoint: "e", Version: "v"})
+			var report peer.CrashReport
+			transcode(earlierReport{"d", "e"}, &report)
+			So(report, ShouldResemble, peer.CrashReport{Digest: "d", Endpoint: "e"})
+		})
+		Convey("is ignored by the release before", func() {
+			var reply earlierReply
+			transcode(peer.GrantReply{Granted: true, Endpoint: "e", Version: "v", RunID: "r"}, &reply)
+			So(reply, ShouldResemble, earlierReply{true, "e", "v"})
+			var report earlierReport
+			transcode(peer.CrashReport{Digest: "d", Endpoint: "e", RunID: "r"}, &report)
+			So(report, ShouldResemble, earlierReport{"d", "e"})
+		})
+	})
 	Convey("a handshake proof", t, func() {
 		secret, challenge := []byte("a secret of the peers"), []byte("0123456789abcdef")
 		hello := peer.Hello{Version: peer.Version, Name: "a", Incarnation: "a#1"}
--- a/internal/protocol/peer/messages.go
+++ b/internal/protocol/peer/messages.go
@@ -38,6 +38,8 @@
 	Granted  bool
 	Endpoint string
 	Version  string
+	// RunID identifies the run of the endpoint's process. It is empty if unknown, or from an earlier release.
+	RunID string `msgpack:"RunID,omitempty"`
 	// Warm is true if the endpoint served the same conversation last.
 	Warm bool
 	// RetryAfter is the time after which a refused caller should retry.
@@ -146,6 +148,8 @@
 type CrashReport struct {
 	Digest   string
 	Endpoint string
+	// RunID identifies the run of the endpoint's process that has ended. It is empty if unknown, or from an earlier release.
+	RunID string `msgpack:"RunID,omitempty"`
 	// Service and Parts are the service and the shared parts of the request's prompt. Parts is nil if the answer had begun.
 	Service string
 	Parts   []string
