--- a/internal/coordination/group/client.go
+++ b/internal/coordination/group/client.go
@@ -47,6 +47,8 @@
 	Endpoint *catalog.Endpoint
 	// Version is the weight version that the endpoint is running according to the owner, or empty if unknown.
 	Version string
+	// RunID identifies the run of the endpoint's process according to the owner, or is empty if unknown.
+	RunID string
 	// Warm is true if the endpoint was the last one to serve the conversation.
 	Warm bool
 	// ExpiresAt is the time at which an unused grant expires.
@@ -93,8 +95,10 @@
 func (e *RefusedError) Unwrap() error { return ErrRefused }
 
 type reply struct {
-	key    Key
-	owner  string
+	key   Key
+	owner string
+	// id is the ID of the request that was answered.
+	id     uint64
 	action Action
 	err    error
 }
@@ -129,7 +133,7 @@
 			timer.Stop()
 			open--
 			if grant := c.accept(&r, req); grant != nil {
-				c.withdrawRest(replies, open, req.ID)
+				c.withdrawRest(replies, open)
 				return grant, nil
 			}
 			if r.err != nil {
@@ -174,14 +178,14 @@
 }
 
 // withdrawRest withdraws the grants that still arrive for open requests. It runs in the background.
-func (c *Client) withdrawRest(replies <-chan reply, open int, id uint64) {
+func (c *Client) withdrawRest(replies <-chan reply, open int) {
 	if open == 0 {
 		return
 	}
 	go func() {
 		for range open {
 			if r := <-replies; r.err == nil && r.action.Kind == ActionGrant {
-				c.Owners.Withdraw(r.owner, r.key, id)
+				c.Owners.Withdraw(r.owner, r.key, r.id)
 			}
 		}
 	}()
@@ -205,10 +209,15 @@
 	return max(time.Until(started.Add(plan[sent].Delay)), 0)
 }
 
-// requestGrant requests a grant from a group's owner, and from its successor if the owner is unreachable.
+// requestGrant requests a grant from a group's owner, and from its successor if the owner is unreachable. Each repetition has an ID of its
+// own, since the owner may still handle the end of the one before.
 func (c *Client) requestGrant(ctx context.Context, key Key, req GrantRequest) reply {
 	r := reply{key: key, err: ErrNoOwner}
-	for range ownerAttempts {
+	for attempt := range ownerAttempts {
+		if attempt > 0 {
+			req.ID = c.lastID.Add(1)
+		}
+		r.id = req.ID
 		r.owner = rank.First(key.String(), c.Owners.Candidates(key.Zone))
 		if r.owner == "" {
 			r.err = fmt.Errorf("group %s: %w", key, ErrNoOwner)
@@ -234,12 +243,13 @@
 	}
 	endpoint := c.Catalog.Current().Endpoints[r.action.Endpoint]
 	if endpoint == nil {
-		c.Owners.Withdraw(r.owner, r.key, req.ID)
+		c.Owners.Withdraw(r.owner, r.key, r.id)
 		return nil
 	}
+	req.ID = r.id
 	grant := &Grant{
-		Endpoint: endpoint, Version: r.action.Version, Warm: r.action.Warm, ExpiresAt: time.Now().Add(grantLifetime),
-		key: r.key, request: req, owner: r.owner, client: c,
+		Endpoint: endpoint, Version: r.action.Version, RunID: r.action.RunID, Warm: r.action.Warm,
+		ExpiresAt: time.Now().Add(grantLifetime), key: r.key, request: req, owner: r.owner, client: c,
 	}
 	c.register(grant)
 	return grant
@@ -326,11 +336,20 @@
 		for i := range pending {
 			r := &pending[i]
 			c.Owners.Withdraw(r.from, r.key, r.request.ID)
-			c.Owners.Adopt(r.to, r.key, r.request, r.endpoint)
+			// The grant may have ended while the withdrawal was being sent.
+			if c.holds(r.request.ID) {
+				c.Owners.Adopt(r.to, r.key, r.request, r.endpoint)
+			}
 		}
 	}()
 }
 
+func (c *Client) holds(id uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held[id] != nil
+}
+
 func (c *Client) reassignments() []reassignment {
 	c.mu.Lock()
 	defer c.mu.Unlock()
