Decide in a package of its own whether an entry's data is its relay's

Seen: the known reds of TestLargeSite come from decisions on times, but these stand among the queries in internal/gateway/relay.go, where only a site of several seconds can test them.

Change: internal/coordination/source decides how long the data received suffices, which relays have failed, when they are probed and for how long a query is held; relay.go asks it. No decision is changed: Hold returns its limit, as before.

Test: TestSource shows the decisions as they are.

--- /dev/null
+++ b/internal/coordination/source/source_test.go
@@ -0,0 +1,49 @@
+package source_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumvale/internal/coordination/source"
+	"gypsumvale/internal/state/clock"
+)
+
+const maxAge = 1950 * time.Millisecond
+
+func TestSource(t *testing.T) {
+	Convey("the source of an entry that has just started", t, func() {
+		now := clock.Instant(time.Hour)
+		s := source.New(now)
+		Convey("suffices while the data received is new enough", func() {
+			So(s.Suffices(now, maxAge), ShouldBeFalse)
+			s.RecordData(now)
+			So(s.Suffices(now.Add(maxAge-1), maxAge), ShouldBeTrue)
+			So(s.Suffices(now.Add(maxAge), maxAge), ShouldBeFalse)
+		})
+		Convey("has timed out once no data has sufficed for the fallback timeout", func() {
+			So(s.TimedOut(now.Add(source.FallbackTimeout)), ShouldBeFalse)
+			So(s.TimedOut(now.Add(source.FallbackTimeout+1)), ShouldBeTrue)
+		})
+		Convey("uses no relay that failed until it is restored, and probes it once per interval", func() {
+			s.RecordFailure(now, "first")
+			So(s.Usable([]string{"first", "second"}), ShouldResemble, []string{"second"})
+			So(s.DueProbes(now.Add(source.ProbeInterval-1)), ShouldBeEmpty)
+			So(s.DueProbes(now.Add(source.ProbeInterval)), ShouldResemble, []string{"first"})
+			s.Restore("first")
+			So(s.DueProbes(now.Add(source.ProbeInterval)), ShouldBeEmpty)
+			So(s.Usable([]string{"first", "second"}), ShouldResemble, []string{"first", "second"})
+		})
+		Convey("allows a newly selected relay its first read", func() {
+			So(s.RecentlySelected(now, "first"), ShouldBeTrue)
+			So(s.Select(now, "first"), ShouldBeEmpty)
+			So(s.RecentlySelected(now.Add(source.FirstReadTimeout-1), "first"), ShouldBeTrue)
+			So(s.RecentlySelected(now.Add(source.FirstReadTimeout), "first"), ShouldBeFalse)
+			So(s.Select(now, "second"), ShouldEqual, "first")
+		})
+		Convey("lets the relay in use hold queries for the full time", func() {
+			So(s.Hold(now, 900*time.Millisecond), ShouldEqual, 900*time.Millisecond)
+		})
+	})
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"gypsumvale/internal/coordination/rank"
+	"gypsumvale/internal/coordination/source"
 	"gypsumvale/internal/duty"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/protocol/peer"
@@ -29,14 +30,6 @@
 	// it. If maxRelayAgeShare of the bound for leaving endpoints is longer, that applies instead.
 	maxRelayAge      = 1200 * time.Millisecond
 	maxRelayAgeShare = 0.65
-	// relayFallbackTimeout is how long an entry waits for a relay before it reads all pages itself, on sites whose data fills many pages
-	// of the store.
-	relayFallbackTimeout = 1500 * time.Millisecond
-	// probeInterval is how often a relay that failed or had outdated data is queried again. After slow reads of the store, a relay needs most
-	// of the bound for leaving endpoints to read it again; it must then be followed within the rest.
-	probeInterval = 300 * time.Millisecond
-	// firstReadTimeout is how long a newly selected relay may have outdated data, to allow for its first read of all pages.
-	firstReadTimeout = 750 * time.Millisecond
 )
 
 // relay is the task by which one entry of a zone polls the store for the others, so that the number of calls grows with zones, not
@@ -49,16 +42,8 @@
 type relay struct {
 	node *Node
 
-	mu sync.Mutex
-	// dataReadAt is when the relay read the data that this entry has from it; lastSufficient is when that data last replaced the entry's
-	// own polling.
-	dataReadAt     clock.Instant
-	lastSufficient clock.Instant
-	// nextProbe holds the relays that failed or had outdated data, with the time of their next probe; other relays are used meanwhile.
-	nextProbe map[string]clock.Instant
-	// current is the relay in use, and currentSince is when it was selected.
-	current      string
-	currentSince clock.Instant
+	mu     sync.Mutex
+	source *source.Source
 	// lastRun and lastSeen are the incarnation and publication number in the relay's last answer.
 	lastRun  string
 	lastSeen uint64
@@ -69,7 +54,7 @@
 }
 
 func newRelay(n *Node) *relay {
-	return &relay{node: n, nextProbe: make(map[string]clock.Instant), lastSufficient: clock.Now(), changed: make(chan struct{})}
+	return &relay{node: n, source: source.New(clock.Now()), changed: make(chan struct{})}
 }
 
 // maxAge is how old a relay's data may be while it replaces this entry's own polling.
@@ -81,30 +66,26 @@
 func (r *relay) maxHold() time.Duration { return pollPeriod(r.node.bounds.Load()) + holdMargin }
 
 // readsAllPages reports whether this entry reads all pages of the store: as the relay of its zone, or because no relay's data has
-// sufficed for relayFallbackTimeout.
+// sufficed for source.FallbackTimeout.
 func (r *relay) readsAllPages(now clock.Instant) bool {
 	name := r.preferred()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return name == r.node.cfg.Name || now.Sub(r.lastSufficient) > relayFallbackTimeout
+	return name == r.node.cfg.Name || r.source.TimedOut(now)
 }
 
 // suffices reports whether the relay's data is new enough that this entry need not poll the store now.
 func (r *relay) suffices(now clock.Instant) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sufficient := r.dataReadAt != 0 && now.Sub(r.dataReadAt) < r.maxAge()
-	if sufficient {
-		r.lastSufficient = now
-	}
-	return sufficient
+	return r.source.Suffices(now, r.maxAge())
 }
 
 func (r *relay) run(ctx context.Context) {
 	duty.Every(ctx, syncInterval, func(ctx context.Context) {
 		name := r.selectPeer()
 		if name != "" {
-			result := r.sync(ctx, name, r.maxHold())
+			result := r.sync(ctx, name, r.holdTime(clock.Now()))
 			r.recordResult(name, result == syncDone || result == syncPending && r.recentlySelected(name) || ctx.Err() != nil)
 		}
 		for _, name := range r.dueProbes(clock.Now()) {
@@ -114,11 +95,17 @@
 	})
 }
 
-// recentlySelected reports whether a relay may not have read everything yet because it has only just been selected.
+// holdTime is for how long the relay in use may hold the next query open.
+func (r *relay) holdTime(now clock.Instant) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.source.Hold(now, r.maxHold())
+}
+
 func (r *relay) recentlySelected(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.current != name || clock.Now().Sub(r.currentSince) < firstReadTimeout
+	return r.source.RecentlySelected(clock.Now(), name)
 }
 
 // recordResult schedules a probe of a relay that can't be used now, or puts a usable one back into the selection.
@@ -127,32 +114,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if usable || !known {
-		delete(r.nextProbe, name)
+		r.source.Restore(name)
 		return
 	}
-	r.nextProbe[name] = clock.Now().Add(probeInterval)
+	r.source.RecordFailure(clock.Now(), name)
 }
 
-// dueProbes returns the failed relays that should be queried again now.
 func (r *relay) dueProbes(now clock.Instant) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var names []string
-	for name, next := range r.nextProbe {
-		if !now.Before(next) {
-			names = append(names, name)
-		}
-	}
-	return names
+	return r.source.DueProbes(now)
 }
 
 // setCurrent records which relay is in use, and logs a change.
 func (r *relay) setCurrent(name string) {
 	r.mu.Lock()
-	previous := r.current
-	if previous != name {
-		r.current, r.currentSince = name, clock.Now()
-	}
+	previous := r.source.Select(clock.Now(), name)
 	r.mu.Unlock()
 	if previous != name {
 		// This entry may now be the relay itself.
@@ -174,14 +151,8 @@
 func (r *relay) preferred() string {
 	names := r.node.members.relayCandidates(r.node.cfg.Zone)
 	r.mu.Lock()
-	usable := names[:0]
-	for _, name := range names {
-		if _, failed := r.nextProbe[name]; !failed {
-			usable = append(usable, name)
-		}
-	}
-	r.mu.Unlock()
-	return rank.First("relay", usable)
+	defer r.mu.Unlock()
+	return rank.First("relay", r.source.Usable(names))
 }
 
 // syncResult is the outcome of a query to a relay.
@@ -242,7 +213,7 @@
 	}
 	r.mu.Lock()
 	r.lastRun, r.lastSeen = update.Run, update.Seen
-	r.dataReadAt = asOf.Add(-update.Age)
+	r.source.RecordData(asOf.Add(-update.Age))
 	r.mu.Unlock()
 	return syncDone
 }
