Measure an entry's wait for its relay from the data, not from the last check

Seen: known reds of TestLargeSite, "is read by one entry of the zone" and "again". In traced runs on two cores beside two busy processes, an entry that followed a relay read all pages although the relay's data had sufficed throughout: followed at 45.92 with data of 1.0 s, read everything from 46.75.

Cause: all pages are read when data has not sufficed for 1.5 s, but the time at which it last had was only noted when the poller asked, and the poller doesn't ask while it reads. Under load a read takes 1.0 to 1.4 s, so the next one found the time run out.

Ruled out: data that was too old in fact (its age at the check was 1.83 s, with 1.95 s allowed); relayed data that was not applied.

Change: the source holds until when its data suffices, and the wait counts from there. A relay with older data doesn't set that back, as it doesn't replace what is held.

Test: TestSource, "has not timed out after one read of its own during which the relay's data sufficed" and "isn't set back by a relay whose data is older"; both failed before.

Conclusion: one cause of second readers.

--- a/internal/coordination/source/source.go
+++ b/internal/coordination/source/source.go
@@ -19,10 +19,8 @@
 
 // Source holds which relay an entry uses, which ones have failed, and how long the data received replaces reads of its own.
 type Source struct {
-	// dataReadAt is when the relay read the data that this entry has from it; lastSufficient is when that data last replaced the entry's
-	// own polling.
-	dataReadAt     clock.Instant
-	lastSufficient clock.Instant
+	// sufficientUntil is how long the data received replaces reads of the entry's own.
+	sufficientUntil clock.Instant
 	// nextProbe holds the relays that failed or had outdated data, with the time of their next probe; other relays are used meanwhile.
 	nextProbe map[string]clock.Instant
 	// current is the relay in use, and currentSince is when it was selected.
@@ -32,23 +30,21 @@
 
 // New returns the source of an entry that has just started.
 func New(now clock.Instant) *Source {
-	return &Source{nextProbe: make(map[string]clock.Instant), lastSufficient: now}
+	return &Source{nextProbe: make(map[string]clock.Instant), sufficientUntil: now}
 }
 
-// RecordData records when the relay read the data that was received from it.
-func (s *Source) RecordData(readAt clock.Instant) { s.dataReadAt = readAt }
+// RecordData records when the relay read the data that was received from it, and how old that data may become.
+func (s *Source) RecordData(readAt clock.Instant, maxAge time.Duration) {
+	s.sufficientUntil = max(s.sufficientUntil, readAt.Add(maxAge))
+}
 
 // Suffices reports whether the data received is new enough that the entry need not read the store now.
-func (s *Source) Suffices(now clock.Instant, maxAge time.Duration) bool {
-	sufficient := s.dataReadAt != 0 && now.Sub(s.dataReadAt) < maxAge
-	if sufficient {
-		s.lastSufficient = now
-	}
-	return sufficient
-}
+func (s *Source) Suffices(now clock.Instant) bool { return now.Before(s.sufficientUntil) }
 
 // TimedOut reports whether the data received has not sufficed for so long that the entry reads all pages itself.
-func (s *Source) TimedOut(now clock.Instant) bool { return now.Sub(s.lastSufficient) > FallbackTimeout }
+func (s *Source) TimedOut(now clock.Instant) bool {
+	return now.Sub(s.sufficientUntil) > FallbackTimeout
+}
 
 // Usable returns those of the candidates that have not failed since they last had new data, in place.
 func (s *Source) Usable(candidates []string) []string {
--- a/internal/coordination/source/source_test.go
+++ b/internal/coordination/source/source_test.go
@@ -17,15 +17,24 @@
 		now := clock.Instant(time.Hour)
 		s := source.New(now)
 		Convey("suffices while the data received is new enough", func() {
-			So(s.Suffices(now, maxAge), ShouldBeFalse)
-			s.RecordData(now)
-			So(s.Suffices(now.Add(maxAge-1), maxAge), ShouldBeTrue)
-			So(s.Suffices(now.Add(maxAge), maxAge), ShouldBeFalse)
+			So(s.Suffices(now), ShouldBeFalse)
+			s.RecordData(now, maxAge)
+			So(s.Suffices(now.Add(maxAge-1)), ShouldBeTrue)
+			So(s.Suffices(now.Add(maxAge)), ShouldBeFalse)
 		})
 		Convey("has timed out once no data has sufficed for the fallback timeout", func() {
 			So(s.TimedOut(now.Add(source.FallbackTimeout)), ShouldBeFalse)
 			So(s.TimedOut(now.Add(source.FallbackTimeout+1)), ShouldBeTrue)
 		})
+		Convey("has not timed out after one read of its own during which the relay's data sufficed", func() {
+			s.RecordData(now.Add(2*time.Second), maxAge)
+			So(s.TimedOut(now.Add(2*time.Second)), ShouldBeFalse)
+		})
+		Convey("isn't set back by a relay whose data is older", func() {
+			s.RecordData(now, maxAge)
+			s.RecordData(now.Add(-time.Second), maxAge)
+			So(s.Suffices(now.Add(maxAge-1)), ShouldBeTrue)
+		})
 		Convey("uses no relay that failed until it is restored, and probes it once per interval", func() {
 			s.RecordFailure(now, "first")
 			So(s.Usable([]string{"first", "second"}), ShouldResemble, []string{"second"})
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -78,7 +78,7 @@
 func (r *relay) suffices(now clock.Instant) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.source.Suffices(now, r.maxAge())
+	return r.source.Suffices(now)
 }
 
 func (r *relay) run(ctx context.Context) {
@@ -213,7 +213,7 @@
 	}
 	r.mu.Lock()
 	r.lastRun, r.lastSeen = update.Run, update.Seen
-	r.source.RecordData(asOf.Add(-update.Age))
+	r.source.RecordData(asOf.Add(-update.Age), r.maxAge())
 	r.mu.Unlock()
 	return syncDone
 }
