Read the store at once only when an entry takes over from its relay

Seen: in traced runs of TestLargeSite, an entry that changes from one relay to another, or from its own reads to a relay, reads the store once more at once: one page, or all if it has had no relay's data for long. At the start of the site each of three followers read all pages twice, the second time (18.21 to 18.25) after it had begun to follow (17.86).

Cause: each change of the relay woke the poller, since "this entry may now be the relay itself".

Ruled out: a need for that read: without data that suffices the poller reads at its next check anyway.

Change: the poller is woken only when an entry that followed a relay now reads in its place.

Test: TestSource, "doesn't read the store at once when it follows another relay"; with the old condition in Select it fails.

Conclusion: a change of relays no longer adds reads to a store that is slow already.

--- a/internal/coordination/source/source.go
+++ b/internal/coordination/source/source.go
@@ -84,11 +84,12 @@
 	return s.current != name || now.Sub(s.currentSince) < FirstReadTimeout
 }
 
-// Select records which relay is in use, and returns the one before; both are empty if the entry reads the store itself.
-func (s *Source) Select(now clock.Instant, name string) (previous string) {
+// Select records which relay is in use, and returns the one before and whether the entry has to read the store at once in its place; names
+// are empty while the entry reads the store itself.
+func (s *Source) Select(now clock.Instant, name string) (previous string, takesOver bool) {
 	previous = s.current
 	if previous != name {
 		s.current, s.currentSince = name, now
 	}
-	return previous
+	return previous, previous != "" && name == ""
 }
--- a/internal/coordination/source/source_test.go
+++ b/internal/coordination/source/source_test.go
@@ -46,10 +46,19 @@
 		})
 		Convey("allows a newly selected relay its first read", func() {
 			So(s.RecentlySelected(now, "first"), ShouldBeTrue)
-			So(s.Select(now, "first"), ShouldBeEmpty)
+			s.Select(now, "first")
 			So(s.RecentlySelected(now.Add(source.FirstReadTimeout-1), "first"), ShouldBeTrue)
 			So(s.RecentlySelected(now.Add(source.FirstReadTimeout), "first"), ShouldBeFalse)
-			So(s.Select(now, "second"), ShouldEqual, "first")
+		})
+		Convey("doesn't read the store at once when it follows another relay", func() {
+			_, takesOver := s.Select(now, "first")
+			So(takesOver, ShouldBeFalse)
+			previous, takesOver := s.Select(now, "second")
+			So(previous, ShouldEqual, "first")
+			So(takesOver, ShouldBeFalse)
+			previous, takesOver = s.Select(now, "")
+			So(previous, ShouldEqual, "second")
+			So(takesOver, ShouldBeTrue)
 		})
 		Convey("lets the relay in use hold queries for the full time", func() {
 			So(s.Hold(now, 900*time.Millisecond), ShouldEqual, 900*time.Millisecond)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -129,11 +129,12 @@
 // setCurrent records which relay is in use, and logs a change.
 func (r *relay) setCurrent(name string) {
 	r.mu.Lock()
-	previous := r.source.Select(clock.Now(), name)
+	previous, takesOver := r.source.Select(clock.Now(), name)
 	r.mu.Unlock()
-	if previous != name {
-		// This entry may now be the relay itself.
+	if takesOver {
 		r.node.poller.wake()
+	}
+	if previous != name {
 		r.node.log.Info(event.RelayChanged, "relay changed", zap.String("relay", name), zap.String("before", previous))
 	}
 }
