Follow a relay while it reads, until an entry's own read would be too late

Seen: known red TestLargeSite, "is read by one entry of the zone". With logs on two cores beside four busy processes (25 pages in all, 13 behind the first) the relay took 1.3 to 1.5 s for the two pages instead of 0.75 s, and was given up at data of 2.2 to 2.6 s; all four entries read. Beside two busy processes it took 1.0 s, and all three followers gave it up at data of 2.12 s (45.87 to 45.90); it had read all at 45.98. All four read from then until 48.9.

Cause: a relay's data had to be newer than 0.65 of the bound for leaving endpoints (1.95 s of 3 s). Just before a read ends, data is as old as two reads, so a relay that takes more than 0.93 s a read is given up in each of them. The reads of those who gave it up begin later than its own, so can't end earlier, and slow down the store for all.

Change: while a relay reads and its calls succeed, its data may reach the bound less one poll period (2.25 s of 3 s), which leaves time for a read of one's own. A relay whose call has failed answers held queries at once, so that its followers don't learn of that later than before. Messages stay the same.

Tests: TestLimits and TestSource, "suffices until a relay that reads slowly has read again …": fail with the old limit (1.95 s).

Where reads take more than 1.07 s a relay is still given up in each.

--- a/internal/coordination/source/source.go
+++ b/internal/coordination/source/source.go
@@ -17,9 +17,40 @@
 	FallbackTimeout = 1500 * time.Millisecond
 )
 
+const (
+	// maxIdleAge is how old a relay's data may be while it replaces the entry's own reads: one read by the relay and one answer from it. If
+	// maxIdleAgeShare of the bound for leaving endpoints is longer, that applies instead.
+	maxIdleAge      = 1200 * time.Millisecond
+	maxIdleAgeShare = 0.65
+)
+
+// Limits are how old a relay's data may be while it replaces the entry's own reads.
+type Limits struct {
+	// Idle applies to a relay that isn't reading the store, or whose last call failed.
+	Idle time.Duration
+	// Reading applies while a relay reads. It is longer, since a read that the entry began now would end later than the relay's.
+	Reading time.Duration
+}
+
+// NewLimits returns the limits for a bound for leaving endpoints. While a relay reads, they leave one poll period of the bound for a read
+// of the entry's own.
+func NewLimits(bound, pollPeriod time.Duration) Limits {
+	idle := max(maxIdleAge, time.Duration(maxIdleAgeShare*float64(bound)))
+	return Limits{Idle: idle, Reading: max(idle, bound-pollPeriod)}
+}
+
+// MaxAge returns how old data may be from a relay that is reading or isn't.
+func (l Limits) MaxAge(reading bool) time.Duration {
+	if reading {
+		return l.Reading
+	}
+	return l.Idle
+}
+
 // Source holds which relay an entry uses, which ones have failed, and how long the data received replaces reads of its own.
 type Source struct {
-	// sufficientUntil is how long the data received replaces reads of the entry's own.
+	// dataReadAt is when the newest data received was read; sufficientUntil is how long it replaces reads of the entry's own.
+	dataReadAt      clock.Instant
 	sufficientUntil clock.Instant
 	// nextProbe holds the relays that failed or had outdated data, with the time of their next probe; other relays are used meanwhile.
 	nextProbe map[string]clock.Instant
@@ -35,7 +66,8 @@
 
 // RecordData records when the relay read the data that was received from it, and how old that data may become.
 func (s *Source) RecordData(readAt clock.Instant, maxAge time.Duration) {
-	s.sufficientUntil = max(s.sufficientUntil, readAt.Add(maxAge))
+	s.dataReadAt = max(s.dataReadAt, readAt)
+	s.sufficientUntil = s.dataReadAt.Add(maxAge)
 }
 
 // Suffices reports whether the data received is new enough that the entry need not read the store now.
--- a/internal/coordination/source/source_test.go
+++ b/internal/coordination/source/source_test.go
@@ -10,7 +10,25 @@
 	"gypsumvale/internal/state/clock"
 )
 
-const maxAge = 1950 * time.Millisecond
+const (
+	bound      = 3 * time.Second
+	pollPeriod = 750 * time.Millisecond
+	maxAge     = 1950 * time.Millisecond
+)
+
+func TestLimits(t *testing.T) {
+	Convey("the limits of relayed data", t, func() {
+		Convey("leave a poll period of the bound for leaving endpoints, also while a relay reads", func() {
+			limits := source.NewLimits(bound, pollPeriod)
+			So(limits.MaxAge(false), ShouldEqual, maxAge)
+			So(limits.MaxAge(true), ShouldEqual, bound-pollPeriod)
+		})
+		Convey("are the same on sites with a short bound", func() {
+			limits := source.NewLimits(time.Second, 250*time.Millisecond)
+			So(limits.MaxAge(true), ShouldEqual, limits.MaxAge(false))
+		})
+	})
+}
 
 func TestSource(t *testing.T) {
 	Convey("the source of an entry that has just started", t, func() {
@@ -35,6 +53,14 @@
 			s.RecordData(now.Add(-time.Second), maxAge)
 			So(s.Suffices(now.Add(maxAge-1)), ShouldBeTrue)
 		})
+		Convey("suffices until a relay that reads slowly has read again, but not after one of its calls has failed", func() {
+			const read = 1050 * time.Millisecond
+			limits := source.NewLimits(bound, pollPeriod)
+			s.RecordData(now, limits.MaxAge(true))
+			So(s.Suffices(now.Add(2*read)), ShouldBeTrue)
+			s.RecordData(now.Add(-time.Millisecond), limits.MaxAge(false))
+			So(s.Suffices(now.Add(2*read)), ShouldBeFalse)
+		})
 		Convey("uses no relay that failed until it is restored, and probes it once per interval", func() {
 			s.RecordFailure(now, "first")
 			So(s.Usable([]string{"first", "second"}), ShouldResemble, []string{"second"})
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -26,10 +26,6 @@
 	// state.
 	syncTimeout      = 300 * time.Millisecond
 	firstSyncTimeout = 2 * time.Second
-	// maxRelayAge is how old a relay's data may be while it replaces this entry's own polling: one read by the relay and one answer from
-	// it. If maxRelayAgeShare of the bound for leaving endpoints is longer, that applies instead.
-	maxRelayAge      = 1200 * time.Millisecond
-	maxRelayAgeShare = 0.65
 )
 
 // relay is the task by which one entry of a zone polls the store for the others, so that the number of calls grows with zones, not
@@ -57,9 +53,10 @@
 	return &relay{node: n, source: source.New(clock.Now()), changed: make(chan struct{})}
 }
 
-// maxAge is how old a relay's data may be while it replaces this entry's own polling.
-func (r *relay) maxAge() time.Duration {
-	return max(maxRelayAge, time.Duration(maxRelayAgeShare*float64(r.node.bounds.Load().MaxLeavingDelay)))
+// limits returns how old a relay's data may be while it replaces this entry's own polling.
+func (r *relay) limits() source.Limits {
+	bounds := r.node.bounds.Load()
+	return source.NewLimits(bounds.MaxLeavingDelay, pollPeriod(bounds))
 }
 
 // maxHold is how long a relay may hold a query open until it has read something.
@@ -198,7 +195,8 @@
 		// The relay has just started and is reading the store.
 		return syncDone
 	}
-	if update.Age > r.maxAge() {
+	maxAge := r.limits().MaxAge(update.ReadsStore)
+	if update.Age > maxAge {
 		if update.ReadsStore {
 			return syncPending
 		}
@@ -214,7 +212,7 @@
 	}
 	r.mu.Lock()
 	r.lastRun, r.lastSeen = update.Run, update.Seen
-	r.source.RecordData(asOf.Add(-update.Age), r.maxAge())
+	r.source.RecordData(asOf.Add(-update.Age), maxAge)
 	r.mu.Unlock()
 	return syncDone
 }
--- /dev/null
+++ b/internal/gateway/relay_test.go
@@ -0,0 +1,49 @@
+package gateway_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumvale/internal/protocol/peer"
+	"gypsumvale/internal/settings"
+	"gypsumvale/internal/standin/hosted"
+)
+
+// sync asks for what is newer than an earlier reply.
+func (p *testPeer) sync(earlier *peer.SyncReply, hold time.Duration) *peer.SyncReply {
+	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+	defer cancel()
+	var reply peer.SyncReply
+	query := peer.SyncRequest{Run: earlier.Run, Seen: earlier.Seen, MaxDelay: hold}
+	So(p.network.Call(ctx, p.leader.cfg.Name, p.leader.cfg.Peers, peer.KindSync, query, &reply), ShouldBeNil)
+	return &reply
+}
+
+func TestFailedReadKeptFromFollowers(t *testing.T) {
+	Convey("a relay answers held queries once a read of the store has failed", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		s.addEndpoint(hosted.EndpointConfig{ID: "cal-0", Service: "calendar", Work: time.Millisecond})
+		s.addEntryWith(func(cfg *settings.Hosted) { cfg.MaxLeavingDelay = 4 * time.Second })
+		p := s.startPeer()
+		// Longer than the poll period. The next read begins half a second after a slow one has ended.
+		const hold = 1100 * time.Millisecond
+		s.store.SetFault(hosted.StoreFault{PageDelay: 500 * time.Millisecond})
+		reply := &peer.SyncReply{}
+		for range 4 {
+			reply = p.sync(reply, hold)
+		}
+		So(reply.ReadsStore, ShouldBeTrue)
+		s.store.SetFault(hosted.StoreFault{Down: true})
+		for range 4 {
+			if reply.ReadsStore {
+				reply = p.sync(reply, hold)
+			}
+		}
+		So(reply.Delay, ShouldBeLessThan, hold)
+		So(reply.ReadsStore, ShouldBeFalse)
+	})
+}
--- a/internal/gateway/site_faults_test.go
+++ b/internal/gateway/site_faults_test.go
@@ -191,10 +191,6 @@
 			time.Sleep(4 * time.Second)
 			pages, laterPages = s.store.Calls("GET /-/kv-range")-pages, s.store.Calls(hosted.LaterPages)-laterPages
 			t.Logf("%d pages read, %d after the first", pages, laterPages)
-			if (laterPages >= 8 || pages >= 22) && red.Known("TestLargeSite", "is read by one entry of the zone") {
-				fmt.Printf("KNOWN RED: TestLargeSite: %d pages read, %d behind the first\n", pages, laterPages)
-				return
-			}
 			// One entry reads two pages in 0.75 s: 11 pages in 4 s, 5 or 6 of them after the first. Two entries would read 22 and 11.
 			So(laterPages, ShouldBeLessThan, 8)
 			So(pages, ShouldBeLessThan, 22)
--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -178,7 +178,10 @@
 	defer cancel()
 	list, err := s.node.deps.Store.Range(ctx, "", after)
 	s.node.countStoreCall("survey", err)
-	s.lastCallSucceeded.Store(err == nil)
+	if s.lastCallSucceeded.Swap(err == nil) && err != nil {
+		// Entries that wait for this read are told at once, so that they can turn to another relay.
+		s.node.relay.publish()
+	}
 	if err != nil {
 		s.failures++
 		return list, fmt.Errorf("read metadata store: %w", err)
