End the hold of a suspected part when its first event is overdue

Callers with sound requests got 503, "overload", for up to 16 s while engines were idle: a crash had made one of their parts suspected, and the one request with it that had been placed never showed a first event.

Cause: while a part is suspected, the leader holds back all requests with it until the running one reports its first event or its end. If that one's entry is frozen or cut off with its connection open, its message is lost, or its engine is silent on a route with one attempt, neither comes, and only RemoveExpired ended the hold, one second after the request's deadline. Besides, each held request was compared with all assignments in each pass.

Ruled out: a leader that gives up a frozen entry's assignments earlier (an entry that waits for a first event sends the leader nothing else, so that its silence says nothing); opening the part to all after a time (repeats of a deadly part would take down several engines at once).

Change: an assignment's hold has an end, 1 s or three times the expected time to the first event after it was sent. Then the next request with the part goes on and holds the part in turn. Holds are kept by part, so that a check costs the same however many requests run.

Conclusion: a part whose first event is overdue delays requests with it by a second; one a second goes on, until an answer clears it or a crash blocks it.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -99,7 +99,7 @@
 
 // checkParts returns an error if a request must not run, or must not run now, because engines may crash on parts of its prompt. Only one
 // request with a suspected part may wait for its first event at a time, so that the part takes down one engine at most until it is cleared
-// or blocked.
+// or blocked. Once that request's hold ends without a first event, the next one goes on and holds the part in turn.
 func (p *Pool) checkParts(now clock.Instant, req *Request, mayWait bool) error {
 	if p.cfg.Suspicions == nil || len(req.Parts) < 2 {
 		return nil
@@ -108,7 +108,7 @@
 	switch {
 	case blocked:
 		return ErrBlocked
-	case len(suspected) == 0 || !p.awaitsFirstEvent(suspected):
+	case !p.holds.active(now, suspected):
 		return nil
 	case mayWait:
 		return errAllBusy
@@ -116,21 +116,6 @@
 	return ErrSuspected
 }
 
-// awaitsFirstEvent reports whether a request with one of the parts is running and has not produced its first event.
-func (p *Pool) awaitsFirstEvent(parts []string) bool {
-	for _, a := range p.assignments {
-		if a.prefillTokens == 0 {
-			continue
-		}
-		for _, part := range a.req.SharedParts() {
-			if contains(parts, part.ID) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 const (
 	// maxFullScan is the fleet size up to which every endpoint is evaluated for each request.
 	maxFullScan = 96
@@ -307,6 +292,7 @@
 	}
 	a.slowestLinks = best.fetch.slowestLinks(s)
 	p.assignments[req.ID] = a
+	p.holds.add(a)
 	s.add(a)
 	p.countPlaced(now, req.Priority)
 	if p.engine == nil || req.Model == "" {
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -27,6 +27,7 @@
 	endpointIDs  []string
 	endpointList []*endpointState
 	assignments  map[AssignmentID]*assignment
+	holds        holds
 	targets      map[string][]TargetVersion
 	// newestSeen is the newest weight version of each model that any endpoint has been seen to run.
 	newestSeen map[string]int
@@ -70,6 +71,7 @@
 		cfg:         cfg,
 		endpoints:   make(map[string]*endpointState),
 		assignments: make(map[AssignmentID]*assignment),
+		holds:       make(holds),
 		targets:     make(map[string][]TargetVersion),
 		newestSeen:  make(map[string]int),
 		index:       newIndex(),
@@ -174,6 +176,7 @@
 	a.endpoint.recordResponse(now)
 	p.cfg.Reachability.recordContact(a.req.Zone, a.endpoint)
 	a.endpoint.prefillDone(a)
+	p.holds.remove(a)
 	p.recordCapacityChange(a.endpoint)
 	a.endpoint.cache.markReady(a.space, a.req.Parts)
 	if a.expected > 0 {
@@ -217,11 +220,9 @@
 	if a == nil {
 		return
 	}
-	delete(p.assignments, id)
-	s := a.endpoint
-	s.remove(a)
+	p.removeAssignment(a)
 	p.released.add(now)
-	p.recordCapacityChange(s)
+	s := a.endpoint
 	switch outcome {
 	case OutcomeAnswered:
 		s.recordResponse(now)
@@ -247,6 +248,14 @@
 	}
 }
 
+// removeAssignment frees what an assignment occupies.
+func (p *Pool) removeAssignment(a *assignment) {
+	delete(p.assignments, a.req.ID)
+	p.holds.remove(a)
+	a.endpoint.remove(a)
+	p.recordCapacityChange(a.endpoint)
+}
+
 // WeightsLoading records that an endpoint loads weights until an instant; the zero instant means that it has finished.
 func (p *Pool) WeightsLoading(endpoint string, until clock.Instant) {
 	if s := p.endpoints[endpoint]; s != nil {
@@ -276,9 +285,7 @@
 func (p *Pool) DropEntry(entry string) {
 	for id, a := range p.assignments {
 		if id.Entry == entry {
-			delete(p.assignments, id)
-			a.endpoint.remove(a)
-			p.recordCapacityChange(a.endpoint)
+			p.removeAssignment(a)
 		}
 	}
 	kept := p.queue[:0]
@@ -300,11 +307,9 @@
 			delete(p.withdrawn, id)
 		}
 	}
-	for id, a := range p.assignments {
+	for _, a := range p.assignments {
 		if now.Sub(a.req.Deadline) > lostEndTimeout {
-			delete(p.assignments, id)
-			a.endpoint.remove(a)
-			p.recordCapacityChange(a.endpoint)
+			p.removeAssignment(a)
 		}
 	}
 }
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -12,7 +13,10 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gypsumvale/internal/coordination/placement"
+	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/standin/hosted"
+	"gypsumvale/internal/state/prompt"
 )
 
 const (
@@ -214,3 +218,44 @@
 		})
 	})
 }
+
+// reportCrash reports that an engine crashed with a prompt whose answer was beginning.
+func (p *testPeer) reportCrash(endpoint string, parts ...string) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+	defer cancel()
+	So(p.network.Call(ctx, p.leader.cfg.Name, p.leader.cfg.Peers, peer.KindCrashReport, peer.CrashReport{
+		Digest: endpoint, Endpoint: endpoint, Service: "llm", Parts: parts, Answering: true,
+		SentAge: 300 * time.Millisecond, BrokenAge: 10 * time.Millisecond,
+	}, &peer.Empty{}), ShouldBeNil)
+}
+
+// placePart requests a placement of a prompt with a shared part.
+func (p *testPeer) placePart(number uint64, part string) peer.PlaceVerdict {
+	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+	defer cancel()
+	var reply peer.PlaceReply
+	So(p.network.Call(ctx, p.leader.cfg.Name, p.leader.cfg.Peers, peer.KindPlace, peer.PlaceRequest{
+		Request: placement.Request{
+			ID: placement.AssignmentID{Number: number}, Service: "llm", Zone: "plateau", Model: testModel, Prompt: 1000, Output: 6,
+			Parts: []prompt.Part{{ID: part, Tokens: 900}, {ID: fmt.Sprint("own", number), Tokens: 100}},
+		},
+		Deadline: 15 * time.Second, FirstEventTimeout: 3 * time.Second,
+	}, &reply), ShouldBeNil)
+	return reply.Verdict
+}
+
+func TestFrozenEntryHoldsPart(t *testing.T) {
+	Convey("callers with sound requests are served while an entry is frozen whose request with one of their parts has been placed", t, func() {
+		s := startPartSite(1)
+		p := s.startPeer()
+		p.reportCrash("llm-8", "a1", "b2")
+		So(p.placePart(1, "b2"), ShouldEqual, peer.VerdictPlaced)
+		began := time.Now()
+		for i := range 3 {
+			own := fmt.Sprint("f", i)
+			a := s.call(s.entries[0], http.MethodPost, "/redraft/", own, "Prompt-Prefix", "a1:600,b2:300,"+own+":100")
+			t.Logf("status %d after %v", a.status, time.Since(began))
+			s.expectAnswered(a)
+		}
+	})
+}
