Send notifications without waiting for a connection to the leader

Callers waited for the leader although it had nothing to do with their answers any more: with a leader that accepts connections and stays silent, a stream that was ready after 0.25 s ended 1.0 s later, and so did the answer to a request whose engine had crashed. Each exchange that a crash had broken added up to 0.5 s before the next one was attributed, so that the guilty part might be charged last.

Cause: notify waited for up to 0.5 s for a connection. It is called before the first event is written, before a buffered answer is delivered, at the end of each attempt, and in reportCrash between the attribution of one exchange and that of the next.

Change: a message is sent at once if a connection to the peer is open, and otherwise in the background once there is one, for up to 0.5 s as before. reportCrash attributes all exchanges before it sends the first report.

Test: TestCallerWaitsForSilentLeader.

Conclusion: callers wait for the leader only while it places their requests. What is left is a direct write of 0.1 s at most, once for each connection whose receiver has stopped reading and whose buffers are full.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -192,17 +192,31 @@
 // errNoOwner is returned when the leader is unreachable or no longer leads.
 var errNoOwner = errors.New("no reachable placement owner")
 
+// notifyTimeout is how long a message waits for a connection to its receiver.
 const notifyTimeout = 500 * time.Millisecond
 
-// notify sends a message to a peer without retries; losing one only makes the peer's data less accurate.
+// notify sends a message to a peer without retries; losing one only makes the peer's data less accurate. It doesn't wait for a connection: if
+// none is open, the message is sent once there is one, and may then overtake others.
 func (n *Node) notify(name string, kind peer.Kind, msg any) {
 	network, address, ok := n.members.peer(name)
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(n.background, notifyTimeout)
-	defer cancel()
-	if err := network.Send(ctx, name, address, kind, msg); err != nil {
+	err := network.SendNow(name, address, kind, msg)
+	if !errors.Is(err, peers.ErrUnreachable) {
+		n.logNotification(name, err)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(n.background, notifyTimeout)
+		defer cancel()
+		n.logNotification(name, network.Send(ctx, name, address, kind, msg))
+	}()
+}
+
+// logNotification logs that a message was not sent to a peer.
+func (n *Node) logNotification(name string, err error) {
+	if err != nil {
 		n.log.Debug(event.PeerClosed, "notification not sent", zap.String("peer", name), zap.Error(err))
 	}
 }
--- a/internal/gateway/placement_peers_test.go
+++ b/internal/gateway/placement_peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -33,18 +34,20 @@
 func (stubPeerHandler) ConnectionClosed(peer.Hello, bool) {}
 func (stubPeerHandler) ConnectionRejected(string, error)  {}
 
-// runNetwork runs a peer network until the end of the test.
-func runNetwork(network *peers.Network) {
+// runNetwork runs a peer network until it is stopped, at the latest at the end of the test.
+func runNetwork(network *peers.Network) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		network.Run(ctx)
 	}()
-	Reset(func() {
+	stop = func() {
 		cancel()
 		<-done
-	})
+	}
+	Reset(stop)
+	return stop
 }
 
 // startPeer returns a peer of a site's only entry, once that leads.
@@ -134,6 +137,8 @@
 	stubPeerHandler
 	endpoint *hosted.Endpoint
 	delay    time.Duration
+	address  string
+	stop     func()
 
 	mu        sync.Mutex
 	placed    []uint64
@@ -184,7 +189,7 @@
 	}, l)
 	address, err := network.Listen()
 	So(err, ShouldBeNil)
-	runNetwork(network)
+	l.address, l.stop = address, runNetwork(network)
 	put := func(key string, record map[string]any) {
 		data, err := msgpack.Marshal(record)
 		So(err, ShouldBeNil)
@@ -238,3 +243,46 @@
 		})
 	})
 }
+
+// silence stops a leader and accepts connections at its address that are never answered.
+func (l *slowLeader) silence() {
+	l.stop()
+	listener, err := net.Listen("tcp", l.address)
+	So(err, ShouldBeNil)
+	Reset(func() { _ = listener.Close() })
+}
+
+func TestCallerWaitsForSilentLeader(t *testing.T) {
+	Convey("an entry whose leader falls silent while a request runs", t, func() {
+		const startDelay = 250 * time.Millisecond
+		s, leader := startSiteWithSlowLeader(0)
+		s.eachEndpoint(hosted.EndpointFault{StartDelay: startDelay, CrashOnPart: deadlyPart})
+		// callDuring sends a prompt with a part, and returns its answer and how long after the leader fell silent it came.
+		callDuring := func(part string) (response, time.Duration) {
+			answered := make(chan response, 1)
+			go func() {
+				answered <- s.send(s.entries[0], http.MethodPost, "/brief/", "notes", "Prompt-Prefix", part+":600,own:100")
+			}()
+			eventually("the leader has placed the request", func() bool {
+				placed, _ := leader.lists()
+				return len(placed) > 0
+			})
+			leader.silence()
+			began := time.Now()
+			a := <-answered
+			span := time.Since(began)
+			t.Logf("status %d after %v", a.status, span)
+			return a, span
+		}
+		Convey("doesn't delay its answer", func() {
+			a, span := callDuring("a1")
+			So(a.status, ShouldEqual, http.StatusOK)
+			So(span, ShouldBeLessThan, startDelay+350*time.Millisecond)
+		})
+		Convey("doesn't delay the answer when its engine crashes", func() {
+			a, span := callDuring(deadlyPart)
+			So(a.status, ShouldEqual, http.StatusBadGateway)
+			So(span, ShouldBeLessThan, startDelay+350*time.Millisecond)
+		})
+	})
+}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -182,6 +182,7 @@
 //
 // Parts of prompts are charged only if the endpoint refused a connection: one that can't be reached may be cut off.
 func (n *Node) reportCrash(endpoint string, refused bool) {
+	var reports []peer.CrashReport
 	for _, b := range n.suspects.recordCrash(endpoint) {
 		now := clock.Now()
 		n.log.Warn(event.EndpointCrashed, "endpoint crashed with a request in flight", zap.String("endpoint", endpoint),
@@ -193,6 +194,10 @@
 			report.SentAge, report.BrokenAge = now.Sub(b.sentAt), now.Sub(b.brokenAt)
 			n.attributeCrash(endpoint, b.service, b)
 		}
+		reports = append(reports, report)
+	}
+	// A peer that reads slowly must not delay the attribution of the other exchanges.
+	for _, report := range reports {
 		n.notifyPeers(peer.KindCrashReport, report)
 	}
 }
@@ -242,8 +247,7 @@
 	return blocked
 }
 
-// notifyPeers sends a message to all peers. It waits only for the instance that places requests, which must know of a crash before it hears
-// that the request has ended.
+// notifyPeers sends a message to all peers, to the instance that places requests first.
 func (n *Node) notifyPeers(kind peer.Kind, msg any) {
 	owner := n.members.owner()
 	if owner != n.cfg.Name {
--- a/internal/transport/peers/network.go
+++ b/internal/transport/peers/network.go
@@ -214,6 +214,14 @@
 	return nil
 }
 
+// SendNow sends a message that has no reply if a connection to the peer is open. Errors wrap ErrUnreachable, ErrFull or ErrClosed.
+func (n *Network) SendNow(name, address string, kind peer.Kind, msg any) error {
+	if err := n.client(name).sendNow(address, kind, msg); err != nil {
+		return fmt.Errorf("send to %s: %w", name, err)
+	}
+	return nil
+}
+
 func (n *Network) client(name string) *peerClient {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -277,6 +285,18 @@
 	return c.send(&peer.Frame{Kind: kind, Body: body})
 }
 
+func (p *peerClient) sendNow(address string, kind peer.Kind, msg any) error {
+	c := p.openConn(address)
+	if c == nil || p.network.cfg.Blocked(p.name) {
+		return ErrUnreachable
+	}
+	body, err := msgpack.Marshal(msg)
+	if err != nil {
+		return fmt.Errorf("encode message: %w", err)
+	}
+	return c.send(&peer.Frame{Kind: kind, Body: body})
+}
+
 func (p *peerClient) registerCall() (uint64, chan *peer.Frame) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
