Record a crash at the leader before the end of the request that it ended

A leader that handles the end of a request before the report of the crash that ended it places the next request with the deadly part on a third engine, and blocks the part only then. Found by review; no caller has been seen to suffer from it.

Cause: entries sent the report and the end as two messages, and the leader handles each frame in a goroutine of its own. Besides, of two requests that one crash breaks, the first to notice takes both exchanges to report them, so that the other's end could be sent before.

Waiting for the leader's answer before the end is sent was ruled out since callers would wait too, ordered frames since a connection's writer reorders as well.

Change: the message that ends a request carries the crash that ended it, if parts are charged with it, and the leader records that first; so does an entry that placed the request itself. The report to all peers stays. An older leader ignores the new field, an older entry sends none.

Tests: TestEndOvertakesCrashReport: with the end and its crash alone, the next request was placed before and is blocked now; an entry whose engine crashed with two requests reported no crash with their ends before, and reports one with each now. TestFrames reads the message as the release before does.

Conclusion: the order of the messages doesn't matter any more between entries of this release.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -41,7 +41,7 @@
 func (j *job) attempt(ctx context.Context, choice *placement.Choice) (retry.Outcome, placement.Outcome) {
 	watchedCtx, wd := j.startWatchdog(ctx)
 	defer wd.stop()
-	j.headReceived, j.begun, j.sentAt = false, false, clock.Now()
+	j.headReceived, j.begun, j.sentAt, j.crash = false, false, clock.Now(), nil
 	resp, err := j.send(watchedCtx, choice)
 	if err != nil && errors.Is(context.Cause(watchedCtx), errNotStarted) {
 		return j.withdrawn(choice, err)
@@ -133,15 +133,19 @@
 		n.reportCrash(choice.Endpoint, errors.Is(err, syscall.ECONNREFUSED))
 		return retry.NotSent, placement.OutcomeUnreachable
 	}
-	n.suspects.recordBroken(choice.Endpoint, &brokenExchange{
+	broken := &brokenExchange{
 		digest: j.digest, service: j.service, shared: prompt.IDs(j.placementReq.SharedParts()),
 		headReceived: j.headReceived, begun: j.begun, sentAt: j.sentAt, brokenAt: clock.Now(),
-	})
+	}
+	n.suspects.recordBroken(choice.Endpoint, broken)
 	if errors.Is(err, upstream.ErrStrayResponse) {
 		return retry.Broken, placement.OutcomeFailed
 	}
 	n.upstreams.CloseIdle(choice.Address)
-	n.checkCrash(ctx, choice.Endpoint, choice.Address)
+	if n.checkCrash(ctx, choice.Endpoint, choice.Address) && broken.chargesParts() {
+		// The exchange may have been taken by the report of another request, which is still on its way.
+		j.crash = broken.crashReport(choice.Endpoint)
+	}
 	return retry.Broken, placement.OutcomeUnreachable
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -122,6 +122,9 @@
 		h.placer.recordFirstEvent(req)
 		return
 	}
+	if msg.Crash != nil {
+		(*Node)(h).recordReportedCrash(msg.Crash)
+	}
 	h.placer.recordDone(req, msg.Outcome)
 }
 
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -259,3 +259,58 @@
 		}
 	})
 }
+
+func TestEndOvertakesCrashReport(t *testing.T) {
+	Convey("a leader that learns of the end of a request with a suspected part before the report of the crash that ended it", t, func() {
+		s := startPartSite(1)
+		p := s.startPeer()
+		ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+		defer cancel()
+		call := func(kind peer.Kind, msg, reply any) {
+			So(p.network.Call(ctx, p.leader.cfg.Name, p.leader.cfg.Peers, kind, msg, reply), ShouldBeNil)
+		}
+		p.reportCrash("llm-8", "b2")
+		So(p.placePart(1, "b2"), ShouldEqual, peer.VerdictPlaced)
+		So(p.placePart(2, "b2"), ShouldEqual, peer.VerdictQueued)
+		Convey("places no other request with the part", func() {
+			call(peer.KindAssignmentUpdate, peer.AssignmentUpdate{
+				Service: "llm", Number: 1, Outcome: placement.OutcomeUnreachable, Crash: &peer.CrashReport{
+					Digest: "d", Endpoint: "llm-7", Service: "llm", Parts: []string{"b2"}, Answering: true,
+					SentAge: 5 * time.Millisecond, BrokenAge: time.Millisecond,
+				},
+			}, &peer.Empty{})
+			var reply peer.PlaceReply
+			call(peer.KindAwaitPlacement, peer.AwaitPlacement{Service: "llm", Number: 2}, &reply)
+			So(reply.Verdict, ShouldEqual, peer.VerdictBlocked)
+			So(p.placePart(3, "b2"), ShouldEqual, peer.VerdictBlocked)
+		})
+		Convey("places the next one if an entry of the release before reports an end without a crash", func() {
+			call(peer.KindAssignmentUpdate, struct {
+				Service string
+				Number  uint64
+				End     placement.Outcome
+			}{"llm", 1, placement.OutcomeRejected}, &peer.Empty{})
+			var reply peer.PlaceReply
+			call(peer.KindAwaitPlacement, peer.AwaitPlacement{Service: "llm", Number: 2}, &reply)
+			So(reply.Verdict, ShouldEqual, peer.VerdictPlaced)
+		})
+	})
+	Convey("an entry whose engine crashes with two requests", t, func() {
+		s, leader := startSiteWithSlowLeader(0)
+		s.eachEndpoint(hosted.EndpointFault{StartDelay: 200 * time.Millisecond, CrashOnPart: deadlyPart})
+		var wg sync.WaitGroup
+		for _, part := range []string{deadlyPart, "a1"} {
+			wg.Go(func() { s.send(s.entries[0], http.MethodPost, "/brief/", part, "Prompt-Prefix", part+":600,own:100") })
+			time.Sleep(100 * time.Millisecond)
+		}
+		wg.Wait()
+		Convey("reports the crash with the end of each, whichever of them has noticed it first", func() {
+			eventually("both ends have been reported", func() bool { return len(leader.crashes()) == 2 })
+			crashes := leader.crashes()
+			So(crashes[deadlyPart].Answering, ShouldBeTrue)
+			So(crashes["a1"].Answering, ShouldBeFalse)
+			So(crashes["a1"].Endpoint, ShouldEqual, "llm-0")
+			So(crashes["a1"].SentAge, ShouldBeGreaterThan, crashes["a1"].BrokenAge)
+		})
+	})
+}
--- a/internal/gateway/placement_peers_test.go
+++ b/internal/gateway/placement_peers_test.go
@@ -143,6 +143,8 @@
 	mu        sync.Mutex
 	placed    []uint64
 	withdrawn []uint64
+	// ends holds the updates that ended placements.
+	ends []peer.AssignmentUpdate
 }
 
 func (l *slowLeader) Serve(_ context.Context, _ peer.Hello, kind peer.Kind, body []byte) (any, error) {
@@ -166,6 +168,9 @@
 		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
+		if m.Outcome != 0 {
+			l.ends = append(l.ends, m)
+		}
 		if m.Outcome == placement.OutcomeWithdrawn {
 			l.withdrawn = append(l.withdrawn, m.Number)
 		}
@@ -180,6 +185,19 @@
 	return append([]uint64(nil), l.placed...), append([]uint64(nil), l.withdrawn...)
 }
 
+// crashes returns the crashes reported with the ends of placements, by the first part of the prompt.
+func (l *slowLeader) crashes() map[string]*peer.CrashReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	byPart := make(map[string]*peer.CrashReport)
+	for _, m := range l.ends {
+		if m.Crash != nil {
+			byPart[m.Crash.Parts[0]] = m.Crash
+		}
+	}
+	return byPart
+}
+
 // startSlowLeader makes a leader of a site whose entry has not been started yet.
 func (s *site) startSlowLeader(delay time.Duration) *slowLeader {
 	l := &slowLeader{endpoint: s.endpoints[0], delay: delay}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -264,7 +264,7 @@
 			if err != nil || !p.replaced(req, &choice) {
 				return choice, leader, err
 			}
-			p.reportDone(req, leader, placement.OutcomeWithdrawn)
+			p.reportDone(req, leader, placement.OutcomeWithdrawn, nil)
 			n.log.Info(event.PlacementOwnerChanged, "leader chose weights that have been replaced", zap.String("leader", leader),
 				zap.String("endpoint", choice.Endpoint), zap.Int("weights", choice.Version))
 		} else if ctx.Err() == nil {
@@ -307,12 +307,18 @@
 	p.recordFirstEvent(req)
 }
 
-// reportDone reports the end of an assignment to the instance that placed it; an empty owner is this instance.
-func (p *placer) reportDone(req *placement.Request, owner string, outcome placement.Outcome) {
+// reportDone reports the end of an assignment to the instance that placed it; an empty owner is this instance. A crash that ended it is recorded
+// first: otherwise the next request with the same parts could be placed before they are charged with the crash.
+func (p *placer) reportDone(req *placement.Request, owner string, outcome placement.Outcome, crash *peer.CrashReport) {
 	if owner != "" {
-		p.node.notify(owner, peer.KindAssignmentUpdate, peer.AssignmentUpdate{Service: req.Service, Number: req.ID.Number, Outcome: outcome})
+		p.node.notify(owner, peer.KindAssignmentUpdate, peer.AssignmentUpdate{
+			Service: req.Service, Number: req.ID.Number, Outcome: outcome, Crash: crash,
+		})
 		return
 	}
+	if crash != nil {
+		p.node.recordReportedCrash(crash)
+	}
 	p.recordDone(req, outcome)
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -15,6 +15,7 @@
 	"gypsumvale/internal/coordination/retry"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/protocol/exchange"
+	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/state/clock"
 	"gypsumvale/internal/state/route"
 )
@@ -67,6 +68,8 @@
 	headReceived bool
 	begun        bool
 	sentAt       clock.Instant
+	// crash is the crash of the endpoint that ended the current attempt, or nil if parts of the prompt aren't charged with one.
+	crash *peer.CrashReport
 }
 
 // ServeHTTP serves one request of a caller.
@@ -229,18 +232,18 @@
 		}
 		j.choice, j.owner, j.placedAt = choice, owner, clock.Now()
 		if refused := j.authorize(clock.Now()); refused != nil {
-			n.placer.reportDone(&j.placementReq, owner, placement.OutcomeWithdrawn)
+			n.placer.reportDone(&j.placementReq, owner, placement.OutcomeWithdrawn, nil)
 			j.fail(ctx, refused)
 			return
 		}
 		if n.partsBlocked(&j.placementReq) {
 			// Blocked while the request was being placed.
-			n.placer.reportDone(&j.placementReq, owner, placement.OutcomeWithdrawn)
+			n.placer.reportDone(&j.placementReq, owner, placement.OutcomeWithdrawn, nil)
 			j.fail(ctx, refusalOfBlockedParts())
 			return
 		}
 		outcome, placementOutcome := j.attempt(ctx, &choice)
-		n.placer.reportDone(&j.placementReq, owner, placementOutcome)
+		n.placer.reportDone(&j.placementReq, owner, placementOutcome, j.crash)
 		n.metrics.Attempts.WithLabelValues(outcome.String()).Inc()
 		action := j.attempts.RecordAttempt(clock.Now(), outcome, n.retryBudgets.forService(j.service).Take)
 		if outcome == retry.Answered {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -36,6 +36,18 @@
 	brokenAt     clock.Instant
 }
 
+// chargesParts reports whether the parts of the prompt are charged if the endpoint has crashed: its answer had not begun.
+func (b *brokenExchange) chargesParts() bool { return !b.begun && len(b.shared) > 0 }
+
+// crashReport reports the crash that broke the exchange, and charges the parts of its prompt.
+func (b *brokenExchange) crashReport(endpoint string) *peer.CrashReport {
+	now := clock.Now()
+	return &peer.CrashReport{
+		Digest: b.digest, Endpoint: endpoint, Service: b.service, Parts: b.shared, Answering: b.headReceived,
+		SentAge: now.Sub(b.sentAt), BrokenAge: now.Sub(b.brokenAt),
+	}
+}
+
 // suspects guards the table of requests that were in flight when endpoints crashed.
 //
 // A broken connection alone is not a crash. It counts as one if the endpoint refuses connections or registers anew shortly afterwards.
@@ -170,28 +182,29 @@
 	s.table.ClearRequest(digest)
 }
 
-// checkCrash dials an endpoint after an exchange broke, and reports a crash if it refuses the connection. The placement avoids an endpoint
-// whose exchanges broke, so that it might be back before another request is sent there.
-func (n *Node) checkCrash(ctx context.Context, endpoint, address string) {
-	if err := n.upstreams.Probe(ctx, address); errors.Is(err, syscall.ECONNREFUSED) {
-		n.reportCrash(endpoint, true)
+// checkCrash dials an endpoint after an exchange broke, and reports a crash if it refuses the connection. It returns whether it did. The
+// placement avoids an endpoint whose exchanges broke, so that it might be back before another request is sent there.
+func (n *Node) checkCrash(ctx context.Context, endpoint, address string) bool {
+	if err := n.upstreams.Probe(ctx, address); !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
 	}
+	n.reportCrash(endpoint, true)
+	return true
 }
 
 // reportCrash counts an endpoint's crash against the requests that were in flight there, on this instance and on every peer.
 //
 // Parts of prompts are charged only if the endpoint refused a connection: one that can't be reached may be cut off.
 func (n *Node) reportCrash(endpoint string, refused bool) {
-	var reports []peer.CrashReport
+	var reports []*peer.CrashReport
 	for _, b := range n.suspects.recordCrash(endpoint) {
 		now := clock.Now()
 		n.log.Warn(event.EndpointCrashed, "endpoint crashed with a request in flight", zap.String("endpoint", endpoint),
 			zap.String("digest", b.digest), zap.Bool("head", b.headReceived), zap.Bool("begun", b.begun), zap.Strings("shared", b.shared),
 			zap.Int64("broken_ms", now.Sub(b.brokenAt).Milliseconds()))
-		report := peer.CrashReport{Digest: b.digest, Endpoint: endpoint}
-		if refused && !b.begun && len(b.shared) > 0 {
-			report.Service, report.Parts, report.Answering = b.service, b.shared, b.headReceived
-			report.SentAge, report.BrokenAge = now.Sub(b.sentAt), now.Sub(b.brokenAt)
+		report := &peer.CrashReport{Digest: b.digest, Endpoint: endpoint}
+		if refused && b.chargesParts() {
+			report = b.crashReport(endpoint)
 			n.attributeCrash(endpoint, b.service, b)
 		}
 		reports = append(reports, report)
--- a/internal/protocol/peer/frame_test.go
+++ b/internal/protocol/peer/frame_test.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gypsumvale/internal/coordination/member"
+	"gypsumvale/internal/coordination/placement"
 	"gypsumvale/internal/protocol/peer"
 )
 
@@ -48,6 +49,25 @@
 		So(msgpack.Unmarshal(data, &got), ShouldBeNil)
 		So(got, ShouldResemble, heartbeat)
 	})
+	Convey("an assignment's end with a crash is read by a release that knows no crashes there, and one without a crash is sent as before", t, func() {
+		type earlier struct {
+			Service string
+			Number  uint64
+			Outcome placement.Outcome `msgpack:"End"`
+		}
+		update := peer.AssignmentUpdate{Service: "llm", Number: 7, Outcome: placement.OutcomeUnreachable}
+		without, err := msgpack.Marshal(update)
+		So(err, ShouldBeNil)
+		update.Crash = &peer.CrashReport{Digest: "d", Endpoint: "e1", Parts: []string{"x"}}
+		with, err := msgpack.Marshal(update)
+		So(err, ShouldBeNil)
+		var got earlier
+		So(msgpack.Unmarshal(with, &got), ShouldBeNil)
+		So(got, ShouldResemble, earlier{"llm", 7, placement.OutcomeUnreachable})
+		expected, err := msgpack.Marshal(got)
+		So(err, ShouldBeNil)
+		So(without, ShouldResemble, expected)
+	})
 	Convey("a handshake proof", t, func() {
 		secret, challenge := []byte("a secret of the peers"), []byte("0123456789abcdef")
 		hello := peer.Hello{Version: peer.Version, Name: "a", Incarnation: "a#1"}
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -60,6 +60,9 @@
 	Number  uint64
 	// Outcome is the assignment's outcome; zero reports the first event.
 	Outcome placement.Outcome `msgpack:"End"`
+	// Crash is the crash of the endpoint that ended the assignment, or nil. It is recorded before the end, which the report to all peers may
+	// arrive after.
+	Crash *CrashReport `msgpack:"Crash,omitempty"`
 }
 
 // SyncRequest requests everything that is newer than the sender's state. The receiver may delay the reply until it has something new.
