Merge holds of suspected parts and crash reports at the leader

The end of an assignment is one value now, with the version named by the endpoint and the crash; crashReport takes a suspect.BrokenExchange.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,7 +42,7 @@
 func (j *job) attempt(ctx context.Context, choice *placement.Choice) (retry.Outcome, placement.Outcome) {
 	watchedCtx, wd := j.startWatchdog(ctx)
 	defer wd.stop()
-	j.headReceived, j.begun, j.sentAt, j.namedVersion = false, false, clock.Now(), 0
+	j.headReceived, j.begun, j.sentAt, j.namedVersion, j.crash = false, false, clock.Now(), 0, nil
 	resp, err := j.send(watchedCtx, choice)
 	if err != nil && errors.Is(context.Cause(watchedCtx), errNotStarted) {
 		return j.withdrawn(choice, err)
@@ -138,15 +138,19 @@
 		n.reportCrash(choice.Endpoint, errors.Is(err, syscall.ECONNREFUSED))
 		return retry.NotSent, placement.OutcomeUnreachable
 	}
-	n.suspects.recordBroken(choice.Endpoint, suspect.BrokenExchange{
+	broken := suspect.BrokenExchange{
 		Exchange: suspect.Exchange{Parts: prompt.IDs(j.placementReq.SharedParts()), Answering: j.headReceived, SentAt: j.sentAt},
 		Digest:   j.digest, Service: j.service, Begun: j.begun, BrokenAt: clock.Now(),
-	})
+	}
+	n.suspects.recordBroken(choice.Endpoint, broken)
 	if errors.Is(err, upstream.ErrStrayResponse) {
 		return retry.Broken, placement.OutcomeFailed
 	}
 	n.upstreams.CloseIdle(choice.Address)
-	n.checkCrash(ctx, choice.Endpoint, choice.Address)
+	if n.checkCrash(ctx, choice.Endpoint, choice.Address) && broken.Chargeable() {
+		// The exchange may have been taken by the report of another request, which is still on its way.
+		j.crash = crashReport(choice.Endpoint, &broken)
+	}
 	return retry.Broken, placement.OutcomeUnreachable
 }
 
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -12,7 +13,10 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gypsumvale/internal/coordination/placement"
+	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/standin/hosted"
+	"gypsumvale/internal/state/prompt"
 )
 
 const (
@@ -232,3 +236,99 @@
 		})
 	})
 }
+
+// reportCrash reports that an engine crashed with a prompt whose answer was beginning.
+func (p *testPeer) reportCrash(endpoint string, parts ...string) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+	defer cancel()
+	So(p.network.Call(ctx, p.leader.cfg.Name, p.leader.cfg.Peers, peer.KindCrashReport, peer.CrashReport{
+		Digest: endpoint, Endpoint: endpoint, Service: "llm", Parts: parts, Answering: true,
+		SentAge: 300 * time.Millisecond, BrokenAge: 10 * time.Millisecond,
+	}, &peer.Empty{}), ShouldBeNil)
+}
+
+// placePart requests a placement of a prompt with a shared part.
+func (p *testPeer) placePart(number uint64, part string) peer.PlaceVerdict {
+	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+	defer cancel()
+	var reply peer.PlaceReply
+	So(p.network.Call(ctx, p.leader.cfg.Name, p.leader.cfg.Peers, peer.KindPlace, peer.PlaceRequest{
+		Request: placement.Request{
+			ID: placement.AssignmentID{Number: number}, Service: "llm", Zone: "plateau", Model: testModel, Prompt: 1000, Output: 6,
+			Parts: []prompt.Part{{ID: part, Tokens: 900}, {ID: fmt.Sprint("own", number), Tokens: 100}},
+		},
+		Deadline: 15 * time.Second, FirstEventTimeout: 3 * time.Second,
+	}, &reply), ShouldBeNil)
+	return reply.Verdict
+}
+
+func TestFrozenEntryHoldsPart(t *testing.T) {
+	Convey("callers with sound requests are served while an entry is frozen whose request with one of their parts has been placed", t, func() {
+		s := startPartSite(1)
+		p := s.startPeer()
+		p.reportCrash("llm-8", "a1", "b2")
+		So(p.placePart(1, "b2"), ShouldEqual, peer.VerdictPlaced)
+		began := time.Now()
+		for i := range 3 {
+			own := fmt.Sprint("f", i)
+			a := s.call(s.entries[0], http.MethodPost, "/redraft/", own, "Prompt-Prefix", "a1:600,b2:300,"+own+":100")
+			t.Logf("status %d after %v", a.status, time.Since(began))
+			s.expectAnswered(a)
+		}
+	})
+}
+
+func TestEndOvertakesCrashReport(t *testing.T) {
+	Convey("a leader that learns of the end of a request with a suspected part before the report of the crash that ended it", t, func() {
+		s := startPartSite(1)
+		p := s.startPeer()
+		ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+		defer cancel()
+		call := func(kind peer.Kind, msg, reply any) {
+			So(p.network.Call(ctx, p.leader.cfg.Name, p.leader.cfg.Peers, kind, msg, reply), ShouldBeNil)
+		}
+		p.reportCrash("llm-8", "b2")
+		So(p.placePart(1, "b2"), ShouldEqual, peer.VerdictPlaced)
+		So(p.placePart(2, "b2"), ShouldEqual, peer.VerdictQueued)
+		Convey("places no other request with the part", func() {
+			call(peer.KindAssignmentUpdate, peer.AssignmentUpdate{
+				Service: "llm", Number: 1, Outcome: placement.OutcomeUnreachable, Crash: &peer.CrashReport{
+					Digest: "d", Endpoint: "llm-7", Service: "llm", Parts: []string{"b2"}, Answering: true,
+					SentAge: 5 * time.Millisecond, BrokenAge: time.Millisecond,
+				},
+			}, &peer.Empty{})
+			var reply peer.PlaceReply
+			call(peer.KindAwaitPlacement, peer.AwaitPlacement{Service: "llm", Number: 2}, &reply)
+			So(reply.Verdict, ShouldEqual, peer.VerdictBlocked)
+			So(p.placePart(3, "b2"), ShouldEqual, peer.VerdictBlocked)
+		})
+		Convey("places the next one if an entry of the release before reports an end without a crash", func() {
+			call(peer.KindAssignmentUpdate, struct {
+				Service string
+				Number  uint64
+				End     placement.Outcome
+			}{"llm", 1, placement.OutcomeRejected}, &peer.Empty{})
+			var reply peer.PlaceReply
+			call(peer.KindAwaitPlacement, peer.AwaitPlacement{Service: "llm", Number: 2}, &reply)
+			So(reply.Verdict, ShouldEqual, peer.VerdictPlaced)
+		})
+	})
+	Convey("an entry whose engine crashes with two requests", t, func() {
+		s, leader := startSiteWithSlowLeader(0)
+		s.eachEndpoint(hosted.EndpointFault{StartDelay: 200 * time.Millisecond, CrashOnPart: deadlyPart})
+		var wg sync.WaitGroup
+		for _, part := range []string{deadlyPart, "a1"} {
+			wg.Go(func() { s.send(s.entries[0], http.MethodPost, "/brief/", part, "Prompt-Prefix", part+":600,own:100") })
+			time.Sleep(100 * time.Millisecond)
+		}
+		wg.Wait()
+		Convey("reports the crash with the end of each, whichever of them has noticed it first", func() {
+			eventually("both ends have been reported", func() bool { return len(leader.crashes()) == 2 })
+			crashes := leader.crashes()
+			So(crashes[deadlyPart].Answering, ShouldBeTrue)
+			So(crashes["a1"].Answering, ShouldBeFalse)
+			So(crashes["a1"].Endpoint, ShouldEqual, "llm-0")
+			So(crashes["a1"].SentAge, ShouldBeGreaterThan, crashes["a1"].BrokenAge)
+		})
+	})
+}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -252,7 +252,7 @@
 			choice, err = p.awaitGrant(ctx, req.ID, awaitTimeout)
 		}
 		if errors.Is(err, placement.ErrQueued) {
-			p.recordDone(req, placement.OutcomeWithdrawn, 0)
+			p.recordEnd(req, assignmentEnd{outcome: placement.OutcomeWithdrawn})
 			return choice, "", errQueueAborted
 		}
 		return choice, "", err
@@ -264,7 +264,7 @@
 			if err != nil || !p.replaced(req, &choice) {
 				return choice, leader, err
 			}
-			p.reportDone(req, leader, placement.OutcomeWithdrawn)
+			p.reportEnd(req, leader, assignmentEnd{outcome: placement.OutcomeWithdrawn})
 			n.log.Info(event.PlacementOwnerChanged, "leader chose weights that have been replaced", zap.String("leader", leader),
 				zap.String("endpoint", choice.Endpoint), zap.Int("weights", choice.Version))
 		} else if ctx.Err() == nil {
@@ -307,19 +307,24 @@
 	p.recordFirstEvent(req)
 }
 
-// reportDone reports the end of an assignment to the instance that placed it; an empty owner is this instance.
-func (p *placer) reportDone(req *placement.Request, owner string, outcome placement.Outcome) {
-	p.reportEnd(req, owner, outcome, 0)
+// assignmentEnd is how an assignment ended.
+type assignmentEnd struct {
+	outcome placement.Outcome
+	// version is the weight version that the endpoint named when it rejected the request for its weights, or zero if unknown.
+	version int
+	// crash is the crash of the endpoint that ended the assignment, or nil.
+	crash *peer.CrashReport
 }
 
-// reportEnd is reportDone for an endpoint that has named its weight version in its answer; zero is unknown.
-func (p *placer) reportEnd(req *placement.Request, owner string, outcome placement.Outcome, version int) {
+// reportEnd reports the end of an assignment to the instance that placed it; an empty owner is this instance.
+func (p *placer) reportEnd(req *placement.Request, owner string, end assignmentEnd) {
 	if owner != "" {
-		p.node.notify(owner, peer.KindAssignmentUpdate,
-			peer.AssignmentUpdate{Service: req.Service, Number: req.ID.Number, Outcome: outcome, Version: version})
+		p.node.notify(owner, peer.KindAssignmentUpdate, peer.AssignmentUpdate{
+			Service: req.Service, Number: req.ID.Number, Outcome: end.outcome, Version: end.version, Crash: end.crash,
+		})
 		return
 	}
-	p.recordDone(req, outcome, version)
+	p.recordEnd(req, end)
 }
 
 const (
@@ -441,16 +446,20 @@
 	p.grantWaiting(pool, now)
 }
 
-// recordDone records the end of an assignment, and the weight version that its endpoint has named; zero is unknown.
-func (p *placer) recordDone(req *placement.Request, outcome placement.Outcome, version int) {
+// recordEnd records the end of an assignment. A crash that ended it is recorded first: otherwise the next request with the same parts could be
+// placed before they are charged with the crash.
+func (p *placer) recordEnd(req *placement.Request, end assignmentEnd) {
+	if end.crash != nil {
+		p.node.recordReportedCrash(end.crash)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Now()
 	pool := p.pool(req.Service)
-	if version > 0 {
-		pool.WeightsObserved(req.ID, version)
+	if end.version > 0 {
+		pool.WeightsObserved(req.ID, end.version)
 	}
-	pool.Done(now, req.ID, outcome)
+	pool.Done(now, req.ID, end.outcome)
 	if p.waiters[req.ID] != nil {
 		pool.Withdraw(req.ID)
 		delete(p.waiters, req.ID)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -145,33 +145,47 @@
 	s.table.ClearRequest(digest)
 }
 
-// checkCrash dials an endpoint after an exchange broke, and reports a crash if it refuses the connection. The placement avoids an endpoint
-// whose exchanges broke, so that it might be back before another request is sent there.
-func (n *Node) checkCrash(ctx context.Context, endpoint, address string) {
-	if err := n.upstreams.Probe(ctx, address); errors.Is(err, syscall.ECONNREFUSED) {
-		n.reportCrash(endpoint, true)
+// checkCrash dials an endpoint after an exchange broke, and reports a crash if it refuses the connection. It returns whether it did. The
+// placement avoids an endpoint whose exchanges broke, so that it might be back before another request is sent there.
+func (n *Node) checkCrash(ctx context.Context, endpoint, address string) bool {
+	if err := n.upstreams.Probe(ctx, address); !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
 	}
+	n.reportCrash(endpoint, true)
+	return true
 }
 
 // reportCrash counts an endpoint's crash against the requests that were in flight there, on this instance and on every peer.
 //
 // Parts of prompts are charged only if the endpoint refused a connection: one that can't be reached may be cut off.
 func (n *Node) reportCrash(endpoint string, refused bool) {
+	var reports []*peer.CrashReport
 	for _, b := range n.suspects.recordCrash(endpoint, refused) {
-		now := clock.Now()
 		n.log.Warn(event.EndpointCrashed, "endpoint crashed with a request in flight", zap.String("endpoint", endpoint),
 			zap.String("digest", b.Digest), zap.Bool("head", b.Answering), zap.Bool("begun", b.Begun), zap.Strings("shared", b.Parts),
-			zap.Int64("broken_ms", now.Sub(b.BrokenAt).Milliseconds()))
-		report := peer.CrashReport{Digest: b.Digest, Endpoint: endpoint}
+			zap.Int64("broken_ms", clock.Now().Sub(b.BrokenAt).Milliseconds()))
+		report := &peer.CrashReport{Digest: b.Digest, Endpoint: endpoint}
 		if refused && b.Chargeable() {
-			report.Service, report.Parts, report.Answering = b.Service, b.Parts, b.Answering
-			report.SentAge, report.BrokenAge = now.Sub(b.SentAt), now.Sub(b.BrokenAt)
+			report = crashReport(endpoint, &b)
 			n.attributeCrash(endpoint, &b)
 		}
+		reports = append(reports, report)
+	}
+	// A peer that reads slowly must not delay the attribution of the other exchanges.
+	for _, report := range reports {
 		n.notifyPeers(peer.KindCrashReport, report)
 	}
 }
 
+// crashReport reports a crash that broke an exchange, and charges the parts of its prompt.
+func crashReport(endpoint string, b *suspect.BrokenExchange) *peer.CrashReport {
+	now := clock.Now()
+	return &peer.CrashReport{
+		Digest: b.Digest, Endpoint: endpoint, Service: b.Service, Parts: b.Parts, Answering: b.Answering,
+		SentAge: now.Sub(b.SentAt), BrokenAge: now.Sub(b.BrokenAt),
+	}
+}
+
 // attributeCrash attributes a crash to the parts of a broken exchange's prompt.
 func (n *Node) attributeCrash(endpoint string, b *suspect.BrokenExchange) {
 	blocked, suspected := n.suspects.recordPartCrash(endpoint, b)
@@ -218,8 +232,7 @@
 	return blocked
 }
 
-// notifyPeers sends a message to all peers. It waits only for the instance that places requests, which must know of a crash before it hears
-// that the request has ended.
+// notifyPeers sends a message to all peers, to the instance that places requests first.
 func (n *Node) notifyPeers(kind peer.Kind, msg any) {
 	owner := n.members.owner()
 	if owner != n.cfg.Name {
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -62,6 +62,9 @@
 	Outcome placement.Outcome `msgpack:"End"`
 	// Version is the weight version that the endpoint named in its answer, or zero if unknown.
 	Version int `msgpack:",omitempty"`
+	// Crash is the crash of the endpoint that ended the assignment, or nil. It is recorded before the end, which the report to all peers may
+	// arrive after.
+	Crash *CrashReport `msgpack:"Crash,omitempty"`
 }
 
 // SyncRequest requests everything that is newer than the sender's state. The receiver may delay the reply until it has something new.
