Measure how long arrived data waits until it is read, and log when an instance is behind

What was missing: a leader whose processor is used up showed it nowhere; its timers ran nearly in time, its own requests were placed in 1 to 3 ms, and only the others logged that their calls to it timed out.

Change: each instance sends itself a byte through a pipe ten times a second and averages the delay over about a second. Gauge dispatch_delay_seconds; event 109 when the mean exceeds 10 ms (an eighth of the time for which entries wait for a placement), and when it is below 5 ms again. A sample counts 50 ms at most, so that one pause isn't slowness.

Ruled out: lateness of timers (4.5 ms on the slow leader beside 0.6 ms on others: the runtime runs what a timer wakes first) and the time that a yield takes (a clean sign too, but it passes what waits at connections).

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -53,6 +53,7 @@
 	InstanceNotReady        Number = 106
 	SettingsRechecked       Number = 107
 	LogLinesDropped         Number = 108
+	InstanceBehind          Number = 109
 	TableAdopted            Number = 310
 	TableInvalid            Number = 311
 	StoreUnreachable        Number = 312
--- a/internal/gateway/dependencies.go
+++ b/internal/gateway/dependencies.go
@@ -66,4 +66,6 @@
 	Headers HeaderCodec
 	Engines Engines
 	Caches  Caches
+	// Delay measures whether this instance is behind; nil selects a pipe.
+	Delay DelayProbe
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -51,6 +51,7 @@
 	relay         *relay
 	catchUp       *catchUp
 	leaderBackoff leaderBackoff
+	dispatchDelay *dispatchDelay
 
 	stopping atomic.Bool
 	ready    atomic.Bool
@@ -79,6 +80,7 @@
 	n.catchUp = &catchUp{node: n}
 	n.poller = newStorePoller(n)
 	n.rollout = newWeightRollout(n)
+	n.dispatchDelay = newDispatchDelay(n)
 	return n
 }
 
@@ -110,6 +112,7 @@
 	for _, task := range []func(context.Context){
 		n.poller.run, n.members.renew, n.relay.run, n.catchUp.run, n.placer.run, n.leadership.run, n.follower.run, n.follower.freeStores,
 		n.follower.logUsage, n.rollout.run, n.blocks.run, n.watchReadiness, n.sweep,
+		n.dispatchDelay.run,
 	} {
 		n.wg.Go(func() { task(background) })
 	}
--- a/internal/metric/hosted.go
+++ b/internal/metric/hosted.go
@@ -6,22 +6,23 @@
 type Hosted struct {
 	Registry *prometheus.Registry
 
-	Requests     *prometheus.CounterVec
-	Latency      *prometheus.HistogramVec
-	FirstEvent   *prometheus.HistogramVec
-	Attempts     *prometheus.CounterVec
-	PromptTokens *prometheus.CounterVec
-	Placements   *prometheus.CounterVec
-	StoreCalls   *prometheus.CounterVec
-	Orders       *prometheus.CounterVec
-	Dials        prometheus.Counter
-	TableVersion prometheus.Gauge
-	TableAge     prometheus.GaugeFunc
-	Endpoints    *prometheus.GaugeVec
-	InFlight     prometheus.Gauge
-	PlacementAge prometheus.Gauge
-	Settings     *prometheus.GaugeVec
-	Reloads      *prometheus.CounterVec
+	Requests      *prometheus.CounterVec
+	Latency       *prometheus.HistogramVec
+	FirstEvent    *prometheus.HistogramVec
+	Attempts      *prometheus.CounterVec
+	PromptTokens  *prometheus.CounterVec
+	Placements    *prometheus.CounterVec
+	StoreCalls    *prometheus.CounterVec
+	Orders        *prometheus.CounterVec
+	Dials         prometheus.Counter
+	TableVersion  prometheus.Gauge
+	TableAge      prometheus.GaugeFunc
+	Endpoints     *prometheus.GaugeVec
+	InFlight      prometheus.Gauge
+	PlacementAge  prometheus.Gauge
+	DispatchDelay prometheus.Gauge
+	Settings      *prometheus.GaugeVec
+	Reloads       *prometheus.CounterVec
 }
 
 // SetSettings records the digests of the settings file in force on an instance and of its bounds.
@@ -33,26 +34,27 @@
 // NewHosted creates and registers the metrics. age returns the seconds since the configuration was last confirmed.
 func NewHosted(age func() float64) *Hosted {
 	s := &Hosted{
-		Registry:     prometheus.NewRegistry(),
-		Requests:     newCounterVec("requests_total", "Requests by kind of route and result.", "kind", "result"),
-		Latency:      newHistogramVec("request_seconds", "Time from arrival to the end of the answer.", "kind"),
-		FirstEvent:   newHistogramVec("first_event_seconds", "Time from arrival to the first bytes of the answer.", "kind"),
-		Attempts:     newCounterVec("attempts_total", "Attempts at endpoints by outcome.", "outcome"),
-		PromptTokens: newCounterVec("prompt_tokens_total", "Prompt tokens by where they were expected: cached, fetched, read.", "way"),
-		Placements:   newCounterVec("placements_total", "Placements by who decided: owner, peer, alone.", "by"),
-		StoreCalls:   newCounterVec("store_calls_total", "Calls to the platform's store by purpose and result.", "purpose", "result"),
-		Orders:       newCounterVec("weight_orders_total", "Weight orders by result.", "result"),
-		Dials:        prometheus.NewCounter(counterOpts("dials_total", "New connections to endpoints.")),
-		TableVersion: prometheus.NewGauge(gaugeOpts("table_version", "Version of the configuration in force.")),
-		TableAge:     prometheus.NewGaugeFunc(gaugeOpts("table_age_seconds", "Time since the configuration was confirmed."), age),
-		Endpoints:    prometheus.NewGaugeVec(gaugeOpts("endpoints", "Endpoints that may get new requests, by service."), []string{"service"}),
-		InFlight:     prometheus.NewGauge(gaugeOpts("requests_in_flight", "Requests that this instance holds.")),
-		PlacementAge: prometheus.NewGauge(gaugeOpts("placement_age_seconds", "Time since this instance last processed its queue of requests to place.")),
+		Registry:      prometheus.NewRegistry(),
+		Requests:      newCounterVec("requests_total", "Requests by kind of route and result.", "kind", "result"),
+		Latency:       newHistogramVec("request_seconds", "Time from arrival to the end of the answer.", "kind"),
+		FirstEvent:    newHistogramVec("first_event_seconds", "Time from arrival to the first bytes of the answer.", "kind"),
+		Attempts:      newCounterVec("attempts_total", "Attempts at endpoints by outcome.", "outcome"),
+		PromptTokens:  newCounterVec("prompt_tokens_total", "Prompt tokens by where they were expected: cached, fetched, read.", "way"),
+		Placements:    newCounterVec("placements_total", "Placements by who decided: owner, peer, alone.", "by"),
+		StoreCalls:    newCounterVec("store_calls_total", "Calls to the platform's store by purpose and result.", "purpose", "result"),
+		Orders:        newCounterVec("weight_orders_total", "Weight orders by result.", "result"),
+		Dials:         prometheus.NewCounter(counterOpts("dials_total", "New connections to endpoints.")),
+		TableVersion:  prometheus.NewGauge(gaugeOpts("table_version", "Version of the configuration in force.")),
+		TableAge:      prometheus.NewGaugeFunc(gaugeOpts("table_age_seconds", "Time since the configuration was confirmed."), age),
+		Endpoints:     prometheus.NewGaugeVec(gaugeOpts("endpoints", "Endpoints that may get new requests, by service."), []string{"service"}),
+		InFlight:      prometheus.NewGauge(gaugeOpts("requests_in_flight", "Requests that this instance holds.")),
+		PlacementAge:  prometheus.NewGauge(gaugeOpts("placement_age_seconds", "Time since this instance last processed its queue of requests to place.")),
+		DispatchDelay: prometheus.NewGauge(gaugeOpts("dispatch_delay_seconds", "Mean time that arrived data waits until this process reads it.")),
 		Settings: prometheus.NewGaugeVec(gaugeOpts("settings_info", "One for the settings file in force, by its digest and that of its bounds."),
 			[]string{"instance", "digest", "bounds"}),
 		Reloads: newCounterVec("settings_reloads_total", "Changed settings files by result: applied, invalid, needs_restart.", "result"),
 	}
 	s.Registry.MustRegister(s.Requests, s.Latency, s.FirstEvent, s.Attempts, s.PromptTokens, s.Placements, s.StoreCalls, s.Orders, s.Dials,
-		s.TableVersion, s.TableAge, s.Endpoints, s.InFlight, s.PlacementAge, s.Settings, s.Reloads)
+		s.TableVersion, s.TableAge, s.Endpoints, s.InFlight, s.PlacementAge, s.DispatchDelay, s.Settings, s.Reloads)
 	return s
 }
