Hand the lease of a leader that is behind over to an instance that isn't

Cause: the lease is renewed whether or not what arrives at the leader is read in time; nothing moved duties away.

A leader that has been behind for 3 s asks the preferred leaders; one that isn't behind and has a quarter of its delay at most is its successor. It stops acting, ends its lease and invites the successor, which may campaign before it has read that the lease is vacant: the store's conditions keep one holder. Each hand-over doubles the term that follows, from 8 to 256 s; the count is in the leader's record. An instance that is behind, or has just handed over, stands for election a lease time later than others. Where all are behind nothing moves. If the store doesn't confirm the end of the lease, the next renewal decides whether the leader goes on.

Tests: TestPolicy in virtual time (100 random loads of ten minutes with deaths of successors); TestHandOver with real entries. With the leader's answer to a failed end ignored and without standing back, four of its assertions failed.

--- a/internal/gateway/dispatch_delay.go
+++ b/internal/gateway/dispatch_delay.go
@@ -106,3 +106,10 @@
 	}
 	d.node.log.Info(event.InstanceBehind, "instance has caught up", append(fields, zap.Int64("span_ms", now.Sub(since).Milliseconds()))...)
 }
+
+// state returns the mean delay, and since when this instance is behind, or zero if it isn't.
+func (d *dispatchDelay) state() (mean time.Duration, behindSince clock.Instant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.delays.Mean(), d.delays.BehindSince()
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -64,6 +64,15 @@
 		}
 		h.suspects.recordAnswer(m.Service, m.Parts)
 		return peer.Empty{}, nil
+	case peer.KindSuccessor:
+		return h.handOver.serveQuery(from.Name), nil
+	case peer.KindHandOver:
+		m, err := decode[peer.HandOver](body)
+		if err != nil {
+			return nil, err
+		}
+		h.leadership.invite(from.Name, m.Count)
+		return peer.Empty{}, nil
 	case peer.KindCatchUp:
 		return (*Node)(h).serveCatchUp(), nil
 	}
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -12,6 +12,7 @@
 	"gypsumvale/internal/coordination/rank"
 	"gypsumvale/internal/duty"
 	"gypsumvale/internal/event"
+	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/state/clock"
 	"gypsumvale/internal/state/kv"
 )
@@ -27,6 +28,8 @@
 	candidateStep = 200 * time.Millisecond
 	// maxCandidates bounds the stagger.
 	maxCandidates = 8
+	// leaderSubject is the subject for which leaders are ranked.
+	leaderSubject = "lead"
 	// electionRetryPause is the pause after a failed attempt to become the leader.
 	electionRetryPause = time.Second
 )
@@ -34,6 +37,8 @@
 // leaderRecord is the value of the leader's key.
 type leaderRecord struct {
 	Name string `msgpack:"name"`
+	// HandOvers is the number of hand-overs in a row with which the leader's term began.
+	HandOvers int `msgpack:"hand_overs,omitempty"`
 }
 
 // errReplaced is the reason logged when another instance has become the leader.
@@ -56,6 +61,11 @@
 	renewedAt clock.Instant
 	// uncontested is true if no other instance can have acted as leader directly before this one.
 	uncontested bool
+	// successor is the instance to which the lease is to be handed over, or empty.
+	successor string
+	// invitedUntil is when the invitation of a leader that has handed over lapses, and handOvers the number of hand-overs that it named.
+	invitedUntil clock.Instant
+	handOvers    int
 }
 
 // holdsLease reports whether this instance holds a valid lease, counted from when its last renewal was sent.
@@ -90,6 +100,10 @@
 	lease := l.lease
 	l.mu.Unlock()
 	if lease != 0 {
+		if successor := l.takeSuccessor(); successor != "" && l.holdsLease(now) {
+			l.handOver(ctx, lease, successor)
+			return
+		}
 		if leader, _ := l.node.members.leader(); l.uncertain && leader != "" && leader != l.node.cfg.Name {
 			l.stepDown(errReplaced)
 			return
@@ -100,23 +114,97 @@
 		}
 		return
 	}
-	if leader, known := l.node.members.leader(); leader != "" || !known || l.node.stopping.Load() || !l.node.ready.Load() {
+	leader, known := l.node.members.leader()
+	if !known || l.node.stopping.Load() || !l.node.ready.Load() {
+		l.vacantSince = 0
+		return
+	}
+	if handOvers, invited := l.takeInvitation(now); invited {
+		// The last leader has ended its lease, though the read of the store that shows so is still to come.
+		l.nextAttempt = now.Add(electionRetryPause)
+		l.campaign(ctx, handOvers)
+		return
+	}
+	if leader != "" {
 		l.vacantSince = 0
 		return
 	}
 	if l.vacantSince == 0 {
 		l.vacantSince = now
 		l.nextAttempt = now.Add(time.Duration(l.candidateRank()) * candidateStep)
+		if l.node.handOver.standsBack(now) {
+			l.nextAttempt = l.nextAttempt.Add(leaderTTL)
+		}
 	}
 	if !now.Before(l.nextAttempt) {
 		l.nextAttempt = now.Add(electionRetryPause)
-		l.campaign(ctx)
+		previous, _ := l.node.members.lastLeader()
+		l.campaign(ctx, previous.HandOvers)
 	}
 }
 
+// requestHandOver makes the next step hand the lease over.
+func (l *leadership) requestHandOver(successor string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.successor = successor
+}
+
+func (l *leadership) takeSuccessor() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	successor := l.successor
+	l.successor = ""
+	return successor
+}
+
+// invite makes the next step try to become the leader, since the last one has ended its lease in favor of this instance.
+func (l *leadership) invite(from string, handOvers int) {
+	l.node.log.Info(event.LeaderChanged, "leadership offered", zap.String("from", from), zap.Int("hand_overs", handOvers))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.invitedUntil, l.handOvers = clock.Now().Add(leaderTTL), handOvers
+}
+
+func (l *leadership) takeInvitation(now clock.Instant) (handOvers int, invited bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	invited = now.Before(l.invitedUntil)
+	l.invitedUntil = 0
+	return l.handOvers, invited
+}
+
+// handOver ends the lease in favor of a successor. Nothing is done in the lease's name from before its end on. If the store doesn't answer,
+// the lease may still be valid, and the next renewal decides whether this instance goes on leading.
+func (l *leadership) handOver(ctx context.Context, lease kv.LeaseID, successor string) {
+	l.mu.Lock()
+	l.renewedAt = clock.Now().Add(-leaderTTL)
+	fence := l.fence
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, leaseRenewPeriod)
+	defer cancel()
+	err := l.node.deps.Store.End(ctx, lease)
+	l.node.countStoreCall("end_lead", err)
+	if err != nil {
+		l.setUncertain(true, err)
+		l.nextRenewal = 0
+		return
+	}
+	l.mu.Lock()
+	l.lease = 0
+	l.mu.Unlock()
+	l.uncertain = false
+	l.vacantSince = 0
+	handOvers := l.node.handOver.yield(clock.Now())
+	l.node.log.Warn(event.LeaderChanged, "leadership handed over", zap.Uint64("fence", fence), zap.String("successor", successor),
+		zap.Int("hand_overs", handOvers))
+	l.node.wg.Go(func() { l.node.notify(successor, peer.KindHandOver, peer.HandOver{Count: handOvers}) })
+	l.node.poller.wake()
+}
+
 // candidateRank returns this instance's position among the preferred leaders, or maxCandidates if it isn't one of them.
 func (l *leadership) candidateRank() int {
-	for i, name := range rank.Top("lead", l.node.members.leaderCandidates(), maxCandidates) {
+	for i, name := range rank.Top(leaderSubject, l.node.members.leaderCandidates(), maxCandidates) {
 		if name == l.node.cfg.Name {
 			return i
 		}
@@ -183,11 +271,12 @@
 	l.node.log.Info(event.LeaderChanged, "leadership released", zap.Uint64("fence", fence), zap.Error(err))
 }
 
-// campaign tries to become the leader. The revision of the write is the fencing number, so numbers increase from leader to leader.
-func (l *leadership) campaign(ctx context.Context) {
+// campaign tries to become the leader, after a number of hand-overs in a row. The revision of the write is the fencing number, so numbers
+// increase from leader to leader.
+func (l *leadership) campaign(ctx context.Context, handOvers int) {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeReadTimeout)
 	defer cancel()
-	name, err := msgpack.Marshal(leaderRecord{Name: l.node.cfg.Name})
+	name, err := msgpack.Marshal(leaderRecord{Name: l.node.cfg.Name, HandOvers: handOvers})
 	if err != nil {
 		l.node.log.Warn(event.LeaderChanged, "failed to encode leader record", zap.Error(err))
 		return
@@ -214,9 +303,12 @@
 	}
 	l.mu.Lock()
 	l.lease, l.fence, l.renewedAt = lease, uint64(fence), sent
-	l.uncontested = revision == 0 || previous == l.node.cfg.Name
+	l.uncontested = revision == 0 || previous.Name == l.node.cfg.Name
+	l.successor = ""
 	l.mu.Unlock()
-	l.node.log.Info(event.LeaderChanged, "leadership acquired", zap.Uint64("fence", uint64(fence)), zap.String("before", previous))
+	l.node.handOver.beginTerm(sent, handOvers)
+	l.node.log.Info(event.LeaderChanged, "leadership acquired", zap.Uint64("fence", uint64(fence)), zap.String("before", previous.Name),
+		zap.Int("hand_overs", handOvers))
 	l.node.poller.wake()
 	l.node.rollout.wake()
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -63,7 +63,7 @@
 	items              []kv.Item
 	entries            map[string]entryRecord
 	currentLeader      string
-	lastLeaderName     string
+	lastLeaderRecord   leaderRecord
 	lastLeaderRevision kv.Revision
 	secret             []byte
 	network            *peers.Network
@@ -186,9 +186,9 @@
 	for _, item := range items {
 		switch {
 		case item.Key == leaderKey:
-			m.currentLeader = m.leaderOf(item)
+			m.currentLeader = m.leaderOf(item).Name
 		case item.Key == lastLeaderKey:
-			m.lastLeaderName, m.lastLeaderRevision = m.leaderOf(item), item.Revision
+			m.lastLeaderRecord, m.lastLeaderRevision = m.leaderOf(item), item.Revision
 		case item.Key == secretKey && m.secret == nil:
 			m.secret = item.Data
 		case strings.HasPrefix(item.Key, entryPrefix):
@@ -243,14 +243,14 @@
 	m.entries[name] = record
 }
 
-// leaderOf decodes the name in a leader's key; it returns "unreadable" if the value can't be decoded.
-func (m *members) leaderOf(item kv.Item) string {
+// leaderOf decodes a leader's key; it returns the name "unreadable" if the value can't be decoded.
+func (m *members) leaderOf(item kv.Item) leaderRecord {
 	var body leaderRecord
 	if err := msgpack.Unmarshal(item.Data, &body); err != nil {
 		m.node.log.Warn(event.RegistrationInvalid, "failed to decode leader record", zap.Error(err))
-		return "unreadable"
+		return leaderRecord{Name: "unreadable"}
 	}
-	return body.Name
+	return body
 }
 
 // listen opens the port for peers.
@@ -275,11 +275,11 @@
 	return m.currentLeader, m.revision != 0 && m.network != nil
 }
 
-// lastLeader returns the most recent leader, and the revision at which its name was written.
-func (m *members) lastLeader() (string, kv.Revision) {
+// lastLeader returns the most recent leader, and the revision at which its record was written.
+func (m *members) lastLeader() (leaderRecord, kv.Revision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.lastLeaderName, m.lastLeaderRevision
+	return m.lastLeaderRecord, m.lastLeaderRevision
 }
 
 // leaderCandidates returns the names of the instances with the largest processor share, which are preferred as leaders.
@@ -314,7 +314,7 @@
 	if m.currentLeader != "" {
 		return m.currentLeader
 	}
-	return m.lastLeaderName
+	return m.lastLeaderRecord.Name
 }
 
 // relayCandidates returns the names of the zone's instances with the widest links and, among these, the largest processor share.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -52,6 +52,7 @@
 	catchUp       *catchUp
 	leaderBackoff leaderBackoff
 	dispatchDelay *dispatchDelay
+	handOver      *handOver
 
 	stopping atomic.Bool
 	ready    atomic.Bool
@@ -81,6 +82,7 @@
 	n.poller = newStorePoller(n)
 	n.rollout = newWeightRollout(n)
 	n.dispatchDelay = newDispatchDelay(n)
+	n.handOver = &handOver{node: n}
 	return n
 }
 
@@ -112,7 +114,7 @@
 	for _, task := range []func(context.Context){
 		n.poller.run, n.members.renew, n.relay.run, n.catchUp.run, n.placer.run, n.leadership.run, n.follower.run, n.follower.freeStores,
 		n.follower.logUsage, n.rollout.run, n.blocks.run, n.watchReadiness, n.sweep,
-		n.dispatchDelay.run,
+		n.dispatchDelay.run, n.handOver.run,
 	} {
 		n.wg.Go(func() { task(background) })
 	}
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -140,6 +140,11 @@
 
 // addEntryWith starts an entry with the default settings as changed by configure.
 func (s *site) addEntryWith(configure func(*settings.Hosted)) *entry {
+	return s.startEntry(configure, nil)
+}
+
+// startEntry starts an entry whose delays are measured by a probe, or nil for its own.
+func (s *site) startEntry(configure func(*settings.Hosted), probe gateway.DelayProbe) *entry {
 	peers := freeAddress()
 	cfg := &settings.Hosted{
 		Name: fmt.Sprintf("entry-%d", len(s.entries)), Zone: "plateau", Callers: freeAddress(), Readiness: freeAddress(), Peers: peers, Advertise: peers,
@@ -154,7 +159,7 @@
 	e := &entry{cfg: cfg, cancel: cancel, done: make(chan struct{})}
 	node := gateway.New(cfg, event.Discard(), gateway.Dependencies{
 		Store: platform.NewStoreClient(cfg.Store), Schema: platform.StoreSchema{}, Headers: platform.HeaderCodec{},
-		Engines: platform.NewEngineClient(), Caches: platform.NewCacheClient(),
+		Engines: platform.NewEngineClient(), Caches: platform.NewCacheClient(), Delay: probe,
 	})
 	go func() {
 		defer close(e.done)
--- a/internal/protocol/peer/frame.go
+++ b/internal/protocol/peer/frame.go
@@ -50,6 +50,8 @@
 	KindSync
 	KindCatchUp
 	KindPartsCleared
+	KindSuccessor
+	KindHandOver
 )
 
 var kindNames = [...]string{
@@ -58,7 +60,7 @@
 	KindRegisterStream: "register", KindFindStream: "find", KindCrashReport: "suspect", KindLink: "link", KindExport: "export",
 	KindInstanceList: "roster", KindMemberRequest: "want",
 	KindPlace: "place", KindAssignmentUpdate: "use", KindAwaitPlacement: "await", KindSync: "sync", KindCatchUp: "catchup",
-	KindPartsCleared: "cleared",
+	KindPartsCleared: "cleared", KindSuccessor: "successor", KindHandOver: "handover",
 }
 
 // String returns the label used in metrics, or "unknown".
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -140,3 +140,19 @@
 	// TargetVersions holds target versions, also those that have been followed by newer ones.
 	TargetVersions []TargetVersion
 }
+
+// SuccessorQuery asks whether the receiving instance would take over the lease of the sender, which leads.
+type SuccessorQuery struct{}
+
+// SuccessorReply is the reply to a query for a successor.
+type SuccessorReply struct {
+	Willing bool
+	// Delay is the mean time that arrived data waits until the replying instance reads it.
+	Delay time.Duration
+}
+
+// HandOver tells an instance that the sender has ended its lease as leader in its favor.
+type HandOver struct {
+	// Count is the number of hand-overs in a row, this one included.
+	Count int
+}
