--- a/internal/gateway/site_faults_test.go
+++ b/internal/gateway/site_faults_test.go
@@ -10,8 +10,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"gypsumvale/internal/settings"
 	"gypsumvale/internal/red"
+	"gypsumvale/internal/settings"
 	"gypsumvale/internal/standin/hosted"
 )
 
