Revert "Tell prompts with equal bodies and different parts apart when engines crash"

A failed try. The platform says that a request which crashes engines comes again with the same path, caller and body; it doesn't say that its parts are the same.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -183,7 +183,7 @@
 	if j.workspace != nil {
 		workspace = j.workspace.Name
 	}
-	j.digest = requestDigest(j.r.Method, j.target, workspace, j.head.Parts, j.body)
+	j.digest = requestDigest(j.r.Method, j.target, workspace, j.body)
 	if n.suspects.blocked(j.digest) {
 		return &refusal{http.StatusInternalServerError, "crashes_endpoints", 0}
 	}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/hex"
 	"hash"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -245,11 +244,11 @@
 	}
 }
 
-// requestDigest identifies a request by its content, which includes the parts of its prompt, and its workspace rather than by its identifier,
-// since a caller may send it again under another identifier.
-func requestDigest(method, target, workspace string, parts []prompt.Part, body []byte) string {
+// requestDigest identifies a request by its content and its workspace rather than by its identifier, since a caller may send it again
+// under another identifier.
+func requestDigest(method, target, workspace string, body []byte) string {
 	h := xxhash.New()
-	for _, text := range slices.Concat([]string{method, target, workspace}, prompt.IDs(parts), []string{""}) {
+	for _, text := range []string{method, target, workspace} {
 		writeString(h, text)
 	}
 	// Writing to a hash never returns an error.
