Log the metadata store's era and its revision when it was restored

Cause: event 313 names the revision held here, so that the logs can't tell whether a restored store's items are ignored for their revision, are missing in the store, or aren't passed on by relays. Change: the store client reads the era from each answer; 315 logs it at the first read and at each change, with the store's revision and the one held. No decision depends on it yet.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -59,6 +59,7 @@
 	StoreUnreachable        Number = 312
 	StoreReachable          Number = 313
 	TableUnconfirmed        Number = 314
+	StoreRestored           Number = 315
 	RegistrationChanged     Number = 410
 	RegistrationInvalid     Number = 411
 	EndpointUnresponsive    Number = 412
--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -42,6 +42,9 @@
 	// multiPage is true if the store's contents fill more than one page; failures counts consecutive failed calls.
 	multiPage bool
 	failures  int
+	// era is the store's era at the last read, and eraKnown is true after the first read.
+	era      uint64
+	eraKnown bool
 	// lastCallSucceeded is true if the last call returned no error.
 	lastCallSucceeded atomic.Bool
 }
@@ -145,6 +148,7 @@
 		items.add(page.Items, schema)
 		if after == "" {
 			revision = page.Revision
+			s.logEra(page.Era, revision)
 		}
 		after = page.After
 		if !applied && (after == "" || after > frontEnd) {
@@ -164,6 +168,24 @@
 	return joinErr
 }
 
+// logEra logs the store's era at the first read and whenever it has changed, with the revisions before and after.
+func (s *storePoller) logEra(era uint64, revision kv.Revision) {
+	previous, known := s.era, s.eraKnown
+	s.era, s.eraKnown = era, true
+	if known && previous == era {
+		return
+	}
+	fields := []zap.Field{
+		zap.Uint64("era", era), zap.Uint64("before", previous), zap.Uint64("revision", uint64(revision)),
+		zap.Uint64("held_revision", uint64(s.node.discovery.revision())),
+	}
+	if !known {
+		s.node.log.Info(event.StoreRestored, "metadata store read for the first time", fields...)
+		return
+	}
+	s.node.log.Warn(event.StoreRestored, "metadata store was restored from a copy", fields...)
+}
+
 // maxKeySuffix, appended to a prefix, sorts after all keys with that prefix.
 const maxKeySuffix = "\xff"
 
--- a/internal/state/kv/item.go
+++ b/internal/state/kv/item.go
@@ -25,6 +25,8 @@
 	Items []Item
 	// Revision is the store's revision at which the items are current, and after which a watch continues.
 	Revision Revision
+	// Era counts how often the store has been restored from a copy, which may lack acknowledged writes.
+	Era uint64
 	// After is the key after which the next page of a range starts; it is empty on the last page. The pages of a range are read at
 	// different revisions, so that together they are not a snapshot.
 	After string
