--- a/internal/standin/hosted/handlers.go
+++ b/internal/standin/hosted/handlers.go
@@ -33,6 +33,7 @@
 		s.calls[name]++
 		s.expire(time.Now())
 		fault := s.fault
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 		s.mu.Unlock()
 		switch {
 		case strings.HasPrefix(req.URL.Path, "/control/"):
@@ -116,7 +117,7 @@
 		s.mu.Lock()
 		s.expire(time.Now())
 		events := s.eventsAfter(query.Get("PathPrefix"), after)
-		revision, changed, compacted := s.revision, s.changed, after+1 < s.historyStart
+		revision, changed, compacted := s.revision, s.changed, after+1 < s.historyStart || after > s.revision
 		s.mu.Unlock()
 		if compacted {
 			w.WriteHeader(http.StatusGone)
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -54,17 +55,19 @@
 	history      []storeEvent
 	historyStart uint64
 	revision     uint64
-	lastLease    uint64
-	fault        StoreFault
-	changed      chan struct{}
+	// era counts the restorations; it is 1 at the start.
+	era       uint64
+	lastLease uint64
+	fault     StoreFault
+	changed   chan struct{}
 	// calls is the number of calls by method and path, such as "GET /-/kv-range".
 	calls map[string]int
 }
 
-// NewStore returns an empty store at revision 1.
+// NewStore returns an empty store at revision 1, in its first era.
 func NewStore() *Store {
 	return &Store{
-		items: make(map[string]*storeItem), leases: make(map[uint64]*storeLease), revision: 1, historyStart: 1, lastLease: 1,
+		items: make(map[string]*storeItem), leases: make(map[uint64]*storeLease), revision: 1, era: 1, historyStart: 1, lastLease: 1,
 		changed: make(chan struct{}), calls: make(map[string]int),
 	}
 }
@@ -161,6 +164,40 @@
 	s.historyStart = s.revision + 1
 }
 
+// Copy is the state of a store at one revision.
+type Copy struct {
+	items     map[string]*storeItem
+	leases    map[uint64]storeLease
+	revision  uint64
+	lastLease uint64
+}
+
+// Copy returns a copy of the store's state, from which it can be restored.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &Copy{items: maps.Clone(s.items), leases: make(map[uint64]storeLease), revision: s.revision, lastLease: s.lastLease}
+	for id, l := range s.leases {
+		c.leases[id] = *l
+	}
+	return c
+}
+
+// Restore replaces the store's state by an earlier copy, and begins a new era: all writes since the copy are lost, and their revisions and
+// leases are given out again. The leases of the copy get their full TTL.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.revision, s.lastLease = maps.Clone(c.items), c.revision, c.lastLease
+	s.leases = make(map[uint64]*storeLease)
+	for id, l := range c.leases {
+		s.leases[id] = &storeLease{l.ttl, time.Now().Add(l.ttl)}
+	}
+	s.history = slices.DeleteFunc(s.history, func(e storeEvent) bool { return e.Revision > c.revision })
+	s.era++
+	s.notifyWatches()
+}
+
 // Calls returns the number of calls with a method and path, such as "GET /-/kv-range".
 func (s *Store) Calls(name string) int {
 	s.mu.Lock()
