Keep endpoints in use that a restored store's copy lacks

Cause: the grace period for registrations that have to reappear began only after 3 s without a read, and a restoration may take a moment. It begins with each new era now. TestView, "keeps endpoints in use that a copy lacks", failed before (b was dropped at once).

--- a/internal/coordination/registry/view.go
+++ b/internal/coordination/registry/view.go
@@ -13,7 +13,7 @@
 	// outageThreshold is the time without a read after which registrations may have expired although their endpoints are alive.
 	// Registrations expire after three missed heartbeats.
 	outageThreshold = 3 * time.Second
-	// reappearTime is how long expired registrations may take to reappear after an outage of the store.
+	// reappearTime is how long lost or expired registrations may take to reappear after an outage of the store or its restoration from a copy.
 	reappearTime = 2200 * time.Millisecond
 )
 
@@ -26,7 +26,8 @@
 	Leaving
 	Gone
 	Restarted
-	// Missing endpoints are not on the list but stay in use for a grace period, since the store has just recovered from an outage.
+	// Missing endpoints are not on the list but stay in use for a grace period, since the store has just recovered from an outage or was
+	// restored from a copy.
 	Missing
 )
 
@@ -48,7 +49,7 @@
 	// departed holds the incarnations of endpoints that have gone. One that is listed again in place of a later incarnation gets no work.
 	departed map[registration.Incarnation]bool
 	missing  map[string]bool
-	// lastRead is when the last list was read or confirmed, and graceUntil when the grace period after an outage ends.
+	// lastRead is when the last list was read or confirmed, and graceUntil when the grace period after an outage or a restoration ends.
 	lastRead   clock.Instant
 	graceUntil clock.Instant
 }
@@ -65,8 +66,8 @@
 // Replace updates the view with a list that was read at the instant now, and returns the changes. It ignores a list that is older than
 // the last one.
 //
-// After an outage of the store, endpoints that are not on the list stay in use until their registrations have had time to reappear.
-// Endpoints that were leaving before the outage don't.
+// After an outage of the store, or its restoration from a copy, endpoints that are not on the list stay in use until their registrations
+// have had time to reappear. Endpoints that were leaving before don't.
 func (v *View) Replace(now clock.Instant, revision kv.Revision, list []*registration.Registration) []Change {
 	if !v.RecordRead(now, revision) {
 		return nil
@@ -101,12 +102,12 @@
 }
 
 // RecordRead records that a list was read, even if it is the same as the last one, and reports whether it is at least as new. The first
-// read after an outage starts the grace period.
+// read after an outage or a restoration starts the grace period.
 func (v *View) RecordRead(now clock.Instant, revision kv.Revision) bool {
 	if revision < v.revision {
 		return false
 	}
-	if v.lastRead != 0 && now.Sub(v.lastRead) > outageThreshold {
+	if v.lastRead != 0 && (now.Sub(v.lastRead) > outageThreshold || revision.Era() > v.revision.Era()) {
 		v.graceUntil = now.Add(reappearTime)
 	}
 	v.lastRead, v.revision = now, revision
--- a/internal/coordination/registry/view_test.go
+++ b/internal/coordination/registry/view_test.go
@@ -36,6 +36,12 @@
 		}
 		read(0, 1, list(registered("a", 1, false), registered("b", 1, false))...)
 		expectUsable(v, "a", "b")
+		// restored returns a revision of the store after it was restored from a copy.
+		restored := func(number uint64) kv.Revision {
+			r, err := kv.NewRevision(1, number)
+			So(err, ShouldBeNil)
+			return r
+		}
 
 		Convey("excludes a leaving endpoint", func() {
 			read(time.Second, 2, registered("a", 1, true), registered("b", 1, false))
@@ -79,5 +85,14 @@
 			read(10*time.Second, 3, registered("b", 1, false))
 			expectUsable(v, "b")
 		})
+		Convey("keeps endpoints in use that a copy lacks from which the store was restored", func() {
+			read(time.Second, restored(1), registered("a", 1, false))
+			expectUsable(v, "a", "b")
+			So(v.HasMissing(), ShouldBeTrue)
+			Convey("until they have had time to be registered again", func() {
+				read(4*time.Second, restored(1), registered("a", 1, false))
+				expectUsable(v, "a")
+			})
+		})
 	})
 }
