Don't use endpoints again that a restored store's copy shows as they were

Cause: the view believed each newer list, and a restored copy is newer by its era and older by what it shows. Change: an incarnation that has been listed as leaving is never used again; one that had gone before the restoration is used only if it is still listed 5 s later, when the registration of an endpoint that is gone has expired. TestView, "doesn't use an endpoint again" (leaving, gone), failed before: both were used at once.

--- a/internal/coordination/registry/view.go
+++ b/internal/coordination/registry/view.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -15,6 +16,9 @@
 	outageThreshold = 3 * time.Second
 	// reappearTime is how long lost or expired registrations may take to reappear after an outage of the store or its restoration from a copy.
 	reappearTime = 2200 * time.Millisecond
+	// outdatedTime is for how long the registration of an endpoint that is gone may be listed after the store was restored from a copy: three
+	// heartbeats, with a margin.
+	outdatedTime = 5 * time.Second
 )
 
 // ChangeKind is the kind of a change to the view.
@@ -48,7 +52,14 @@
 	endpoints map[string]*registration.Registration
 	// departed holds the incarnations of endpoints that have gone. One that is listed again in place of a later incarnation gets no work.
 	departed map[registration.Incarnation]bool
-	missing  map[string]bool
+	// leaving holds the incarnations that have been listed as leaving. None of them returns to use.
+	leaving map[registration.Incarnation]bool
+	missing map[string]bool
+	// outdated holds the incarnations that had gone when the store was restored from a copy. They are not used before outdatedUntil, since
+	// the copy may list them though they are gone, and unproven holds the identifiers of those that are listed.
+	outdated      map[registration.Incarnation]bool
+	outdatedUntil clock.Instant
+	unproven      map[string]bool
 	// lastRead is when the last list was read or confirmed, and graceUntil when the grace period after an outage or a restoration ends.
 	lastRead   clock.Instant
 	graceUntil clock.Instant
@@ -59,7 +70,9 @@
 	return &View{
 		endpoints: make(map[string]*registration.Registration),
 		departed:  make(map[registration.Incarnation]bool),
+		leaving:   make(map[registration.Incarnation]bool),
 		missing:   make(map[string]bool),
+		unproven:  make(map[string]bool),
 	}
 }
 
@@ -74,9 +87,14 @@
 	}
 	var changes []Change
 	listed := make(map[string]bool, len(list))
+	clear(v.unproven)
 	for _, r := range list {
 		listed[r.ID] = true
 		delete(v.missing, r.ID)
+		if v.isOutdated(now, r) {
+			v.unproven[r.ID] = true
+			continue
+		}
 		if c, ok := v.update(r); ok {
 			changes = append(changes, c)
 		}
@@ -85,7 +103,7 @@
 		if listed[id] {
 			continue
 		}
-		if now.Before(v.graceUntil) && !r.Leaving {
+		if now.Before(v.graceUntil) && !v.isLeaving(r) {
 			if !v.missing[id] {
 				v.missing[id] = true
 				changes = append(changes, Change{Missing, r})
@@ -110,13 +128,30 @@
 	if v.lastRead != 0 && (now.Sub(v.lastRead) > outageThreshold || revision.Era() > v.revision.Era()) {
 		v.graceUntil = now.Add(reappearTime)
 	}
+	if v.lastRead != 0 && revision.Era() > v.revision.Era() {
+		v.outdated, v.outdatedUntil = maps.Clone(v.departed), now.Add(outdatedTime)
+	}
 	v.lastRead, v.revision = now, revision
 	return true
 }
 
+// isOutdated reports whether a registration may be of an endpoint that had gone before the store was restored from a copy.
+func (v *View) isOutdated(now clock.Instant, r *registration.Registration) bool {
+	return now.Before(v.outdatedUntil) && v.endpoints[r.ID] == nil && v.outdated[r.Incarnation()]
+}
+
+// isLeaving reports whether an endpoint is listed as leaving, or has been. Without a start time, a later run can't be told from that one.
+func (v *View) isLeaving(r *registration.Registration) bool {
+	return r.Leaving || r.StartMilli != 0 && v.leaving[r.Incarnation()]
+}
+
 func (v *View) update(r *registration.Registration) (Change, bool) {
 	held := v.endpoints[r.ID]
+	wasLeaving := held != nil && v.isLeaving(held)
 	v.endpoints[r.ID] = r
+	if r.Leaving {
+		v.leaving[r.Incarnation()] = true
+	}
 	switch {
 	case held == nil:
 		// A registration that expired in an outage may reappear after the grace period, with the same incarnation.
@@ -124,7 +159,7 @@
 		return Change{Joined, r}, true
 	case held.StartMilli != r.StartMilli || held.Address != r.Address:
 		return Change{Restarted, r}, true
-	case r.Leaving && !held.Leaving:
+	case r.Leaving && !wasLeaving:
 		return Change{Leaving, r}, true
 	}
 	return Change{}, false
@@ -133,14 +168,14 @@
 // Confirm records that the last list was still current at an instant, so that a period without changes isn't mistaken for an outage.
 func (v *View) Confirm(at clock.Instant) { v.lastRead = max(v.lastRead, at) }
 
-// HasMissing reports whether any endpoints are in use only because the store has just recovered from an outage.
-func (v *View) HasMissing() bool { return len(v.missing) > 0 }
+// HasMissing reports whether the use of any endpoints depends on how long ago the store has recovered from an outage or a restoration.
+func (v *View) HasMissing() bool { return len(v.missing) > 0 || len(v.unproven) > 0 }
 
 // Snapshot returns the endpoints that may get new work, by service and sorted by identifier.
 func (v *View) Snapshot() map[string][]*registration.Registration {
 	byService := make(map[string][]*registration.Registration)
 	for _, r := range v.endpoints {
-		if !r.Leaving && !v.departed[r.Incarnation()] {
+		if !v.isLeaving(r) && !v.departed[r.Incarnation()] {
 			byService[r.Service] = append(byService[r.Service], r)
 		}
 	}
--- a/internal/coordination/registry/view_test.go
+++ b/internal/coordination/registry/view_test.go
@@ -94,5 +94,29 @@
 				expectUsable(v, "a")
 			})
 		})
+		Convey("doesn't use an endpoint again that was leaving, though a restored copy lists it as ready", func() {
+			read(time.Second, 2, registered("a", 1, true), registered("b", 1, false))
+			read(2*time.Second, restored(1), registered("a", 1, false), registered("b", 1, false))
+			expectUsable(v, "b")
+			read(20*time.Second, restored(2), registered("a", 1, false), registered("b", 1, false))
+			expectUsable(v, "b")
+		})
+		Convey("doesn't use an endpoint again that had gone, though a restored copy lists it", func() {
+			read(time.Second, 2, registered("b", 1, false))
+			read(2*time.Second, restored(1), registered("a", 1, false), registered("b", 1, false))
+			expectUsable(v, "b")
+			So(v.HasMissing(), ShouldBeTrue)
+			Convey("until its registration has outlived that of an endpoint that is gone", func() {
+				read(5*time.Second, restored(1), registered("a", 1, false), registered("b", 1, false))
+				expectUsable(v, "b")
+				read(8*time.Second, restored(1), registered("a", 1, false), registered("b", 1, false))
+				expectUsable(v, "a", "b")
+				So(v.HasMissing(), ShouldBeFalse)
+			})
+			Convey("unless it is another incarnation", func() {
+				read(3*time.Second, restored(2), registered("a", 2, false), registered("b", 1, false))
+				expectUsable(v, "a", "b")
+			})
+		})
 	})
 }
