Don't take an earlier incarnation in a restored store's copy for a restart

An endpoint that restarted shortly before the store was restored would be reported as crashed twice more: when the copy lists its earlier incarnation, and when it registers again. Each report is counted against the requests that it ran. Cause: any other start time counted as a restart. An incarnation that was replaced is remembered as departed now, and its registration changes nothing. TestView, "doesn't take an earlier incarnation", failed before (one change of kind restarted).

--- a/internal/coordination/registry/view.go
+++ b/internal/coordination/registry/view.go
@@ -50,7 +50,8 @@
 type View struct {
 	revision  kv.Revision
 	endpoints map[string]*registration.Registration
-	// departed holds the incarnations of endpoints that have gone. One that is listed again in place of a later incarnation gets no work.
+	// departed holds the incarnations that have gone or were replaced by a later one. One that is listed again in place of a later
+	// incarnation gets no work.
 	departed map[registration.Incarnation]bool
 	// leaving holds the incarnations that have been listed as leaving. None of them returns to use.
 	leaving map[registration.Incarnation]bool
@@ -147,6 +148,13 @@
 
 func (v *View) update(r *registration.Registration) (Change, bool) {
 	held := v.endpoints[r.ID]
+	if held != nil && held.Incarnation() != r.Incarnation() {
+		if v.departed[r.Incarnation()] {
+			// A store that was restored from a copy lists an earlier incarnation. The later one registers again.
+			return Change{}, false
+		}
+		v.departed[held.Incarnation()] = true
+	}
 	wasLeaving := held != nil && v.isLeaving(held)
 	v.endpoints[r.ID] = r
 	if r.Leaving {
--- a/internal/coordination/registry/view_test.go
+++ b/internal/coordination/registry/view_test.go
@@ -118,5 +118,13 @@
 				expectUsable(v, "a", "b")
 			})
 		})
+		Convey("doesn't take an earlier incarnation in a restored copy for a restart", func() {
+			read(time.Second, 2, registered("a", 2, false), registered("b", 1, false))
+			changes := read(2*time.Second, restored(1), registered("a", 1, false), registered("b", 1, false))
+			So(changes, ShouldBeEmpty)
+			expectUsable(v, "a", "b")
+			So(v.Snapshot()["llm"][0].StartMilli, ShouldEqual, 2)
+			So(read(3*time.Second, restored(2), registered("a", 2, false), registered("b", 1, false)), ShouldBeEmpty)
+		})
 	})
 }
