Tell leases of a restored store from earlier ones with the same number

Cause: a restored store gives the numbers of lost leases out again.

Change: a lease has the era in which it was granted. One of an earlier era counts as ended, for renewing, ending and writing under it, since it can't be told whether the number is still the same lease; instances register again. The leader reads its key then: if the copy has it under the same lease, no other instance has led since the copy was made, and it leads on.

TestStoreRestoredFromCopy in platform, "doesn't take the lease of another client" (renewing, ending, writing), failed before in all three; TestLeaseOfRestoredStore shows that a leader with its lease in the copy leads on, and that one without is replaced.

--- a/internal/gateway/dependencies.go
+++ b/internal/gateway/dependencies.go
@@ -20,9 +20,9 @@
 	Range(ctx context.Context, prefix, after string) (kv.Listing, error)
 	Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Listing, error)
 	Commit(ctx context.Context, t kv.Transaction) (kv.Revision, error)
-	Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error)
-	Renew(ctx context.Context, id kv.LeaseID) error
-	End(ctx context.Context, id kv.LeaseID) error
+	Grant(ctx context.Context, ttl time.Duration) (kv.Lease, error)
+	Renew(ctx context.Context, lease kv.Lease) error
+	End(ctx context.Context, lease kv.Lease) error
 }
 
 // StoreSchema decodes the items that operators and endpoints write to the metadata store.
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -56,7 +56,7 @@
 	uncertain   bool
 
 	mu        sync.Mutex
-	lease     kv.LeaseID
+	lease     kv.Lease
 	fence     uint64
 	renewedAt clock.Instant
 	// uncontested is true if no other instance can have acted as leader directly before this one.
@@ -72,14 +72,14 @@
 func (l *leadership) holdsLease(now clock.Instant) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.lease != 0 && now.Sub(l.renewedAt) < leaderTTL
+	return !l.lease.IsZero() && now.Sub(l.renewedAt) < leaderTTL
 }
 
 // mayStillLead reports whether this instance became the leader and is not known to have been replaced, though its lease may have expired.
 func (l *leadership) mayStillLead() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.lease != 0
+	return !l.lease.IsZero()
 }
 
 // term returns the fencing number, the end of the lease, and whether no other instance can have led directly before.
@@ -99,7 +99,7 @@
 	l.mu.Lock()
 	lease := l.lease
 	l.mu.Unlock()
-	if lease != 0 {
+	if !lease.IsZero() {
 		if successor := l.takeSuccessor(); successor != "" && l.holdsLease(now) {
 			l.handOver(ctx, lease, successor)
 			return
@@ -176,7 +176,7 @@
 
 // handOver ends the lease in favor of a successor. Nothing is done in the lease's name from before its end on. If the store doesn't answer,
 // the lease may still be valid, and the next renewal decides whether this instance goes on leading.
-func (l *leadership) handOver(ctx context.Context, lease kv.LeaseID, successor string) {
+func (l *leadership) handOver(ctx context.Context, lease kv.Lease, successor string) {
 	l.mu.Lock()
 	l.renewedAt = clock.Now().Add(-leaderTTL)
 	fence := l.fence
@@ -191,7 +191,7 @@
 		return
 	}
 	l.mu.Lock()
-	l.lease = 0
+	l.lease = kv.Lease{}
 	l.mu.Unlock()
 	l.uncertain = false
 	l.vacantSince = 0
@@ -215,7 +215,7 @@
 // renew renews the lease. While the store is unreachable, this instance does not act as the leader but keeps the lease: the store retains
 // leases across its outages, so if the lease is still valid, no other instance has led. A new leader would have to rebuild all that this
 // one knows.
-func (l *leadership) renew(ctx context.Context, lease kv.LeaseID) {
+func (l *leadership) renew(ctx context.Context, lease kv.Lease) {
 	ctx, cancel := context.WithTimeout(ctx, leaseRenewPeriod)
 	defer cancel()
 	sent := clock.Now()
@@ -228,12 +228,32 @@
 		l.mu.Unlock()
 		l.setUncertain(false, nil)
 	case errors.Is(err, kv.ErrLeaseEnded):
-		l.stepDown(err)
+		if !l.keepAfterRestoration(ctx, lease) {
+			l.stepDown(err)
+		}
 	case !l.holdsLease(clock.Now()):
 		l.setUncertain(true, err)
 	}
 }
 
+// keepAfterRestoration keeps leading if the store was restored from a copy that has this instance as the leader, under the same lease: no
+// other instance has led since the copy was made. The next step renews the lease.
+func (l *leadership) keepAfterRestoration(ctx context.Context, lease kv.Lease) bool {
+	item, err := l.node.deps.Store.Get(ctx, leaderKey)
+	l.node.countStoreCall("read_lead", err)
+	if err != nil || item.Lease.Number != lease.Number || item.Lease.Era <= lease.Era ||
+		l.node.members.leaderOf(item).Name != l.node.cfg.Name {
+		return false
+	}
+	l.mu.Lock()
+	l.lease = item.Lease
+	fence := l.fence
+	l.mu.Unlock()
+	l.nextRenewal = 0
+	l.node.log.Info(event.LeaderChanged, "leadership kept in the restored store", zap.Uint64("fence", fence), zap.Uint64("era", item.Lease.Era))
+	return true
+}
+
 // setUncertain records whether the lease may have expired, and logs a change.
 func (l *leadership) setUncertain(uncertain bool, err error) {
 	if l.uncertain == uncertain {
@@ -249,7 +269,7 @@
 func (l *leadership) stepDown(err error) {
 	l.mu.Lock()
 	fence := l.fence
-	l.lease = 0
+	l.lease = kv.Lease{}
 	l.mu.Unlock()
 	l.uncertain = false
 	l.node.log.Warn(event.LeaderChanged, "leadership lost", zap.Uint64("fence", fence), zap.Error(err))
@@ -259,9 +279,9 @@
 func (l *leadership) release() {
 	l.mu.Lock()
 	lease, fence := l.lease, l.fence
-	l.lease = 0
+	l.lease = kv.Lease{}
 	l.mu.Unlock()
-	if lease == 0 {
+	if lease.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), leaseReleaseTimeout)
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -57,7 +57,7 @@
 	node *Node
 
 	mu                 sync.Mutex
-	lease              kv.LeaseID
+	lease              kv.Lease
 	revision           kv.Revision
 	digest             uint64
 	items              []kv.Item
@@ -84,7 +84,7 @@
 	if network == nil {
 		m.listen(secret)
 	}
-	if lease == 0 {
+	if lease.IsZero() {
 		return m.register(ctx)
 	}
 	return nil
@@ -96,7 +96,7 @@
 		m.mu.Lock()
 		lease := m.lease
 		m.mu.Unlock()
-		if lease == 0 {
+		if lease.IsZero() {
 			return
 		}
 		ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
@@ -105,7 +105,7 @@
 		m.node.countStoreCall("renew_entry", err)
 		if errors.Is(err, kv.ErrLeaseEnded) {
 			m.node.log.Warn(event.StoreUnreachable, "registration lease of this instance expired", zap.Error(err))
-			m.setLease(0)
+			m.setLease(kv.Lease{})
 			if err := m.register(ctx); err != nil {
 				m.node.log.Warn(event.StoreUnreachable, "failed to register this instance", zap.Error(err))
 			}
@@ -113,9 +113,9 @@
 	})
 }
 
-func (m *members) setLease(id kv.LeaseID) {
+func (m *members) setLease(lease kv.Lease) {
 	m.mu.Lock()
-	m.lease = id
+	m.lease = lease
 	m.mu.Unlock()
 }
 
@@ -164,7 +164,7 @@
 	m.mu.Lock()
 	lease := m.lease
 	m.mu.Unlock()
-	if lease == 0 {
+	if lease.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), leaseReleaseTimeout)
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -76,3 +78,41 @@
 		})
 	})
 }
+
+func TestLeaseOfRestoredStore(t *testing.T) {
+	Convey("a site whose store is restored from a copy", t, func() {
+		s := startSite(2)
+		leader := func() string {
+			for _, e := range s.entries {
+				if strings.Contains(string(s.store.Value("gypsum/lead")), e.cfg.Name) {
+					return e.cfg.Name
+				}
+			}
+			return ""
+		}
+		eventually("a leader is elected", func() bool { return leader() != "" })
+		first := leader()
+		Convey("keeps its leader if the copy has the leader's lease", func() {
+			copied := s.store.Copy()
+			elected := s.store.ModRevision("gypsum/last")
+			s.store.Restore(copied)
+			for until := time.Now().Add(2500 * time.Millisecond); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+				So(leader(), ShouldEqual, first)
+				So(s.store.ModRevision("gypsum/last"), ShouldEqual, elected)
+			}
+		})
+		Convey("elects a leader if the copy lacks the leader's lease", func() {
+			copied := s.store.Copy()
+			for _, e := range s.entries {
+				if e.cfg.Name == first {
+					e.stop()
+				}
+			}
+			eventually("another leader is elected", func() bool { return leader() != "" && leader() != first })
+			second := leader()
+			s.store.Restore(copied)
+			So(leader(), ShouldEqual, first)
+			eventually("it is elected again", func() bool { return leader() == second })
+		})
+	})
+}
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -108,6 +108,13 @@
 	delete(s.items, key)
 }
 
+// Leases returns the number of leases that have not ended.
+func (s *Store) Leases() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.leases)
+}
+
 // Value returns the value of a key, or nil if the key does not exist.
 func (s *Store) Value(key string) []byte {
 	s.mu.Lock()
--- a/internal/state/kv/item.go
+++ b/internal/state/kv/item.go
@@ -35,8 +35,14 @@
 // Number returns the number that the store gave out within the era.
 func (r Revision) Number() uint64 { return uint64(r & (1<<revisionNumberBits - 1)) }
 
-// LeaseID identifies a lease; zero means no lease.
-type LeaseID uint64
+// Lease identifies a lease by its number and the store's era; the zero value means no lease. A store that was restored from a copy gives
+// out the numbers of lost leases again.
+type Lease struct {
+	Era, Number uint64
+}
+
+// IsZero reports whether there is no lease.
+func (l Lease) IsZero() bool { return l == Lease{} }
 
 // Item is a key with its last written value.
 type Item struct {
@@ -45,7 +51,7 @@
 	// Revision is the revision of the last write, and Created that of the write that created the key.
 	Revision Revision
 	Created  Revision
-	Lease    LeaseID
+	Lease    Lease
 	// Deleted items have no data. They are only returned by watches.
 	Deleted bool
 }
@@ -70,7 +76,7 @@
 type Write struct {
 	Key   string
 	Data  []byte
-	Lease LeaseID
+	Lease Lease
 }
 
 // Transaction is a set of writes and removals that is committed atomically if all conditions hold.
