Don't take the leader record of a restored store for the last one

Found by reading: nothing was seen by callers. Cause: a new leader that finds its own name as the last leader's sends weight orders at once, since no other can have orders in flight.

TestRestoredLeaderRecordTakenForLast failed before: the engine had carried out the new leader's order within 4 s.

--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -39,6 +39,8 @@
 	Name string `msgpack:"name"`
 	// HandOvers is the number of hand-overs in a row with which the leader's term began.
 	HandOvers int `msgpack:"hand_overs,omitempty"`
+	// Era is the store's era in which the term began.
+	Era uint64 `msgpack:"era,omitempty"`
 }
 
 // errReplaced is the reason logged when another instance has become the leader.
@@ -296,11 +298,6 @@
 func (l *leadership) campaign(ctx context.Context, handOvers int) {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeReadTimeout)
 	defer cancel()
-	name, err := msgpack.Marshal(leaderRecord{Name: l.node.cfg.Name, HandOvers: handOvers})
-	if err != nil {
-		l.node.log.Warn(event.LeaderChanged, "failed to encode leader record", zap.Error(err))
-		return
-	}
 	store := l.node.deps.Store
 	previous, revision := l.node.members.lastLeader()
 	sent := clock.Now()
@@ -310,6 +307,11 @@
 		l.node.log.Info(event.LeaderChanged, "leadership not acquired", zap.Error(err))
 		return
 	}
+	name, err := msgpack.Marshal(leaderRecord{Name: l.node.cfg.Name, HandOvers: handOvers, Era: lease.Era})
+	if err != nil {
+		l.node.log.Warn(event.LeaderChanged, "failed to encode leader record", zap.Error(err))
+		return
+	}
 	fence, err := store.Commit(ctx, kv.Transaction{
 		Conditions: []kv.Condition{{Key: leaderKey}, {Key: lastLeaderKey, Revision: revision}},
 		Writes:     []kv.Write{{Key: leaderKey, Data: name, Lease: lease}, {Key: lastLeaderKey, Data: name}},
@@ -323,7 +325,8 @@
 	}
 	l.mu.Lock()
 	l.lease, l.fence, l.renewedAt = lease, uint64(fence), sent
-	l.uncontested = revision == 0 || previous.Name == l.node.cfg.Name
+	// A record of an earlier era may be older than the last leader.
+	l.uncontested = previous.Name == "" || previous.Name == l.node.cfg.Name && previous.Era == lease.Era
 	l.successor = ""
 	l.mu.Unlock()
 	l.node.handOver.beginTerm(sent, handOvers)
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"gypsumvale/internal/settings"
 	"gypsumvale/internal/standin/hosted"
 )
 
@@ -82,22 +82,14 @@
 func TestLeaseOfRestoredStore(t *testing.T) {
 	Convey("a site whose store is restored from a copy", t, func() {
 		s := startSite(2)
-		leader := func() string {
-			for _, e := range s.entries {
-				if strings.Contains(string(s.store.Value("gypsum/lead")), e.cfg.Name) {
-					return e.cfg.Name
-				}
-			}
-			return ""
-		}
-		eventually("a leader is elected", func() bool { return leader() != "" })
-		first := leader()
+		eventually("a leader is elected", func() bool { return s.leaderName() != "" })
+		first := s.leaderName()
 		Convey("keeps its leader if the copy has the leader's lease", func() {
 			copied := s.store.Copy()
 			elected := s.store.ModRevision("gypsum/last")
 			s.store.Restore(copied)
 			for until := time.Now().Add(2500 * time.Millisecond); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-				So(leader(), ShouldEqual, first)
+				So(s.leaderName(), ShouldEqual, first)
 				So(s.store.ModRevision("gypsum/last"), ShouldEqual, elected)
 			}
 		})
@@ -108,11 +100,46 @@
 					e.stop()
 				}
 			}
-			eventually("another leader is elected", func() bool { return leader() != "" && leader() != first })
-			second := leader()
+			eventually("another leader is elected", func() bool { return s.leaderName() != "" && s.leaderName() != first })
+			second := s.leaderName()
 			s.store.Restore(copied)
-			So(leader(), ShouldEqual, first)
-			eventually("it is elected again", func() bool { return leader() == second })
+			So(s.leaderName(), ShouldEqual, first)
+			eventually("it is elected again", func() bool { return s.leaderName() == second })
+		})
+	})
+}
+
+func TestRestoredLeaderRecordTakenForLast(t *testing.T) {
+	Convey("a leader that the restored copy names as the last one, though another has led since", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		s.addEndpoint(hosted.EndpointConfig{ID: "llm-0", Service: "llm", Model: testModel, Version: 1, Events: 6, Work: 5 * time.Millisecond})
+		const lease = 4 * time.Second
+		for i := range 2 {
+			s.addEntryWith(func(cfg *settings.Hosted) {
+				// The first entry is preferred as the leader.
+				cfg.Lease, cfg.CPUCores = lease, float64(2-i)
+			})
+		}
+		first, second := s.entries[0], s.entries[1]
+		first.expectReady(true)
+		second.expectReady(true)
+		eventually("the first entry leads", func() bool { return s.leaderName() == first.cfg.Name })
+		copied := s.store.Copy()
+		first.stop()
+		eventually("the second entry leads", func() bool { return s.leaderName() == second.cfg.Name })
+		s.addEntryWith(func(cfg *settings.Hosted) { *cfg = *first.cfg }).expectReady(true)
+		So(s.leaderName(), ShouldEqual, second.cfg.Name)
+		restored := time.Now()
+		s.store.Restore(copied)
+		elected := s.store.ModRevision("gypsum/last")
+		So(s.store.Put("op/version/"+testModel, map[string]any{"Model": testModel, "Version": 2}), ShouldBeNil)
+		eventually("the first entry leads again", func() bool { return s.store.ModRevision("gypsum/last") != elected })
+		So(s.leaderName(), ShouldEqual, first.cfg.Name)
+		Convey("sends no order while orders of the other may be in flight", func() {
+			time.Sleep(time.Until(restored.Add(lease)))
+			So(s.endpoints[0].Version(), ShouldEqual, 1)
+			eventually("the engine runs version 2", func() bool { return s.endpoints[0].Version() == 2 })
 		})
 	})
 }
