Elect a leader after the store was restored to before the first election

Found by reading: callers' prompts would be placed by each entry alone for good. Cause: the condition of an election is the revision of the last leader's record, which was kept when the restored store no longer had the record, so that each attempt was a conflict. Change: a record that is absent has revision zero.

TestStoreRestoredToBeforeEntries, "elect a leader", failed before (no leader within 6 s).

--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -182,7 +182,7 @@
 	}
 	previous := m.currentLeader
 	m.revision, m.digest, m.items = revision, digest, items
-	m.entries, m.currentLeader = make(map[string]entryRecord), ""
+	m.entries, m.currentLeader, m.lastLeaderRevision = make(map[string]entryRecord), "", 0
 	for _, item := range items {
 		switch {
 		case item.Key == leaderKey:
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -143,3 +143,27 @@
 		})
 	})
 }
+
+func TestStoreRestoredToBeforeEntries(t *testing.T) {
+	Convey("entries whose store is restored from a copy that is older than they are", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		s.addEndpoint(hosted.EndpointConfig{ID: "cal-0", Service: "calendar", Work: time.Millisecond})
+		copied := s.store.Copy()
+		for range 2 {
+			s.addEntry()
+		}
+		for _, e := range s.entries {
+			e.expectReady(true)
+		}
+		eventually("a leader is elected", func() bool { return s.leaderName() != "" })
+		// By then all entries have read who leads.
+		time.Sleep(time.Second)
+		registered := s.store.Keys("gypsum/entries/")
+		So(registered, ShouldHaveLength, 2)
+		s.store.Restore(copied)
+		Convey("elect a leader", func() {
+			eventually("a leader is elected", func() bool { return s.leaderName() != "" })
+		})
+	})
+}
