Write the peers' secret again when a restored store lacks it

Found by reading: instances that start afterwards would create another secret and reach none of the running ones. Cause: the secret was written only by an instance that had none. TestStoreRestoredToBeforeEntries, "keep their secret", failed before (no secret in the store within 6 s). What remains: an instance that starts between the restoration and the next read of a running one may still create another.

--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -66,7 +66,9 @@
 	lastLeaderRecord   leaderRecord
 	lastLeaderRevision kv.Revision
 	secret             []byte
-	network            *peers.Network
+	// secretStored is true if the store had the secret at the last read.
+	secretStored bool
+	network      *peers.Network
 }
 
 func newMembers(n *Node) *members {
@@ -76,10 +78,10 @@
 // join performs the steps still missing for this instance's membership: creating the shared secret, opening the peer port, registering.
 func (m *members) join(ctx context.Context) error {
 	m.mu.Lock()
-	secret, network, lease := m.secret, m.network, m.lease
+	secret, stored, network, lease := m.secret, m.secretStored, m.network, m.lease
 	m.mu.Unlock()
-	if secret == nil {
-		return m.createSecret(ctx)
+	if secret == nil || !stored {
+		return m.storeSecret(ctx, secret)
 	}
 	if network == nil {
 		m.listen(secret)
@@ -119,11 +121,14 @@
 	m.mu.Unlock()
 }
 
-// createSecret writes the secret shared by all instances unless one exists; all instances then read the one in the store.
-func (m *members) createSecret(ctx context.Context) error {
-	secret := make([]byte, secretBytes)
-	// Read never returns an error.
-	_, _ = cryptorand.Read(secret)
+// storeSecret writes the secret shared by all instances unless one exists: the given one, or a new one if that is nil. All instances then
+// read the one in the store.
+func (m *members) storeSecret(ctx context.Context, secret []byte) error {
+	if secret == nil {
+		secret = make([]byte, secretBytes)
+		// Read never returns an error.
+		_, _ = cryptorand.Read(secret)
+	}
 	_, err := m.node.deps.Store.Commit(ctx, kv.Transaction{
 		Conditions: []kv.Condition{{Key: secretKey}}, Writes: []kv.Write{{Key: secretKey, Data: secret}},
 	})
@@ -182,15 +187,18 @@
 	}
 	previous := m.currentLeader
 	m.revision, m.digest, m.items = revision, digest, items
-	m.entries, m.currentLeader, m.lastLeaderRevision = make(map[string]entryRecord), "", 0
+	m.entries, m.currentLeader, m.lastLeaderRevision, m.secretStored = make(map[string]entryRecord), "", 0, false
 	for _, item := range items {
 		switch {
 		case item.Key == leaderKey:
 			m.currentLeader = m.leaderOf(item).Name
 		case item.Key == lastLeaderKey:
 			m.lastLeaderRecord, m.lastLeaderRevision = m.leaderOf(item), item.Revision
-		case item.Key == secretKey && m.secret == nil:
-			m.secret = item.Data
+		case item.Key == secretKey:
+			m.secretStored = true
+			if m.secret == nil {
+				m.secret = item.Data
+			}
 		case strings.HasPrefix(item.Key, entryPrefix):
 			m.applyEntry(strings.TrimPrefix(item.Key, entryPrefix), item)
 		}
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -159,9 +159,14 @@
 		eventually("a leader is elected", func() bool { return s.leaderName() != "" })
 		// By then all entries have read who leads.
 		time.Sleep(time.Second)
+		secret := s.store.Value("gypsum/secret")
 		registered := s.store.Keys("gypsum/entries/")
 		So(registered, ShouldHaveLength, 2)
 		s.store.Restore(copied)
+		Convey("keep their secret", func() {
+			eventually("the secret is in the store", func() bool { return s.store.Value("gypsum/secret") != nil })
+			So(s.store.Value("gypsum/secret"), ShouldResemble, secret)
+		})
 		Convey("elect a leader", func() {
 			eventually("a leader is elected", func() bool { return s.leaderName() != "" })
 		})
