Register again at once when the store was restored from a copy

Found by reading: peers lose an instance whose registration the copy lacks, for up to 3 s, and the leader with it. Cause: a registration was only checked at its renewal. Change: it is checked when a read shows that the store was restored; registering is serialized, since the poller registers too and a key must have one lease.

TestStoreRestoredToBeforeEntries, "register again before long", failed before (2.7 s; bound 2 s, by which endpoints are back as well).

--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -16,7 +16,6 @@
 	"go.uber.org/zap"
 
 	"gypsumvale/internal/coordination/placement"
-	"gypsumvale/internal/duty"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/state/clock"
 	"gypsumvale/internal/state/kv"
@@ -69,10 +68,14 @@
 	// secretStored is true if the store had the secret at the last read.
 	secretStored bool
 	network      *peers.Network
+
+	// registering is held while this instance registers, so that its key has only one lease. checkDue triggers a check of the registration.
+	registering sync.Mutex
+	checkDue    chan struct{}
 }
 
 func newMembers(n *Node) *members {
-	return &members{node: n, entries: make(map[string]entryRecord)}
+	return &members{node: n, entries: make(map[string]entryRecord), checkDue: make(chan struct{}, 1)}
 }
 
 // join performs the steps still missing for this instance's membership: creating the shared secret, opening the peer port, registering.
@@ -94,25 +97,38 @@
 
 // renew renews this instance's registration periodically, independently of the polling of the store.
 func (m *members) renew(ctx context.Context) {
-	duty.Every(ctx, entryRenewPeriod, func(ctx context.Context) {
-		m.mu.Lock()
-		lease := m.lease
-		m.mu.Unlock()
-		if lease.IsZero() {
+	ticker := time.NewTicker(entryRenewPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
 			return
+		case <-ticker.C:
+		case <-m.checkDue:
 		}
-		ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
-		defer cancel()
-		err := m.node.deps.Store.Renew(ctx, lease)
-		m.node.countStoreCall("renew_entry", err)
-		if errors.Is(err, kv.ErrLeaseEnded) {
-			m.node.log.Warn(event.StoreUnreachable, "registration lease of this instance expired", zap.Error(err))
-			m.setLease(kv.Lease{})
-			if err := m.register(ctx); err != nil {
-				m.node.log.Warn(event.StoreUnreachable, "failed to register this instance", zap.Error(err))
-			}
+		m.renewOnce(ctx)
+	}
+}
+
+// renewOnce renews this instance's registration, or registers it again if its lease has ended.
+func (m *members) renewOnce(ctx context.Context) {
+	m.mu.Lock()
+	lease := m.lease
+	m.mu.Unlock()
+	if lease.IsZero() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+	defer cancel()
+	err := m.node.deps.Store.Renew(ctx, lease)
+	m.node.countStoreCall("renew_entry", err)
+	if errors.Is(err, kv.ErrLeaseEnded) {
+		m.node.log.Warn(event.StoreUnreachable, "registration lease of this instance expired", zap.Error(err))
+		m.setLease(kv.Lease{})
+		if err := m.register(ctx); err != nil {
+			m.node.log.Warn(event.StoreUnreachable, "failed to register this instance", zap.Error(err))
 		}
-	})
+	}
 }
 
 func (m *members) setLease(lease kv.Lease) {
@@ -140,8 +156,16 @@
 	return nil
 }
 
-// register writes this instance's record under a new lease.
+// register writes this instance's record under a new lease, unless it has one.
 func (m *members) register(ctx context.Context) error {
+	m.registering.Lock()
+	defer m.registering.Unlock()
+	m.mu.Lock()
+	registered := !m.lease.IsZero()
+	m.mu.Unlock()
+	if registered {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, 2*storeReadTimeout)
 	defer cancel()
 	cfg := m.node.cfg
@@ -186,6 +210,10 @@
 		return false
 	}
 	previous := m.currentLeader
+	if m.revision != 0 && revision.Era() > m.revision.Era() {
+		// The restored store may lack this instance's registration.
+		m.checkRegistration()
+	}
 	m.revision, m.digest, m.items = revision, digest, items
 	m.entries, m.currentLeader, m.lastLeaderRevision, m.secretStored = make(map[string]entryRecord), "", 0, false
 	for _, item := range items {
@@ -213,6 +241,14 @@
 	return true
 }
 
+// checkRegistration triggers a check whether this instance is still registered.
+func (m *members) checkRegistration() {
+	select {
+	case m.checkDue <- struct{}{}:
+	default:
+	}
+}
+
 // connectLeader opens the connection to a new leader, so that the first requests need not wait for it.
 func (m *members) connectLeader(ctx context.Context) {
 	name := m.owner()
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -163,6 +163,11 @@
 		registered := s.store.Keys("gypsum/entries/")
 		So(registered, ShouldHaveLength, 2)
 		s.store.Restore(copied)
+		restored := time.Now()
+		Convey("register again before long", func() {
+			eventually("both are registered", func() bool { return len(s.store.Keys("gypsum/entries/")) == 2 })
+			So(time.Since(restored), ShouldBeLessThan, 2*time.Second)
+		})
 		Convey("keep their secret", func() {
 			eventually("the secret is in the store", func() bool { return s.store.Value("gypsum/secret") != nil })
 			So(s.store.Value("gypsum/secret"), ShouldResemble, secret)
