Keep blocks of prompt parts as they were when the store is restored from a copy

Found by reading: a block that had been published after the copy was made would end everywhere, so that engines crash on it again; one that had been lifted would apply again, and sound prompts are refused. Cause: a block that is gone from the store counted as lifted, and one that is new there as published. Change: the first read after a restoration changes no blocks; the leader then publishes its own and removes the others.

TestBlocksOfRestoredStore failed before in all three checks (block not written again, sound prompts refused with 500, block not removed).

--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -59,8 +59,9 @@
 	return &blocks{node: n, stored: make(map[string]blockRecord), adopted: make(map[string]bool)}
 }
 
-// apply adopts the blocks among the system's own keys.
-func (b *blocks) apply(items []kv.Item) {
+// apply adopts the blocks among the system's own keys. If restored is true, these are the first that were read after the store was restored
+// from a copy: a block that the copy lacks hasn't been lifted, and one that is new here was lifted after the copy was made.
+func (b *blocks) apply(items []kv.Item, restored bool) {
 	n := b.node
 	stored := make(map[string]blockRecord)
 	held := make(map[string][][]string)
@@ -79,7 +80,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for key, record := range b.read {
-		if _, ok := stored[key]; ok {
+		if _, ok := stored[key]; ok || restored {
 			continue
 		}
 		if n.suspects.expireBlock(record.Service, record.Parts, held[record.Service]) {
@@ -88,7 +89,7 @@
 		}
 	}
 	for key, record := range stored {
-		if !b.adopted[key] && n.suspects.addBlock(record.Service, record.Parts) {
+		if !b.adopted[key] && !restored && n.suspects.addBlock(record.Service, record.Parts) {
 			n.log.Info(event.PartBlocked, "prompts with these parts are blocked, by the store", zap.String("service", record.Service),
 				zap.Strings("parts", record.Parts))
 		}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -210,7 +210,8 @@
 		return false
 	}
 	previous := m.currentLeader
-	if m.revision != 0 && revision.Era() > m.revision.Era() {
+	restored := m.revision != 0 && revision.Era() > m.revision.Era()
+	if restored {
 		// The restored store may lack this instance's registration.
 		m.checkRegistration()
 	}
@@ -237,7 +238,7 @@
 			zap.Uint64("revision", revision.Number()))
 	}
 	m.node.retryBudgets.setInstances(len(m.entries))
-	m.node.blocks.apply(items)
+	m.node.blocks.apply(items, restored)
 	return true
 }
 
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -191,6 +191,42 @@
 	})
 }
 
+func TestBlocksOfRestoredStore(t *testing.T) {
+	Convey("a block that a copy lacks from which the store is restored goes on to apply", t, func() {
+		s := startPartSite(2)
+		copied := s.store.Copy()
+		s.putBlock()
+		s.store.Restore(copied)
+		eventually("the leader writes the block again", func() bool { return len(s.store.Keys(blockPrefix)) == 1 })
+		time.Sleep(time.Second)
+		for _, e := range s.entries {
+			So(s.callBlocked(e), ShouldEqual, http.StatusInternalServerError)
+		}
+	})
+	Convey("a block that had been lifted before the store was restored from a copy with it", t, func() {
+		s := startPartSite(2)
+		s.putBlock()
+		copied := s.store.Copy()
+		for _, key := range s.store.Keys(blockPrefix) {
+			s.store.Delete(key)
+		}
+		for _, e := range s.entries {
+			eventually("prompts with the parts are served", func() bool { return s.callBlocked(e) == http.StatusOK })
+		}
+		s.store.Restore(copied)
+		Convey("doesn't apply again", func() {
+			for until := time.Now().Add(2 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+				for _, e := range s.entries {
+					So(s.callBlocked(e), ShouldEqual, http.StatusOK)
+				}
+			}
+		})
+		Convey("is removed from the store", func() {
+			eventually("the block is gone", func() bool { return len(s.store.Keys(blockPrefix)) == 0 })
+		})
+	})
+}
+
 func TestErrorsClearNoParts(t *testing.T) {
 	Convey("engines that answer with errors, beside others that crash on a part", t, func() {
 		s := startPartSite(2)
