Don't confirm a configuration by a restored store that has an older one

Found by reading: an entry that missed a revocation before the store was restored would accept the revoked key while the store has the copy's configuration, and for as long as a confirmation lasts once it loses the store (StrictRevoke). Cause: a read that returned nothing newer than the configuration held counted as proof that there is none; a restored store lacks what the operator wrote last.

TestRevokedKeyInRestoredConfiguration, "accepts none at entries that have missed the revocation", failed before (200).

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,9 +29,14 @@
 	// items holds the operator's newest items by key, and newest is the highest of their revisions.
 	items  map[string]kv.Item
 	newest kv.Revision
-	// readable is the newest configuration that could be decoded, and versions tracks which versions around undecodable ones are known.
-	readable kv.Item
-	versions freshness.VersionTracker
+	// readable is the newest configuration that could be decoded and readableVersion its version; versions tracks which versions around
+	// undecodable ones are known.
+	readable        kv.Item
+	readableVersion uint64
+	versions        freshness.VersionTracker
+	// outdatedAt is the revision at which a restored store had an older configuration than the one held here, or zero once the store has that
+	// one again, or a newer one.
+	outdatedAt kv.Revision
 }
 
 // apply applies items that are newer than those held, and reports whether there were any.
@@ -84,6 +90,23 @@
 // errHistoryGap is returned when configurations that this instance has not seen may have been in force.
 var errHistoryGap = errors.New("configurations before an undecodable one are unknown")
 
+// errOutdated is returned while a restored store has an older configuration than the one held here. The operator writes its newest one again,
+// which may not be the one held here either.
+var errOutdated = errors.New("the restored store has an older configuration")
+
+// checkOutdated returns errOutdated if the store's configuration, as last read, is older than the one held here.
+func (c *configuration) checkOutdated(items []kv.Item) error {
+	c.mu.Lock()
+	outdatedAt := c.outdatedAt
+	c.mu.Unlock()
+	if outdatedAt != 0 || c.node.table.Load() != nil && !slices.ContainsFunc(items, func(item kv.Item) bool {
+		return c.node.deps.Schema.IsConfiguration(item.Key)
+	}) {
+		return errOutdated
+	}
+	return nil
+}
+
 // fillGap reads the history up to a configuration that can't be decoded. If it returns no error, every configuration that has been in
 // force is known.
 func (c *configuration) fillGap(ctx context.Context) error {
@@ -119,10 +142,16 @@
 	current := n.table.Load()
 	table, err := n.deps.Schema.Configuration(item)
 	c.mu.Lock()
-	if err != nil {
+	switch {
+	case err != nil:
 		c.versions.RecordUndecodable(item.Revision)
-	} else if c.versions.RecordDecoded(item.Revision); item.Revision > c.readable.Revision {
-		c.readable = item
+	case table.Version < c.readableVersion && item.Revision.Era() > c.readable.Revision.Era():
+		c.outdatedAt = item.Revision
+	default:
+		c.versions.RecordDecoded(item.Revision)
+		if table.Version >= c.readableVersion {
+			c.readable, c.readableVersion, c.outdatedAt = item, table.Version, 0
+		}
 	}
 	c.mu.Unlock()
 	if err != nil {
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -177,3 +177,38 @@
 		})
 	})
 }
+
+// configurationWithKey returns a version of the site's configuration in which the workspace has another key.
+func configurationWithKey(version int, key string) hosted.Configuration {
+	spec := defaultSpec()
+	spec.Version = version
+	spec.Tenants[0].APIKeys = []string{key}
+	return spec
+}
+
+func TestRevokedKeyInRestoredConfiguration(t *testing.T) {
+	Convey("a site whose store is restored from a copy with a key that has been revoked since", t, func() {
+		s := startSite(2)
+		copied := s.store.Copy()
+		read := func(e *entry, key string) int {
+			return s.call(e, http.MethodGet, "/read/", "", "Credential", key).status
+		}
+		Convey("accepts none at entries that have missed the revocation and know a newer configuration than the copy's", func() {
+			s.putConfiguration(configurationWithRoutes(4, 1))
+			s.expectRoute(0)
+			s.store.SetFault(hosted.StoreFault{Silent: true})
+			s.putConfiguration(configurationWithKey(5, "new"))
+			s.store.Restore(copied)
+			s.store.SetFault(hosted.StoreFault{})
+			time.Sleep(s.entries[0].cfg.MaxRevocationDelay + time.Second)
+			for _, e := range s.entries {
+				So(read(e, testKey), ShouldEqual, http.StatusServiceUnavailable)
+			}
+			s.putConfiguration(configurationWithKey(5, "new"))
+			for _, e := range s.entries {
+				eventually("the new key is accepted", func() bool { return read(e, "new") == http.StatusOK })
+				So(read(e, testKey), ShouldEqual, http.StatusUnauthorized)
+			}
+		})
+	})
+}
--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -221,7 +221,7 @@
 func (s *storePoller) applyFront(ctx context.Context, sent clock.Instant, revision kv.Revision, items *storeItems) error {
 	n := s.node
 	changed := n.configuration.apply(items.operator)
-	s.confirmConfiguration(ctx, sent)
+	s.confirmConfiguration(ctx, sent, items.operator)
 	if n.members.apply(revision, items.own) || changed {
 		n.relay.publish()
 	}
@@ -234,9 +234,12 @@
 }
 
 // confirmConfiguration confirms the configuration as of an instant, unless a version may have been missed.
-func (s *storePoller) confirmConfiguration(ctx context.Context, sent clock.Instant) {
+func (s *storePoller) confirmConfiguration(ctx context.Context, sent clock.Instant, operator []kv.Item) {
 	n := s.node
-	err := n.configuration.fillGap(ctx)
+	err := n.configuration.checkOutdated(operator)
+	if err == nil {
+		err = n.configuration.fillGap(ctx)
+	}
 	if err == nil {
 		n.confirmation.Confirm(sent)
 	}
