Learn from peers at the start a configuration that a restored store lacks

Found by reading: an entry that starts before the operator has written again accepts keys that were revoked after the copy was made (StrictRevoke holds for all instances), and serves no routes that were added since. Cause: a process knows only the store when it starts. Change: it asks its peers for a newer configuration when it asks them for the ages of weight versions, and applies one of before the restoration by its version; the configuration then counts as confirmed once the store has it again.

--- a/internal/gateway/catch_up.go
+++ b/internal/gateway/catch_up.go
@@ -74,15 +74,24 @@
 		return false
 	}
 	sent := clock.Now()
+	var request peer.CatchUpRequest
+	if table := c.node.table.Load(); table != nil {
+		request.TableVersion = table.Version
+	}
 	var reply peer.CatchUpReply
-	if err := network.Call(ctx, name, address, peer.KindCatchUp, peer.CatchUpRequest{}, &reply); err != nil {
+	if err := network.Call(ctx, name, address, peer.KindCatchUp, request, &reply); err != nil {
 		return false
 	}
+	if reply.Configuration != nil {
+		c.node.configuration.apply(fromPeerItems([]peer.Item{*reply.Configuration}))
+	}
 	c.node.learnTargetVersions(sent, name, reply.TargetVersions)
 	return true
 }
 
 // serveCatchUp answers a peer that has started.
-func (n *Node) serveCatchUp() peer.CatchUpReply {
-	return peer.CatchUpReply{TargetVersions: n.placer.sharedTargets(clock.Now(), false)}
+func (n *Node) serveCatchUp(request *peer.CatchUpRequest) peer.CatchUpReply {
+	return peer.CatchUpReply{
+		TargetVersions: n.placer.sharedTargets(clock.Now(), false), Configuration: n.configuration.newerThan(request.TableVersion),
+	}
 }
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -46,7 +46,7 @@
 	confirmedAt := c.node.confirmation.SentAt()
 	changed := false
 	for _, item := range items {
-		if !c.record(item) && !c.fillsGap(item) {
+		if !c.record(item) && !c.fillsGap(item) && !c.precedesRestoration(item) {
 			continue
 		}
 		changed = true
@@ -84,6 +84,27 @@
 	return open && item.Revision > after && item.Revision < until
 }
 
+// precedesRestoration reports whether an item is a configuration from before the store was restored from a copy. It comes from a peer, and
+// may be newer than the copy's.
+func (c *configuration) precedesRestoration(item kv.Item) bool {
+	if !c.node.deps.Schema.IsConfiguration(item.Key) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return item.Revision.Era() < c.items[item.Key].Revision.Era()
+}
+
+// newerThan returns the newest configuration that could be decoded, or nil if it isn't newer than a version.
+func (c *configuration) newerThan(version uint64) *peer.Item {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readableVersion <= version {
+		return nil
+	}
+	return &toPeerItems([]kv.Item{c.readable})[0]
+}
+
 // historyWait is the shortest wait that a watch allows; the events requested here exist already.
 const historyWait = time.Millisecond
 
@@ -151,6 +172,9 @@
 		c.versions.RecordDecoded(item.Revision)
 		if table.Version >= c.readableVersion {
 			c.readable, c.readableVersion, c.outdatedAt = item, table.Version, 0
+			if stored := c.items[item.Key].Revision; stored.Era() > item.Revision.Era() {
+				c.outdatedAt = stored
+			}
 		}
 	}
 	c.mu.Unlock()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -74,7 +74,11 @@
 		h.leadership.invite(from.Name, m.Count)
 		return peer.Empty{}, nil
 	case peer.KindCatchUp:
-		return (*Node)(h).serveCatchUp(), nil
+		m, err := decode[peer.CatchUpRequest](body)
+		if err != nil {
+			return nil, err
+		}
+		return (*Node)(h).serveCatchUp(m), nil
 	}
 	return nil, fmt.Errorf("kind %d: %w", kind, errUnknownKind)
 }
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -193,6 +193,16 @@
 		read := func(e *entry, key string) int {
 			return s.call(e, http.MethodGet, "/read/", "", "Credential", key).status
 		}
+		Convey("accepts it at no entry that starts before the operator writes again", func() {
+			s.putConfiguration(configurationWithKey(4, "new"))
+			for _, e := range s.entries {
+				eventually("the key is revoked", func() bool { return read(e, testKey) == http.StatusUnauthorized })
+			}
+			s.store.Restore(copied)
+			started := s.addEntry()
+			eventually("the new key is accepted", func() bool { return read(started, "new") == http.StatusOK })
+			So(read(started, testKey), ShouldEqual, http.StatusUnauthorized)
+		})
 		Convey("accepts none at entries that have missed the revocation and know a newer configuration than the copy's", func() {
 			s.putConfiguration(configurationWithRoutes(4, 1))
 			s.expectRoute(0)
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -138,12 +138,18 @@
 }
 
 // CatchUpRequest requests what the metadata store doesn't hold and a process therefore doesn't know after its start.
-type CatchUpRequest struct{}
+type CatchUpRequest struct {
+	// TableVersion is the version of the configuration in force at the requesting instance, or zero.
+	TableVersion uint64 `msgpack:"Table"`
+}
 
 // CatchUpReply is the reply with what the replying instance knows of it. Ages hold as of the reply.
 type CatchUpReply struct {
 	// TargetVersions holds target versions, also those that have been followed by newer ones.
 	TargetVersions []TargetVersion
+	// Configuration is the replying instance's configuration if it is newer than the requesting instance's, which a store that was restored
+	// from a copy may have lost.
+	Configuration *Item `msgpack:"Config"`
 }
 
 // SuccessorQuery asks whether the receiving instance would take over the lease of the sender, which leads.
