Judge an undecodable configuration alike before and after the store's restoration

Found by reading. Cause: what is known of the versions before a configuration that can't be decoded was kept by revision. Written again to a restored store, it counted as unknown, and its history as gone, so that requests with keys were rejected until the operator's next change; and the copy's older configuration counted as newer than it, so that keys it may have revoked were accepted until it was written again. Change: the same bytes in a later era are the same configuration, and the one before it proves nothing until they are back.

TestUndecodableConfigurationWrittenAgain failed before: 503 for 200 in one check, 200 for 503 in another.

--- a/internal/coordination/freshness/versions.go
+++ b/internal/coordination/freshness/versions.go
@@ -24,6 +24,9 @@
 	return t.decoded, t.undecodable, t.undecodable > max(t.decoded, t.knownUntil)
 }
 
+// UndecodableIsNewest reports whether the newest version that was recorded could not be decoded.
+func (t *VersionTracker) UndecodableIsNewest() bool { return t.undecodable > t.decoded }
+
 // MarkKnown records that all versions up to the given one are known.
 func (t *VersionTracker) MarkKnown(until kv.Revision) { t.knownUntil = max(t.knownUntil, until) }
 
--- a/internal/coordination/freshness/versions_test.go
+++ b/internal/coordination/freshness/versions_test.go
@@ -23,7 +23,9 @@
 		var tracker freshness.VersionTracker
 		tracker.RecordDecoded(5)
 		expectGap(&tracker, 0, 0, false)
+		So(tracker.UndecodableIsNewest(), ShouldBeFalse)
 		tracker.RecordUndecodable(9)
+		So(tracker.UndecodableIsNewest(), ShouldBeTrue)
 		expectGap(&tracker, 5, 9, true)
 		So(tracker.RequestAfter(9), ShouldEqual, kv.Revision(5))
 		Convey("until the versions up to it are known", func() {
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"maps"
@@ -34,8 +35,10 @@
 	readable        kv.Item
 	readableVersion uint64
 	versions        freshness.VersionTracker
-	// outdatedAt is the revision at which a restored store had an older configuration than the one held here, or zero once the store has that
-	// one again, or a newer one.
+	// undecodable is the last configuration that couldn't be decoded.
+	undecodable kv.Item
+	// outdatedAt is the revision at which a restored store had an older configuration than the last one that was read here, or zero once the
+	// store has that one again, or a newer one.
 	outdatedAt kv.Revision
 }
 
@@ -165,8 +168,8 @@
 	c.mu.Lock()
 	switch {
 	case err != nil:
-		c.versions.RecordUndecodable(item.Revision)
-	case table.Version < c.readableVersion && item.Revision.Era() > c.readable.Revision.Era():
+		c.recordUndecodable(item)
+	case c.isOutdated(table.Version, item):
 		c.outdatedAt = item.Revision
 	default:
 		c.versions.RecordDecoded(item.Revision)
@@ -193,6 +196,27 @@
 		zap.Int("routes", size.Routes), zap.Int("keys", size.Keys), zap.Int("workspaces", size.Workspaces))
 }
 
+// recordUndecodable records a configuration that couldn't be decoded; the caller holds the lock. If it was written again to a restored store,
+// what is known of the versions before it still holds.
+func (c *configuration) recordUndecodable(item kv.Item) {
+	_, _, gap := c.versions.Gap()
+	again := item.Revision.Era() > c.undecodable.Revision.Era() && bytes.Equal(item.Data, c.undecodable.Data)
+	c.versions.RecordUndecodable(item.Revision)
+	if again && !gap {
+		c.versions.MarkKnown(item.Revision)
+	}
+	c.undecodable, c.outdatedAt = item, 0
+}
+
+// isOutdated reports whether a configuration that a restored store has is older than the last one that was read here, decodable or not; the
+// caller holds the lock.
+func (c *configuration) isOutdated(version uint64, item kv.Item) bool {
+	if item.Revision.Era() <= c.readable.Revision.Era() {
+		return false
+	}
+	return version < c.readableVersion || version == c.readableVersion && c.versions.UndecodableIsNewest()
+}
+
 // adoptTargetVersion activates a newer target weight version of a model, which had not been announced at an instant; zero is unknown. An
 // older version changes nothing.
 func (c *configuration) adoptTargetVersion(item kv.Item, announcedAfter clock.Instant) {
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -222,3 +222,37 @@
 		})
 	})
 }
+
+func TestUndecodableConfigurationWrittenAgain(t *testing.T) {
+	Convey("entries go on accepting keys when a configuration that can't be decoded is written again to a restored store", t, func() {
+		s := startSite(2)
+		copied := s.store.Copy()
+		undecodable := []byte("{")
+		s.store.PutRaw("op/config", undecodable)
+		accepted := func() {
+			time.Sleep(s.entries[0].cfg.MaxRevocationDelay + time.Second)
+			for _, e := range s.entries {
+				s.expectAnswered(s.call(e, http.MethodGet, "/read/", ""))
+			}
+		}
+		accepted()
+		Convey("before they read the store", func() {
+			s.store.SetFault(hosted.StoreFault{Silent: true})
+			s.store.Restore(copied)
+			s.store.PutRaw("op/config", undecodable)
+			s.store.SetFault(hosted.StoreFault{})
+			accepted()
+		})
+		Convey("after they have read the one before it again", func() {
+			s.store.Restore(copied)
+			time.Sleep(700 * time.Millisecond)
+			s.store.PutRaw("op/config", undecodable)
+			accepted()
+		})
+		Convey("but not until it is", func() {
+			s.store.Restore(copied)
+			time.Sleep(s.entries[0].cfg.MaxRevocationDelay + time.Second)
+			So(s.call(s.entries[0], http.MethodGet, "/read/", "").status, ShouldEqual, http.StatusServiceUnavailable)
+		})
+	})
+}
