Date weight versions by reads before the store's restoration

Found by reading: requests may begin on replaced weights later than the bound (VERSION). Cause: a version is dated by the last read that did not show it. A read of a restored store doesn't show one that was lost, so that it counted as announced after the restoration once the operator had written it again. Change: for 2.2 s after a restoration, what is new is dated by the last read before it.

TestReplacedWeights, "entries whose store was restored to before the announcement", failed before (a request was answered 34 ms after the bound, and on).

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -40,13 +40,42 @@
 	// outdatedAt is the revision at which a restored store had an older configuration than the last one that was read here, or zero once the
 	// store has that one again, or a newer one.
 	outdatedAt kv.Revision
+	// era is the store's era, confirmedBefore is the instant of the last confirmation before it began, and rewrittenBy is when the operator
+	// has written again what the store had lost.
+	era             uint64
+	confirmedBefore clock.Instant
+	rewrittenBy     clock.Instant
+}
+
+// rewriteTime is how long the operator may take to write again what a store that was restored from a copy has lost.
+const rewriteTime = 2200 * time.Millisecond
+
+// recordEra records the store's era, as a read or a relay shows it.
+func (c *configuration) recordEra(now clock.Instant, era uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.era != 0 && era > c.era {
+		c.confirmedBefore, c.rewrittenBy = c.node.confirmation.SentAt(), now.Add(rewriteTime)
+	}
+	c.era = max(c.era, era)
+}
+
+// announcedAfter returns an instant at which nothing that is new here had been written, or zero if none is known. While the operator writes
+// again what a restored store has lost, that is before the restoration.
+func (c *configuration) announcedAfter(now clock.Instant) clock.Instant {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Before(c.rewrittenBy) {
+		return c.confirmedBefore
+	}
+	return c.node.confirmation.SentAt()
 }
 
 // apply applies items that are newer than those held, and reports whether there were any.
 func (c *configuration) apply(items []kv.Item) bool {
 	schema := c.node.deps.Schema
-	// Read before anything is recorded: nothing that is new here had been written at this instant.
-	confirmedAt := c.node.confirmation.SentAt()
+	// Read before anything is recorded.
+	announcedAfter := c.announcedAfter(clock.Now())
 	changed := false
 	for _, item := range items {
 		if !c.record(item) && !c.fillsGap(item) && !c.precedesRestoration(item) {
@@ -58,7 +87,7 @@
 		case schema.IsConfiguration(item.Key):
 			c.adopt(item)
 		case schema.IsTargetVersion(item.Key):
-			c.adoptTargetVersion(item, confirmedAt)
+			c.adoptTargetVersion(item, announcedAfter)
 		}
 	}
 	return changed
@@ -254,6 +283,7 @@
 
 // applyRelayed applies what a relay knows of the operator's writes; its ages hold as of the given instant or later.
 func (c *configuration) applyRelayed(asOf clock.Instant, update *peer.SyncReply) {
+	c.recordEra(clock.Now(), kv.Revision(update.RegistrationsRevision).Era())
 	c.apply(fromPeerItems(update.OperatorItems))
 	c.mu.Lock()
 	complete := kv.Revision(update.OperatorRevision) >= c.newest
--- a/internal/gateway/replaced_weights_test.go
+++ b/internal/gateway/replaced_weights_test.go
@@ -126,6 +126,22 @@
 		time.Sleep(1800 * time.Millisecond)
 		s.expectNoRuns(s.entries, time.Second)
 	})
+	Convey("entries whose store was restored to before the announcement begin no request on replaced weights later than others", t, func() {
+		s := startReplacement(2, 8*time.Second, func(_ int, cfg *settings.Hosted) { cfg.MaxRevocationDelay = time.Minute })
+		copied := s.store.Copy()
+		s.store.SetFault(hosted.StoreFault{Silent: true})
+		s.announce(2)
+		end := s.end
+		time.Sleep(3 * time.Second)
+		s.store.Restore(copied)
+		s.store.SetFault(hosted.StoreFault{})
+		// By then the entries have read the copy.
+		time.Sleep(1500 * time.Millisecond)
+		s.announce(2)
+		s.end = end
+		time.Sleep(time.Until(end))
+		s.expectNoRuns(s.entries, time.Second)
+	})
 	Convey("an entry sends no request to weights that it knows to be replaced, whatever the leader chooses", t, func() {
 		s := startReplacement(2, 2*time.Second, func(number int, cfg *settings.Hosted) {
 			if number == 0 {
--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -220,6 +220,7 @@
 // applyFront applies the items of the operator and of this system; the error is that of joining this instance.
 func (s *storePoller) applyFront(ctx context.Context, sent clock.Instant, revision kv.Revision, items *storeItems) error {
 	n := s.node
+	n.configuration.recordEra(clock.Now(), revision.Era())
 	changed := n.configuration.apply(items.operator)
 	s.confirmConfiguration(ctx, sent, items.operator)
 	if n.members.apply(revision, items.own) || changed {
