Close the peers' listener and connections before Run returns

TestCallerWaitsForSilentLeader failed once of five runs on arm64 beside busy processes: "listen tcp 127.0.0.1:41367: bind: address already in use" where silence() listens at the address of a network that has ended.

Cause: Run returned as soon as Accept failed, while another goroutine was still closing the listener (the descriptor lives until that goroutine has dropped its reference) and had not closed the connections yet. Its doc comment promises the opposite. Ruled out: a connection that takes the port meanwhile.

Change: Run itself closes the listener, waits for the accepting goroutine, and closes the connections.

--- a/internal/transport/peers/network.go
+++ b/internal/transport/peers/network.go
@@ -95,13 +95,20 @@
 	return listener.Addr().String(), nil
 }
 
-// Run accepts connections from peers until the context ends. Then it closes all connections.
+// Run accepts connections from peers until the context ends. Then it closes the listener and all connections before it returns.
 func (n *Network) Run(ctx context.Context) {
+	ended := make(chan struct{})
 	go func() {
-		<-ctx.Done()
-		_ = n.listener.Close()
-		n.closeAll()
+		defer close(ended)
+		n.acceptAll(ctx)
 	}()
+	<-ctx.Done()
+	_ = n.listener.Close()
+	<-ended
+	n.closeAll()
+}
+
+func (n *Network) acceptAll(ctx context.Context) {
 	for {
 		raw, err := n.listener.Accept()
 		if err != nil {
--- a/internal/transport/peers/network_test.go
+++ b/internal/transport/peers/network_test.go
@@ -95,3 +95,30 @@
 		So(time.Since(started), ShouldBeLessThan, 5*callTimeout)
 	})
 }
+
+// If the listener is closed only after Run has returned, its address may still be in use when another network listens there.
+func TestRunReturnsBeforeListenerCloses(t *testing.T) {
+	Convey("a network whose Run has returned has closed its listener and its connections", t, func() {
+		address, err := loopback.FreeAddress()
+		So(err, ShouldBeNil)
+		_, peerAddress := startNetwork("b")
+		const rounds = 200
+		for range rounds {
+			n := peers.New(peers.Config{
+				Name: "a", Incarnation: peers.NewIncarnation("a"), Address: address, Secret: []byte("secret"),
+			}, answerer{})
+			_, err := n.Listen()
+			So(err, ShouldBeNil)
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				n.Run(ctx)
+			}()
+			So(n.Connect(ctx, "b", peerAddress), ShouldBeNil)
+			cancel()
+			<-done
+			So(errors.Is(n.SendNow("b", peerAddress, peer.KindPlace, peer.Empty{}), peers.ErrUnreachable), ShouldBeTrue)
+		}
+	})
+}
