Read a ledger page again before a claim counts as held by a cached one

Callers would be told outcome_unknown until their key expires, through every entry that forwards to the same writer, though the outcome lies on the page. Found by reading, while looking for what trusts an earlier version of the key-value service's values.

Cause: a claim that a cached page shows as held modifies nothing, so that no compare-and-swap checks the page's version, and only missing claims were confirmed by a read. The holder is gone, and nothing writes to the page any more that would show the conflict.

Change: held claims are confirmed as well. If the page can't be read, the verdict stands and the holder is asked, as before. A page with a lower version than the cached one is not newer, so it doesn't replace it.

TestOutcomeHiddenByCachedPage failed before ("query holder e0#1: outcome of an earlier attempt unknown"). TestHeldClaimDuringOutage passes before and after: the holder answers for its claim while the service is down.

--- a/internal/coordination/ledger/committer.go
+++ b/internal/coordination/ledger/committer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -177,7 +178,7 @@
 	}
 }
 
-var errStale = errors.New("cached page lacks a claim that must be there")
+var errStale = errors.New("cached page is out of date")
 
 func (w *shardWriter) try(ctx context.Context, b *Batch) ([]claim.Result, error) {
 	cached, known := w.cache.Get(b.Page)
@@ -210,27 +211,32 @@
 	return results, nil
 }
 
-// confirm reads the page again if an outcome or a release did not find its claim, since the cached page may be out of date.
+// confirm reads the page again if a change found its claim missing or held by another attempt, since the cached page may be out of date:
+// another writer may have stored that attempt's outcome.
 func (w *shardWriter) confirm(ctx context.Context, b *Batch, cached cachedPage, results []claim.Result) error {
-	for i := range results {
-		if results[i].Verdict != claim.VerdictNotHolder {
-			continue
-		}
-		v, err := w.pages.Get(ctx, b.Page.Path())
-		if errors.Is(err, kv.ErrNotFound) {
-			return nil
-		}
-		if err != nil {
-			return fmt.Errorf("confirm: %w", err)
-		}
-		if v.Version != cached.version {
-			return errStale
-		}
+	missing := hasVerdict(results, claim.VerdictNotHolder)
+	if !missing && !hasVerdict(results, claim.VerdictHeld) {
 		return nil
 	}
+	v, err := w.pages.Get(ctx, b.Page.Path())
+	switch {
+	case errors.Is(err, kv.ErrNotFound):
+		return nil
+	case err != nil && missing:
+		return fmt.Errorf("confirm: %w", err)
+	case err != nil:
+		// While the page can't be read, the claim's holder may still answer for it.
+		return nil
+	case v.Version > cached.version:
+		return errStale
+	}
 	return nil
 }
 
+func hasVerdict(results []claim.Result, verdict claim.Verdict) bool {
+	return slices.ContainsFunc(results, func(r claim.Result) bool { return r.Verdict == verdict })
+}
+
 func (w *shardWriter) load(ctx context.Context, id claim.PageID) error {
 	v, err := w.pages.Get(ctx, id.Path())
 	if errors.Is(err, kv.ErrNotFound) {
--- a/internal/coordination/ledger/ledger_test.go
+++ b/internal/coordination/ledger/ledger_test.go
@@ -346,3 +346,59 @@
 		c.registries[0].Wait()
 	})
 }
+
+// TestOutcomeHiddenByCachedPage checks that a writer whose cached page shows a claim as held finds the outcome that another writer has
+// stored since, although the holder has stopped.
+func TestOutcomeHiddenByCachedPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		c := newCluster(ctx, 2, newService(1, 0), 1, 0)
+		key := newKey(t, rand.New(rand.NewPCG(1, 1)))
+		d, err := c.registries[0].Claim(ctx, key, claim.Digest{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.registries[0].Writer = c.committers[1]
+		c.registries[0].Finish(d.Attempt, claim.Outcome{Code: 201})
+		c.registries[0].Wait()
+		c.dead[c.registries[0].Self] = true
+		other, err := c.registries[1].Claim(ctx, key, claim.Digest{})
+		if err != nil || other.Outcome == nil || other.Outcome.Code != 201 {
+			t.Errorf("claim after the outcome was stored: %+v, %v", other, err)
+		}
+	})
+}
+
+// TestHeldClaimDuringOutage checks that the outcome of a held claim still comes from its holder while the key-value service is down.
+func TestHeldClaimDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s := newService(1, 0)
+		setLossRate := func(rate float64) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.lossRate = rate
+		}
+		c := newCluster(ctx, 2, s, 1, 0)
+		key := newKey(t, rand.New(rand.NewPCG(1, 1)))
+		d, err := c.registries[0].Claim(ctx, key, claim.Digest{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		setLossRate(2)
+		var finished sync.WaitGroup
+		finished.Go(func() {
+			time.Sleep(time.Second)
+			c.registries[0].Finish(d.Attempt, claim.Outcome{Code: 201})
+		})
+		other, err := c.registries[1].Claim(ctx, key, claim.Digest{})
+		if err != nil || other.Outcome == nil || other.Outcome.Code != 201 {
+			t.Errorf("claim during the outage: %+v, %v", other, err)
+		}
+		setLossRate(0)
+		finished.Wait()
+		c.registries[0].Wait()
+	})
+}
