Keep addresses that are listened on again out of the ephemeral ports

An endpoint of internal/standin/hosted that restarts 0.8 s after a crash stays away if any listener got its port meanwhile: found by reading, while looking for the pattern of TestCallerWaitsForSilentLeader in the other tests; not met in a run. Cause: without a configured address it listened at 127.0.0.1:0, so that the kernel may give its port away while it is down (restart gives up then, and the test sees an endpoint that never registers again). Change: its address comes from internal/standin/loopback, which lies below the ephemeral ports; so does that of the slow leader in internal/gateway, which is listened on again. The others that listen at port 0 (upstream, proxy, peers, httptest servers of internal/gateway and internal/entry) keep their listener, so the kernel can't give its port away.

--- a/internal/gateway/placement_peers_test.go
+++ b/internal/gateway/placement_peers_test.go
@@ -203,7 +203,7 @@
 	l := &slowLeader{endpoint: s.endpoints[0], delay: delay}
 	secret := []byte("a secret of thirty-two bytes, yes")
 	network := peers.New(peers.Config{
-		Name: "leader", Incarnation: peers.NewIncarnation("leader"), Address: "127.0.0.1:0", Secret: secret,
+		Name: "leader", Incarnation: peers.NewIncarnation("leader"), Address: freeAddress(), Secret: secret,
 	}, l)
 	address, err := network.Listen()
 	So(err, ShouldBeNil)
--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"gypsumvale/internal/standin/loopback"
 	"gypsumvale/internal/standin/wire"
 )
 
@@ -33,7 +34,7 @@
 	Work time.Duration
 	// Events is the number of events in a stream. With zero the endpoint answers with plain calls.
 	Events int
-	// Listen is the address to listen on. If it is empty, the kernel chooses a loopback port.
+	// Listen is the address to listen on. If it is empty, a free loopback address is reserved, which other listeners leave free during restarts.
 	Listen string
 	// Advertise is the address to register. If it is empty, the listening address is registered.
 	Advertise string
@@ -134,7 +135,11 @@
 // StartEndpoint starts serving an endpoint and registers it.
 func StartEndpoint(cfg EndpointConfig, registrar Registrar) (*Endpoint, error) {
 	if cfg.Listen == "" {
-		cfg.Listen = "127.0.0.1:0"
+		address, err := loopback.FreeAddress()
+		if err != nil {
+			return nil, fmt.Errorf("start endpoint: %w", err)
+		}
+		cfg.Listen = address
 	}
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
