Drop a native entry's requests by connection, not by process

Cause: the owner dropped all requests and grants of the process when any of its connections closed, those of the connection in use among them. The drop isn't told to the waiting call, and the entry sends it again only when its connection closes.

Ruled out: to drop only when no connection of the process is left (a grant whose reply was lost with the old connection would occupy its slot until 10 s after the deadline); to answer dropped requests with an error (the new connection's grants would still be forgotten, and the owner would grant too much).

Change: the receiving network numbers its incoming connections; requests and grants carry the number of the connection over which they came, and a closed connection drops its own. The number isn't sent, so that entries of two releases run side by side. TestQueue and TestRequestRepeatedAfterConnectionClosed name connections now, with the same checks.

Conclusion: the end of an old connection has no effect on a later one.

--- a/internal/coordination/group/owner.go
+++ b/internal/coordination/group/owner.go
@@ -34,7 +34,7 @@
 	commandCancel
 	commandDone
 	commandProgress
-	commandDropEntry
+	commandDropConnection
 	commandEvicted
 	commandEventsMissed
 	commandDown
@@ -49,6 +49,8 @@
 	endpoint string
 	context  string
 	reply    chan Action
+	// connection is the number of the connection that has closed.
+	connection uint64
 }
 
 type replyKey struct {
@@ -93,7 +95,7 @@
 	case action := <-reply:
 		return action, nil
 	case <-ctx.Done():
-		// The request was enqueued above, so that it can't be overtaken. If it is unknown by now, its entry was dropped and may repeat it.
+		// The request was enqueued above, so that it can't be overtaken. If it is unknown by now, its connection was dropped and its entry may repeat it.
 		o.enqueue(command{kind: commandCancel, key: key, id: GrantID{Entry: req.Entry, ID: req.ID}})
 		return Action{}, fmt.Errorf("wait for grant: %w", ctx.Err())
 	}
@@ -119,9 +121,9 @@
 	o.enqueue(command{kind: commandProgress, key: key, id: id, ratio: ratio})
 }
 
-// DropEntry removes all requests and grants of an instance whose connection has closed.
-func (o *Owner) DropEntry(entry string) {
-	o.enqueue(command{kind: commandDropEntry, id: GrantID{Entry: entry}})
+// DropConnection removes all requests and grants that came over a connection that has closed.
+func (o *Owner) DropConnection(connection uint64) {
+	o.enqueue(command{kind: commandDropConnection, connection: connection})
 }
 
 // Evicted records that an endpoint has evicted a conversation's first piece from its cache.
@@ -225,8 +227,8 @@
 func (o *Owner) handleForAll(now time.Time, cmd *command) bool {
 	for key, q := range o.queues {
 		switch cmd.kind {
-		case commandDropEntry:
-			o.deliver(key, q.queue.DropEntry(now, cmd.id.Entry))
+		case commandDropConnection:
+			o.deliver(key, q.queue.DropConnection(now, cmd.connection))
 		case commandEvicted:
 			q.queue.Evicted(cmd.endpoint, cmd.context)
 		case commandEventsMissed:
@@ -235,7 +237,7 @@
 			q.queue.MarkDown(cmd.endpoint)
 		}
 	}
-	return cmd.kind >= commandDropEntry
+	return cmd.kind >= commandDropConnection
 }
 
 func (o *Owner) queueFor(now time.Time, key Key) *Queue {
--- a/internal/coordination/group/owner_test.go
+++ b/internal/coordination/group/owner_test.go
@@ -24,23 +24,23 @@
 		owner := group.NewOwner(fixedDirectory{{Name: "e0", Slots: 1}})
 		go owner.Run(ctx)
 		defer cancel()
-		acquire := func(ctx context.Context, entry string, id uint64) (group.Action, error) {
+		acquire := func(ctx context.Context, entry string, connection, id uint64) (group.Action, error) {
 			req := newRequest(id, group.ClassShort)
-			req.Entry, req.Deadline = entry, time.Now().Add(10*time.Second)
+			req.Entry, req.Connection, req.Deadline = entry, connection, time.Now().Add(10*time.Second)
 			return owner.Acquire(ctx, group.Key{Pool: "p"}, req)
 		}
-		if _, err := acquire(ctx, "y", 1); err != nil {
+		if _, err := acquire(ctx, "y", 1, 1); err != nil {
 			t.Fatal(err)
 		}
 		connCtx, closeConn := context.WithCancel(ctx)
-		go func() { _, _ = acquire(connCtx, "x", 7) }()
+		go func() { _, _ = acquire(connCtx, "x", 2, 7) }()
 		synctest.Wait()
-		owner.DropEntry("x")
+		owner.DropConnection(2)
 		synctest.Wait()
 		closeConn()
 		synctest.Wait()
 		owner.Done(group.Key{Pool: "p"}, group.GrantID{Entry: "y", ID: 1}, 0)
-		action, err := acquire(ctx, "x", 7)
+		action, err := acquire(ctx, "x", 3, 7)
 		if err != nil || action.Kind != group.ActionGrant {
 			t.Errorf("the repeated request was answered with %+v, %v; want a grant", action, err)
 		}
--- a/internal/coordination/group/queue.go
+++ b/internal/coordination/group/queue.go
@@ -27,8 +27,7 @@
 	names   []string
 	byClass [classCount]*fairQueue
 	waiting map[GrantID]*waiter
-	// running maps each active grant to its endpoint.
-	running map[GrantID]string
+	running map[GrantID]runningGrant
 	// ended maps each request or grant that ended before it arrived to the time of its end.
 	ended  map[GrantID]time.Time
 	random *rand.Rand
@@ -36,6 +35,12 @@
 	lastEndpoints *lru.Cache[string, string]
 }
 
+// runningGrant is the endpoint of an active grant, and the connection over which its request came.
+type runningGrant struct {
+	endpoint   string
+	connection uint64
+}
+
 // groupReserveDivisor sets the group's slot reserve: one of every groupReserveDivisor slots is kept free of new long work.
 const groupReserveDivisor = 6
 
@@ -48,7 +53,7 @@
 		cfg:       cfg,
 		endpoints: make(map[string]*endpointState),
 		waiting:   make(map[GrantID]*waiter),
-		running:   make(map[GrantID]string),
+		running:   make(map[GrantID]runningGrant),
 		ended:     make(map[GrantID]time.Time),
 		random:    rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
@@ -81,7 +86,7 @@
 // Add grants, queues or refuses a request.
 func (q *Queue) Add(now time.Time, req GrantRequest) []Action {
 	id := GrantID{Entry: req.Entry, ID: req.ID}
-	if q.waiting[id] != nil || q.running[id] != "" {
+	if q.waiting[id] != nil || q.running[id].endpoint != "" {
 		return nil
 	}
 	wait := q.expectedWait(now, &req)
@@ -114,7 +119,7 @@
 
 // recordEnd remembers the end of an unknown request or grant, since the message of the end may overtake the one that it refers to.
 func (q *Queue) recordEnd(now time.Time, id GrantID) {
-	if q.running[id] == "" {
+	if q.running[id].endpoint == "" {
 		q.ended[id] = now
 	}
 }
@@ -145,7 +150,7 @@
 
 // Done ends a grant. ratio is the actual service time divided by the expected one, or zero if it was not measured.
 func (q *Queue) Done(now time.Time, id GrantID, ratio float64) []Action {
-	if e := q.endpoints[q.running[id]]; e != nil && ratio > 0 {
+	if e := q.endpoints[q.running[id].endpoint]; e != nil && ratio > 0 {
 		if g := e.active[id]; g != nil {
 			q.recordRatio(now, e, g, ratio)
 		}
@@ -157,7 +162,7 @@
 // Progress records that a running grant has received its first token. ratio is the actual time so far divided by the expected one, or zero
 // if it was not measured.
 func (q *Queue) Progress(now time.Time, id GrantID, ratio float64) []Action {
-	if e := q.endpoints[q.running[id]]; e != nil {
+	if e := q.endpoints[q.running[id].endpoint]; e != nil {
 		if g := e.active[id]; g != nil {
 			g.firstTokenSeen = true
 			if ratio > 0 {
@@ -168,15 +173,17 @@
 	return q.dispatch(now)
 }
 
-// DropEntry removes all requests and grants of an instance whose connection has closed.
-func (q *Queue) DropEntry(now time.Time, entry string) []Action {
-	for id, w := range q.waiting {
-		if id.Entry == entry {
+// DropConnection removes all requests and grants that came over a connection that has closed.
+//
+// Those of later connections of the same process remain: the end of a connection may be noticed long after the process has connected again.
+func (q *Queue) DropConnection(now time.Time, connection uint64) []Action {
+	for _, w := range q.waiting {
+		if w.request.Connection == connection {
 			q.removeWaiting(w)
 		}
 	}
-	for id := range q.running {
-		if id.Entry == entry {
+	for id, g := range q.running {
+		if g.connection == connection {
 			q.endGrant(id)
 		}
 	}
@@ -339,7 +346,7 @@
 	id := GrantID{Entry: req.Entry, ID: req.ID}
 	g := &activeGrant{request: *req, started: now}
 	e.active[id] = g
-	q.running[id] = e.Name
+	q.running[id] = runningGrant{endpoint: e.Name, connection: req.Connection}
 	if req.Context != "" {
 		q.lastEndpoints.Add(req.Context, e.Name)
 	}
@@ -359,7 +366,7 @@
 }
 
 func (q *Queue) endGrant(id GrantID) {
-	e := q.endpoints[q.running[id]]
+	e := q.endpoints[q.running[id].endpoint]
 	delete(q.running, id)
 	if e == nil {
 		return
--- a/internal/coordination/group/queue_test.go
+++ b/internal/coordination/group/queue_test.go
@@ -78,9 +78,11 @@
 		})
 		Convey("frees the slots of an instance whose connection has closed", func() {
 			for n := range uint64(5) {
-				q.Add(start, newRequest(n+1, group.ClassShort))
+				req := newRequest(n+1, group.ClassShort)
+				req.Connection = 1
+				q.Add(start, req)
 			}
-			q.DropEntry(start, "x")
+			q.DropConnection(start, 1)
 			So(q.Running(), ShouldEqual, 0)
 			So(q.Waiting(), ShouldEqual, 0)
 		})
--- a/internal/coordination/group/types.go
+++ b/internal/coordination/group/types.go
@@ -50,11 +50,13 @@
 // GrantRequest is a request to a group's owner for the grant of a slot on an endpoint.
 type GrantRequest struct {
 	// ID is unique among the grant requests of Entry.
-	ID        uint64
-	Entry     string
-	Workspace string
-	Share     int
-	Class     Class
+	ID    uint64
+	Entry string
+	// Connection is the number of the connection over which the request came, or zero for a request of this process.
+	Connection uint64 `msgpack:"-"`
+	Workspace  string
+	Share      int
+	Class      Class
 	// Cost is the expected service time on a healthy endpoint.
 	Cost time.Duration
 	// First is the expected time to the first token on a healthy endpoint, or zero if unknown.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -107,7 +107,7 @@
 
 func (h *handler) requestGrant(ctx context.Context, from peer.Hello, m *peer.GrantRequest) (any, error) {
 	request := m.Request
-	request.Entry = from.Incarnation
+	request.Entry, request.Connection = from.Incarnation, from.Connection
 	request.Deadline = time.Now().Add(m.Remaining)
 	if m.AdoptEndpoint != "" {
 		h.owner.Adopt(m.Group, request, m.AdoptEndpoint)
@@ -164,11 +164,11 @@
 	return reply, nil
 }
 
-// ConnectionClosed drops a peer's requests and grants when its incoming connection closes, since its process may have ended. A closed
+// ConnectionClosed drops the requests and grants that came over an incoming connection that has closed, since its process may have ended. A closed
 // outgoing connection marks the peer as disconnected.
 func (h *handler) ConnectionClosed(from peer.Hello, incoming bool) {
 	if incoming {
-		h.owner.DropEntry(from.Incarnation)
+		h.owner.DropConnection(from.Connection)
 		return
 	}
 	h.members.markDisconnected(from.Name, from.Incarnation)
--- a/internal/protocol/peer/frame.go
+++ b/internal/protocol/peer/frame.go
@@ -130,6 +130,8 @@
 	Incarnation string
 	Challenge   []byte
 	Proof       []byte
+	// Connection is the receiving process's number of the connection, or zero for one that it has dialled itself. It isn't sent.
+	Connection uint64 `msgpack:"-"`
 }
 
 // ChallengeBytes is the length of a handshake challenge.
--- a/internal/transport/peers/network.go
+++ b/internal/transport/peers/network.go
@@ -18,7 +18,8 @@
 
 // Handler handles messages from peers and events of connections.
 type Handler interface {
-	// Serve handles a message and returns the reply. The context ends when the sender's connection closes.
+	// Serve handles a message and returns the reply. The context ends when the sender's connection closes, after which a process may have
+	// another connection open.
 	Serve(ctx context.Context, from peer.Hello, kind peer.Kind, body []byte) (any, error)
 	// ConnectionClosed is called after a connection with a peer has closed. incoming is true if the peer had dialled it, to send its own
 	// messages.
@@ -66,6 +67,8 @@
 	incoming  map[*conn]bool
 	listener  net.Listener
 	callSlots chan struct{}
+	// accepted is the number of the last incoming connection.
+	accepted atomic.Uint64
 	// closed is true once all connections have been closed for good.
 	closed atomic.Bool
 }
@@ -133,6 +136,7 @@
 		n.handler.ConnectionRejected(raw.RemoteAddr().String(), err)
 		return
 	}
+	remote.Connection = n.accepted.Add(1)
 	c := newConn(raw, r, remote, &n.Traffic)
 	n.mu.Lock()
 	n.incoming[c] = true
