Let the leader's choice of older weights carry what it knows of newer ones

A request that a started entry sent to an engine with older weights could wait there and begin after the bound on older weights: the limit on the wait was up to 6.5 s too late.

Cause: an entry that knows no date of a target version limits the wait by its own first read of it (UsableUntil). Until a peer that knows the date has answered its catch-up, requests that the leader places on older weights are limited so. The leader always knows the date, since it chooses no older weights without, but its reply didn't say it.

Ruled out: to limit the wait at once where the date is unknown (requests that the leader may place on older weights would all be withdrawn); a deadline in the reply (it would hold for one request, and the entry's next one placed alone would know nothing); only the versions that are newer than the choice (an entry that knows the newest alone takes versions before it, that were replaced long ago, for usable).

Change: a reply with older weights carries all target versions of the model with their ages as of the reply, also when the request was queued; the entry learns them as those of relays and catch-up, as of when it sent the call. Other replies are encoded as before; the release before ignores the field, and an entry with a leader of that release limits the wait as before.

Tests: TestStartedEntryLimitsWaitByLeadersBound. After: withdrawn, with no run; passes in 6 of 6 runs with -race. TestFrames compares the encodings. TestReplacedWeights and TestPlacement* pass in 3 of 3 runs with -race.

Conclusion: the wait is limited by the leader's knowledge from the first choice on. Requests that an entry places alone use no weights of unknown date.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -35,8 +35,8 @@
 		if err != nil {
 			return nil, err
 		}
-		choice, err := h.placer.awaitGrant(ctx, placement.AssignmentID{Entry: from.Incarnation, Number: m.Number}, awaitTimeout)
-		return toPlaceReply(choice, err), nil
+		g, err := h.placer.awaitGrant(ctx, placement.AssignmentID{Entry: from.Incarnation, Number: m.Number}, awaitTimeout)
+		return h.placeReply(g.Request, g.Choice, err), nil
 	case peer.KindAssignmentUpdate:
 		m, err := decode[peer.AssignmentUpdate](body)
 		if err != nil {
@@ -104,7 +104,17 @@
 		req.TargetDeadline = now.Add(msg.TargetTimeout)
 	}
 	choice, err := h.placer.placeLocally(&req)
-	return toPlaceReply(choice, err)
+	return h.placeReply(&req, choice, err)
+}
+
+// placeReply returns the reply to a placement request. With older weights it carries what is known here of the announcement of newer ones,
+// which may be more than the requesting instance knows.
+func (h *handler) placeReply(req *placement.Request, choice placement.Choice, err error) peer.PlaceReply {
+	reply := toPlaceReply(choice, err)
+	if reply.Verdict == peer.VerdictPlaced {
+		reply.TargetVersions = h.placer.targetsBeyond(clock.Now(), req.Model, choice.Version)
+	}
+	return reply
 }
 
 // toPlaceReply converts the result of a placement to a message.
@@ -161,9 +171,11 @@
 		place.TargetTimeout = max(1, req.TargetDeadline.Sub(now))
 	}
 	var placed peer.PlaceReply
+	var sent clock.Instant
 	call := func(kind peer.Kind, msg any, timeout time.Duration) error {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
+		sent = clock.Now()
 		if err := network.Call(ctx, name, address, kind, msg, &placed); err != nil {
 			return fmt.Errorf("%w: %w", errNoOwner, err)
 		}
@@ -187,6 +199,9 @@
 	}
 	switch placed.Verdict {
 	case peer.VerdictPlaced:
+		if len(placed.TargetVersions) > 0 {
+			n.learnTargetVersions(sent, name, placed.TargetVersions)
+		}
 		return placed.Choice, nil
 	case peer.VerdictNoEndpoint:
 		return placement.Choice{}, placement.ErrNoEndpoint
--- a/internal/gateway/placement_peers_test.go
+++ b/internal/gateway/placement_peers_test.go
@@ -67,7 +67,10 @@
 const peerCallTimeout = 2 * time.Second
 
 // place requests a placement by its number, and returns the verdict.
-func (p *testPeer) place(number uint64) peer.PlaceVerdict {
+func (p *testPeer) place(number uint64) peer.PlaceVerdict { return p.requestPlacement(number).Verdict }
+
+// requestPlacement requests a placement by its number.
+func (p *testPeer) requestPlacement(number uint64) peer.PlaceReply {
 	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
 	defer cancel()
 	var reply peer.PlaceReply
@@ -79,7 +82,19 @@
 		Deadline: 30 * time.Second, FirstEventTimeout: 20 * time.Second,
 	}, &reply)
 	So(err, ShouldBeNil)
-	return reply.Verdict
+	return reply
+}
+
+// await waits for the result of a queued placement.
+func (p *testPeer) await(number uint64) peer.PlaceReply {
+	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+	defer cancel()
+	var reply peer.PlaceReply
+	err := p.network.Call(ctx, p.leader.cfg.Name, p.leader.cfg.Peers, peer.KindAwaitPlacement, peer.AwaitPlacement{
+		Service: "llm", Number: number,
+	}, &reply)
+	So(err, ShouldBeNil)
+	return reply
 }
 
 // update reports the end of a placement.
@@ -139,6 +154,8 @@
 	delay    time.Duration
 	address  string
 	stop     func()
+	// announcedAt is when version 2 of the weights was announced, or zero if it wasn't.
+	announcedAt time.Time
 
 	mu        sync.Mutex
 	placed    []uint64
@@ -158,9 +175,13 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.placed = append(l.placed, m.Request.ID.Number)
-		return peer.PlaceReply{Verdict: peer.VerdictPlaced, Choice: placement.Choice{
+		reply := peer.PlaceReply{Verdict: peer.VerdictPlaced, Choice: placement.Choice{
 			Endpoint: "llm-0", Address: l.endpoint.Address(), Version: 1, CacheSpace: "v1", Expected: time.Millisecond,
-		}}, nil
+		}}
+		if !l.announcedAt.IsZero() {
+			reply.TargetVersions = []peer.TargetVersion{{Model: testModel, Version: 2, MaxAge: time.Since(l.announcedAt)}}
+		}
+		return reply, nil
 	case peer.KindAssignmentUpdate:
 		var m peer.AssignmentUpdate
 		if err := msgpack.Unmarshal(body, &m); err != nil {
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -249,7 +249,9 @@
 		n.metrics.Placements.WithLabelValues("owner").Inc()
 		choice, err := p.placeLocally(req)
 		for errors.Is(err, placement.ErrQueued) && ctx.Err() == nil {
-			choice, err = p.awaitGrant(ctx, req.ID, awaitTimeout)
+			var g placement.Grant
+			g, err = p.awaitGrant(ctx, req.ID, awaitTimeout)
+			choice = g.Choice
 		}
 		if errors.Is(err, placement.ErrQueued) {
 			p.recordEnd(req, assignmentEnd{outcome: placement.OutcomeWithdrawn})
@@ -339,12 +341,12 @@
 
 // awaitGrant waits until a queued request is granted or rejected; it returns placement.ErrQueued if the request is still queued at the
 // timeout.
-func (p *placer) awaitGrant(ctx context.Context, id placement.AssignmentID, timeout time.Duration) (placement.Choice, error) {
+func (p *placer) awaitGrant(ctx context.Context, id placement.AssignmentID, timeout time.Duration) (placement.Grant, error) {
 	p.mu.Lock()
 	waiter := p.waiters[id]
 	p.mu.Unlock()
 	if waiter == nil {
-		return placement.Choice{}, errNoOwner
+		return placement.Grant{}, errNoOwner
 	}
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
@@ -353,11 +355,11 @@
 		p.mu.Lock()
 		delete(p.waiters, id)
 		p.mu.Unlock()
-		return g.Choice, g.Err
+		return g, g.Err
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return placement.Choice{}, placement.ErrQueued
+	return placement.Grant{}, placement.ErrQueued
 }
 
 // grantWaiting grants queued requests as far as there is capacity; the caller holds the lock.
--- a/internal/gateway/replaced_weights_test.go
+++ b/internal/gateway/replaced_weights_test.go
@@ -9,6 +9,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"gypsumvale/internal/coordination/placement"
+	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/settings"
 	"gypsumvale/internal/standin/hosted"
 )
@@ -87,6 +89,60 @@
 	So(begun(), ShouldEqual, before)
 }
 
+// A started entry finds a target version in the store that may have been announced long ago. Requests that wait at an engine with older weights
+// must not begin there later than the leader allows, which knows the announcement.
+func TestStartedEntryLimitsWaitByLeadersBound(t *testing.T) {
+	Convey("an entry that has started after new weights were announced, whose leader knows the announcement", t, func() {
+		const grace = 5 * time.Second
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		s.addEndpoint(hosted.EndpointConfig{ID: "llm-0", Service: "llm", Model: testModel, Version: 1, Events: 6, Work: 5 * time.Millisecond})
+		leader := s.startSlowLeader(0)
+		So(s.store.Put("op/version/"+testModel, map[string]any{"Model": testModel, "Version": 2}), ShouldBeNil)
+		const age = 3 * time.Second
+		leader.announcedAt = time.Now().Add(-age)
+		s.addEntryWith(func(cfg *settings.Hosted) { cfg.OldWeightsGrace = grace }).expectReady(true)
+		eventually("the leader places requests", func() bool {
+			return s.call(s.entries[0], http.MethodPost, "/redraft/", "soon").status == http.StatusOK
+		})
+		// The leader's bound ends before the engine starts, the one that the entry would take from its own first read of the version after it.
+		start := leader.announcedAt.Add(grace + age/2)
+		s.eachEndpoint(hosted.EndpointFault{OrderDelay: time.Hour, StartDelay: time.Until(start)})
+		Convey("withdraws a request that the engine hasn't started in time", func() {
+			a := s.send(s.entries[0], http.MethodPost, "/brief/", "waits")
+			So(time.Now(), ShouldHappenBefore, start)
+			s.expectRefused(a, http.StatusBadGateway, 0)
+		})
+	})
+	Convey("a leader that chooses older weights", t, func() {
+		s := startEngineSite(1)
+		p := s.startPeer()
+		So(p.requestPlacement(1).TargetVersions, ShouldBeEmpty)
+		s.eachEndpoint(hosted.EndpointFault{OrderDelay: time.Hour})
+		So(s.store.Put("op/version/"+testModel, map[string]any{"Model": testModel, "Version": 2}), ShouldBeNil)
+		announced := time.Now()
+		expectAge := func(request func(uint64) peer.PlaceReply) {
+			least := time.Since(announced)
+			reply := request(2)
+			So(reply.Verdict, ShouldEqual, peer.VerdictPlaced)
+			So(reply.TargetVersions, ShouldHaveLength, 1)
+			So(reply.TargetVersions[0].Version, ShouldEqual, 2)
+			So(reply.TargetVersions[0].MaxAge, ShouldBeBetweenOrEqual, least, time.Since(announced)+2*time.Second)
+		}
+		// The leader reads the store at least once a second.
+		time.Sleep(1500 * time.Millisecond)
+		Convey("tells how long ago newer ones were announced", func() {
+			p.update(1, placement.OutcomeAnswered)
+			expectAge(p.requestPlacement)
+		})
+		Convey("tells it of a request that was queued too", func() {
+			So(p.place(2), ShouldEqual, peer.VerdictQueued)
+			p.update(1, placement.OutcomeAnswered)
+			expectAge(p.await)
+		})
+	})
+}
+
 func TestReplacedWeights(t *testing.T) {
 	const grace = 7 * time.Second
 
--- a/internal/gateway/target_versions.go
+++ b/internal/gateway/target_versions.go
@@ -90,13 +90,34 @@
 		if len(shared)+len(list) > maxSharedVersions || recent && !slices.ContainsFunc(list, isRecent) {
 			continue
 		}
-		for _, target := range list {
-			t := peer.TargetVersion{Model: model, Version: target.Version}
-			if target.AnnouncedAfter != 0 {
-				t.MaxAge = max(1, now.Sub(target.AnnouncedAfter))
-			}
-			shared = append(shared, t)
+		shared = appendTargets(shared, now, model, list)
+	}
+	return shared
+}
+
+// targetsBeyond returns the target versions of a model with their ages, for a peer; none unless one of them is newer than the given version,
+// which is zero for a plain service.
+func (p *placer) targetsBeyond(now clock.Instant, model string, version int) []peer.TargetVersion {
+	if version == 0 {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.targets[model]
+	if len(list) == 0 || list[len(list)-1].Version <= version {
+		return nil
+	}
+	return appendTargets(nil, now, model, list)
+}
+
+// appendTargets appends a model's target versions with their ages to those for a peer.
+func appendTargets(shared []peer.TargetVersion, now clock.Instant, model string, list []placement.TargetVersion) []peer.TargetVersion {
+	for _, target := range list {
+		t := peer.TargetVersion{Model: model, Version: target.Version}
+		if target.AnnouncedAfter != 0 {
+			t.MaxAge = max(1, now.Sub(target.AnnouncedAfter))
 		}
+		shared = append(shared, t)
 	}
 	return shared
 }
--- a/internal/protocol/peer/frame_test.go
+++ b/internal/protocol/peer/frame_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/vmihailenco/msgpack/v5"
@@ -97,6 +98,29 @@
 		So(err, ShouldBeNil)
 		So(without, ShouldResemble, expected)
 	})
+	Convey("a choice with target versions is read by a release that knows none there, and one without is sent as before", t, func() {
+		type earlier struct {
+			Verdict    peer.PlaceVerdict
+			Choice     placement.Choice
+			RetryAfter time.Duration `msgpack:"Return"`
+			Expected   time.Duration
+		}
+		reply := peer.PlaceReply{Verdict: peer.VerdictPlaced, Choice: placement.Choice{Endpoint: "e1", Version: 1}}
+		without, err := msgpack.Marshal(reply)
+		So(err, ShouldBeNil)
+		reply.TargetVersions = []peer.TargetVersion{{Model: "m", Version: 2, MaxAge: time.Second}}
+		with, err := msgpack.Marshal(reply)
+		So(err, ShouldBeNil)
+		var got earlier
+		So(msgpack.Unmarshal(with, &got), ShouldBeNil)
+		So(got, ShouldResemble, earlier{Verdict: reply.Verdict, Choice: reply.Choice})
+		expected, err := msgpack.Marshal(got)
+		So(err, ShouldBeNil)
+		So(without, ShouldResemble, expected)
+		var again peer.PlaceReply
+		So(msgpack.Unmarshal(with, &again), ShouldBeNil)
+		So(again, ShouldResemble, reply)
+	})
 	Convey("a handshake proof", t, func() {
 		secret, challenge := []byte("a secret of the peers"), []byte("0123456789abcdef")
 		hello := peer.Hello{Version: peer.Version, Name: "a", Incarnation: "a#1"}
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -52,6 +52,8 @@
 	RetryAfter time.Duration `msgpack:"Return"`
 	// Expected is the expected time to the first event, or the expected wait in the queue, if the request was rejected for overload.
 	Expected time.Duration
+	// TargetVersions holds the model's target versions if one of them is newer than the chosen weights. Ages hold as of the reply.
+	TargetVersions []TargetVersion `msgpack:",omitempty"`
 }
 
 // AssignmentUpdate reports the first event of an assignment to the owner of the placement, or its end.
