Let the leader tell of answers that precede the report of a crash

Cause: an entry reports the parts that an answer clears only if they are charged there. One whose answer begins before it hears of the crash has nothing to report, then or later, since the part is never charged there. The leader, which hears of the first events of all requests that it has placed, kept what it knew to itself, also where it knew the crash and the answering entry didn't.

Ruled out: that the answering entries report it (each of hundreds of entries that answered a common part would tell all others at each crash); to report it without the answer's age (an answer before a second crash would clear that one too: one more crash of a deadly part).

Change: with each report of a crash the leader tells its peers which of the parts answers have begun with since, once for a crash and part, and how long ago; and it tells which charged parts a reported first event clears. An answer recorded late clears the crashes before it only.

Tests: TestAnswerPrecedesCrashReport. TestPartTable has answers that are heard of late.

Conclusion: what the leader knows of answers reaches all entries. Not told still: answers to requests that entries placed alone, what the leader before knew, and on the native edge, which has no leader.

--- a/internal/coordination/suspect/parts.go
+++ b/internal/coordination/suspect/parts.go
@@ -58,6 +58,8 @@
 	endpoint  string
 	at        clock.Instant
 	exchanges []Exchange
+	// told holds the parts that TakeAnswered has returned.
+	told []string
 }
 
 // candidates returns the exchanges that may have caused the crash: those whose answers were beginning, if there are any.
@@ -86,8 +88,8 @@
 // block is a combination of parts whose requests must not run.
 type block struct {
 	parts []string
-	// since is when a crash last confirmed the block.
-	since clock.Instant
+	// since is when a crash last confirmed the block, and crashedAt is the last crash that is known to have led to it or to have confirmed it.
+	since, crashedAt clock.Instant
 	// causes are the crashes that had been recorded when the block was found here; there are none if another instance has found it.
 	causes []*engineCrash
 }
@@ -148,24 +150,53 @@
 
 // addExchange adds an exchange to the crash that broke it, which may be a new one, and returns the crash.
 func (t *PartTable) addExchange(now clock.Instant, endpoint string, brokenAt clock.Instant, e Exchange) *engineCrash {
-	for _, c := range t.crashes {
-		if c.endpoint == endpoint && max(c.at.Sub(brokenAt), brokenAt.Sub(c.at)) < sameCrashWindow {
-			c.exchanges = append(c.exchanges, e)
-			return c
-		}
+	if c := t.findCrash(endpoint, brokenAt); c != nil {
+		c.exchanges = append(c.exchanges, e)
+		return c
 	}
 	t.crashes = slices.DeleteFunc(t.crashes, func(c *engineCrash) bool { return now.Sub(c.at) >= Retention })
-	crash := &engineCrash{endpoint, brokenAt, []Exchange{e}}
+	crash := &engineCrash{endpoint: endpoint, at: brokenAt, exchanges: []Exchange{e}}
 	t.crashes = append(t.crashes[max(0, len(t.crashes)-maxCrashes+1):], crash)
 	slices.SortStableFunc(t.crashes, func(a, b *engineCrash) int { return int(a.at - b.at) })
 	return crash
 }
 
+// findCrash returns the crash that broke an exchange with an endpoint at an instant, or nil.
+func (t *PartTable) findCrash(endpoint string, brokenAt clock.Instant) *engineCrash {
+	for _, c := range t.crashes {
+		if c.endpoint == endpoint && max(c.at.Sub(brokenAt), brokenAt.Sub(c.at)) < sameCrashWindow {
+			return c
+		}
+	}
+	return nil
+}
+
+// TakeAnswered returns those of some parts to which answers have begun since a crash, and when the first of these answers began. Each part is
+// returned once for a crash.
+func (t *PartTable) TakeAnswered(endpoint string, brokenAt clock.Instant, parts []string) (answered []string, at clock.Instant) {
+	c := t.findCrash(endpoint, brokenAt)
+	if c == nil {
+		return nil, 0
+	}
+	for _, part := range parts {
+		began, ok := t.answered[part]
+		if !ok || began.Before(c.at) || slices.Contains(c.told, part) {
+			continue
+		}
+		c.told = append(c.told, part)
+		answered = append(answered, part)
+		if at == 0 || began.Before(at) {
+			at = began
+		}
+	}
+	return answered, at
+}
+
 // confirm renews the blocks that apply to the exchange.
 func (t *PartTable) confirm(at clock.Instant, e *Exchange) {
 	for _, b := range t.blocks {
 		if containsAll(e.Parts, b.parts) {
-			b.since = max(b.since, at)
+			b.since, b.crashedAt = max(b.since, at), max(b.crashedAt, at)
 		}
 	}
 }
@@ -224,7 +255,7 @@
 			continue
 		}
 		parts := slices.DeleteFunc(slices.Clone(s.common), func(other string) bool { return !t.suffices(other) })
-		if t.addBlock(&block{parts: parts, since: now, causes: slices.Clone(t.crashes)}) {
+		if t.addBlock(&block{parts: parts, since: now, crashedAt: s.lastAt, causes: slices.Clone(t.crashes)}) {
 			added = append(added, parts)
 		}
 	}
@@ -234,7 +265,7 @@
 // AddBlock blocks requests whose prompts have all the parts, as another instance has found, unless a block of fewer parts applies to them
 // already. It reports whether it added the block.
 func (t *PartTable) AddBlock(now clock.Instant, parts []string) bool {
-	return t.addBlock(&block{parts: parts, since: now})
+	return t.addBlock(&block{parts: parts, since: now, crashedAt: now})
 }
 
 func (t *PartTable) addBlock(added *block) bool {
@@ -274,26 +305,35 @@
 	return list
 }
 
-// RecordAnswer records that an answer to a request with these parts has begun. It returns the parts that are cleared by it.
-func (t *PartTable) RecordAnswer(now clock.Instant, parts []string) []string {
-	var cleared []string
+// RecordAnswer records that an answer to a request with these parts began at an instant, which may be past: later crashes still count. It returns
+// the parts that are cleared by it.
+func (t *PartTable) RecordAnswer(at clock.Instant, parts []string) []string {
+	var cleared, proved []string
 	for _, part := range parts {
-		t.answered[part] = now
-		if t.evidence[part] != nil {
+		t.answered[part] = max(t.answered[part], at)
+		if s := t.evidence[part]; s != nil && !at.Before(s.lastAt) {
 			cleared = append(cleared, part)
 		}
+		if t.suffices(part) {
+			proved = append(proved, part)
+		}
+	}
+	t.prune(at)
+	if len(t.evidence) > 0 {
+		t.evaluate()
 	}
+	refuted := slices.DeleteFunc(proved, t.suffices)
 	for _, b := range t.blocks {
-		for _, part := range intersect(b.parts, parts) {
-			b.parts = slices.DeleteFunc(b.parts, func(p string) bool { return p == part })
-			cleared = append(cleared, part)
+		var lifted []string
+		if !at.Before(b.crashedAt) {
+			lifted = intersect(b.parts, parts)
+			cleared = append(cleared, lifted...)
+		} else if len(b.causes) > 0 {
+			lifted = intersect(b.parts, refuted)
 		}
+		b.parts = slices.DeleteFunc(b.parts, func(part string) bool { return slices.Contains(lifted, part) })
 	}
 	t.blocks = slices.DeleteFunc(t.blocks, func(b *block) bool { return len(b.parts) == 0 })
-	t.prune(now)
-	if len(cleared) > 0 {
-		t.evaluate()
-	}
 	return slices.Compact(slices.Sorted(slices.Values(cleared)))
 }
 
--- a/internal/coordination/suspect/parts_test.go
+++ b/internal/coordination/suspect/parts_test.go
@@ -199,6 +199,49 @@
 		table.RecordCrash(instant(11200), "e2", instant(10500), suspect.Exchange{Parts: []string{"x"}, Answering: true, SentAt: instant(10400)})
 		So(table.Blocks(instant(11300)), ShouldBeEmpty)
 	})
+	Convey("an answer that is heard of late", t, func() {
+		table := applyPartEvents([]partEvent{
+			{at: 20000, crashed: "e1", sent: 19900, parts: "b"}, {at: 20300, crashed: "e2", sent: 20010, parts: "b"},
+		})
+		So(table.Blocks(instant(20900)), ShouldResemble, [][]string{{"b"}})
+		Convey("lifts a block if it began after the last crash", func() {
+			So(table.RecordAnswer(instant(20400), []string{"b"}), ShouldResemble, []string{"b"})
+			So(table.Blocks(instant(21000)), ShouldBeEmpty)
+			So(table.Empty(), ShouldBeTrue)
+		})
+		Convey("lifts a block if it began between the crashes, the second of which goes on counting", func() {
+			So(table.RecordAnswer(instant(20100), []string{"b"}), ShouldBeEmpty)
+			So(table.Blocks(instant(21000)), ShouldBeEmpty)
+			table.RecordCrash(instant(21100), "e3", instant(21100), suspect.Exchange{Parts: []string{"b"}, Answering: true, SentAt: instant(21000)})
+			So(table.Blocks(instant(21200)), ShouldResemble, [][]string{{"b"}})
+		})
+		Convey("leaves a block if it began before the crashes", func() {
+			So(table.RecordAnswer(instant(19950), []string{"b"}), ShouldBeEmpty)
+			So(table.Blocks(instant(21000)), ShouldResemble, [][]string{{"b"}})
+		})
+		Convey("leaves a block that another instance has found later", func() {
+			other := suspect.NewPartTable()
+			other.AddBlock(instant(20900), []string{"b"})
+			So(other.RecordAnswer(instant(20400), []string{"b"}), ShouldBeEmpty)
+			So(other.Blocks(instant(21000)), ShouldResemble, [][]string{{"b"}})
+		})
+		Convey("doesn't hide a later one that is known", func() {
+			table.RecordAnswer(instant(20400), []string{"b"})
+			table.RecordAnswer(instant(20100), []string{"b"})
+			table.RecordCrash(instant(20500), "e2", instant(20300), suspect.Exchange{Parts: []string{"b"}, Answering: true, SentAt: instant(20010)})
+			So(table.Empty(), ShouldBeTrue)
+		})
+	})
+	Convey("the parts that answers have cleared since a crash are returned once", t, func() {
+		table := applyPartEvents([]partEvent{
+			{at: 19900, parts: "c"}, {at: 20300, parts: "b"}, {at: 20200, parts: "a"}, {at: 20000, crashed: "e1", sent: 19800, parts: "a b c x"},
+		})
+		parts, at := table.TakeAnswered("e1", instant(20010), []string{"a", "b", "c", "x"})
+		So(parts, ShouldResemble, []string{"a", "b"})
+		So(at, ShouldEqual, instant(20200))
+		parts, _ = table.TakeAnswered("e1", instant(20020), []string{"b", "c"})
+		So(parts, ShouldBeEmpty)
+	})
 	Convey("a block that another instance has found applies", t, func() {
 		table := suspect.NewPartTable()
 		So(table.AddBlock(instant(1000), []string{"x", "b"}), ShouldBeTrue)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -62,7 +62,7 @@
 		if err != nil {
 			return nil, err
 		}
-		h.suspects.recordAnswer(m.Service, m.Parts)
+		h.suspects.recordAnswer(m.Service, m.Parts, clock.Now().Add(-m.Age))
 		return peer.Empty{}, nil
 	case peer.KindSuccessor:
 		return h.handOver.serveQuery(from.Name), nil
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -17,6 +17,7 @@
 	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/standin/hosted"
 	"gypsumvale/internal/state/prompt"
+	"gypsumvale/internal/transport/peers"
 )
 
 const (
@@ -219,13 +220,27 @@
 	})
 }
 
-// reportCrash reports that an engine crashed with a prompt whose answer was beginning.
+// reportCrash reports that an engine has just crashed with a prompt whose answer was beginning.
 func (p *testPeer) reportCrash(endpoint string, parts ...string) {
+	p.reportOldCrash(endpoint, 10*time.Millisecond, parts...)
+}
+
+// reportOldCrash reports that an engine crashed some time ago with a prompt whose answer was beginning.
+func (p *testPeer) reportOldCrash(endpoint string, age time.Duration, parts ...string) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
 	defer cancel()
 	So(p.network.Call(ctx, p.leader.cfg.Name, p.leader.cfg.Peers, peer.KindCrashReport, peer.CrashReport{
 		Digest: endpoint, Endpoint: endpoint, Service: "llm", Parts: parts, Answering: true,
-		SentAge: 300 * time.Millisecond, BrokenAge: 10 * time.Millisecond,
+		SentAge: age + 290*time.Millisecond, BrokenAge: age,
+	}, &peer.Empty{}), ShouldBeNil)
+}
+
+// reportCleared reports that an answer to a prompt with some parts began some time ago.
+func (p *testPeer) reportCleared(age time.Duration, parts ...string) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+	defer cancel()
+	So(p.network.Call(ctx, p.leader.cfg.Name, p.leader.cfg.Peers, peer.KindPartsCleared, peer.PartsCleared{
+		Service: "llm", Parts: parts, Age: age,
 	}, &peer.Empty{}), ShouldBeNil)
 }
 
@@ -244,6 +259,116 @@
 	return reply.Verdict
 }
 
+// clearedRecorder records the parts that a leader reports as cleared.
+type clearedRecorder struct {
+	stubPeerHandler
+
+	mu      sync.Mutex
+	cleared []peer.PartsCleared
+}
+
+func (c *clearedRecorder) Serve(_ context.Context, _ peer.Hello, kind peer.Kind, body []byte) (any, error) {
+	if kind == peer.KindPartsCleared {
+		var m peer.PartsCleared
+		if err := msgpack.Unmarshal(body, &m); err != nil {
+			return nil, fmt.Errorf("decode: %w", err)
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.cleared = append(c.cleared, m)
+	}
+	return peer.Empty{}, nil
+}
+
+func (c *clearedRecorder) list() []peer.PartsCleared {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]peer.PartsCleared(nil), c.cleared...)
+}
+
+// startRecorder registers another instance, and waits until the leader knows it.
+func (s *site) startRecorder() *clearedRecorder {
+	c := &clearedRecorder{}
+	network := peers.New(peers.Config{
+		Name: "recorder", Incarnation: "recorder#1", Address: "127.0.0.1:0", Secret: s.store.Value("gypsum/secret"),
+	}, c)
+	address, err := network.Listen()
+	So(err, ShouldBeNil)
+	runNetwork(network)
+	data, err := msgpack.Marshal(map[string]any{"addr": address, "zone": "quay", "run": "recorder#1", "cpu": 1.0, "link": 0.0})
+	So(err, ShouldBeNil)
+	s.store.PutRaw("gypsum/entries/recorder", data)
+	time.Sleep(1500 * time.Millisecond)
+	return c
+}
+
+// reportFirstEvent reports the first event of a placement.
+func (p *testPeer) reportFirstEvent(number uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+	defer cancel()
+	So(p.network.Call(ctx, p.leader.cfg.Name, p.leader.cfg.Peers, peer.KindAssignmentUpdate, peer.AssignmentUpdate{
+		Service: "llm", Number: number,
+	}, &peer.Empty{}), ShouldBeNil)
+}
+
+// An entry whose request was answered before it hears of a crash has nothing to report, so that other entries would keep the part charged.
+func TestAnswerPrecedesCrashReport(t *testing.T) {
+	Convey("a leader tells its peers which parts an answer has cleared", t, func() {
+		s := startPartSite(1)
+		p := s.startPeer()
+		c := s.startRecorder()
+		expectCleared := func(parts ...string) {
+			eventually("parts are reported as cleared", func() bool { return len(c.list()) > 0 })
+			So(c.list()[0].Service, ShouldEqual, "llm")
+			So(c.list()[0].Parts, ShouldResemble, parts)
+		}
+		Convey("when the crash is reported after the answer has begun", func() {
+			So(p.placePart(1, "b2"), ShouldEqual, peer.VerdictPlaced)
+			p.reportFirstEvent(1)
+			answered := time.Now()
+			time.Sleep(200 * time.Millisecond)
+			reported := time.Since(answered)
+			p.reportOldCrash("llm-8", time.Second, "b2", "c3")
+			expectCleared("b2")
+			So(c.list()[0].Age, ShouldBeBetweenOrEqual, reported, reported+time.Second)
+
+			p.reportOldCrash("llm-8", time.Second, "b2")
+			time.Sleep(200 * time.Millisecond)
+			So(c.list(), ShouldHaveLength, 1)
+		})
+		Convey("when the instance that was answered doesn't know the crash", func() {
+			So(p.placePart(1, "b2"), ShouldEqual, peer.VerdictPlaced)
+			p.reportCrash("llm-8", "b2")
+			p.reportFirstEvent(1)
+			expectCleared("b2")
+		})
+		Convey("but not when the crash is later", func() {
+			So(p.placePart(1, "b2"), ShouldEqual, peer.VerdictPlaced)
+			p.reportFirstEvent(1)
+			time.Sleep(200 * time.Millisecond)
+			p.reportCrash("llm-8", "b2")
+			time.Sleep(200 * time.Millisecond)
+			So(c.list(), ShouldBeEmpty)
+		})
+	})
+	Convey("an entry that hears of an answer between two crashes blocks no part with it", t, func() {
+		s := startPartSite(1)
+		p := s.startPeer()
+		p.reportOldCrash("llm-8", 900*time.Millisecond, "b2")
+		p.reportCleared(500*time.Millisecond, "b2")
+		p.reportCrash("llm-9", "b2")
+		So(p.placePart(1, "b2"), ShouldEqual, peer.VerdictPlaced)
+	})
+	Convey("an entry that hears late of an answer before the last two crashes goes on blocking the part", t, func() {
+		s := startPartSite(1)
+		p := s.startPeer()
+		p.reportOldCrash("llm-8", 900*time.Millisecond, "b2")
+		p.reportCrash("llm-9", "b2")
+		p.reportCleared(time.Second, "b2")
+		So(p.placePart(1, "b2"), ShouldEqual, peer.VerdictBlocked)
+	})
+}
+
 func TestFrozenEntryHoldsPart(t *testing.T) {
 	Convey("callers with sound requests are served while an entry is frozen whose request with one of their parts has been placed", t, func() {
 		s := startPartSite(1)
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -437,15 +437,26 @@
 	}
 }
 
+// recordFirstEvent records a request's first event. The instance that reported it may not know of a crash with which parts of the prompt are
+// charged here, so the parts that it clears are reported to all peers.
 func (p *placer) recordFirstEvent(req *placement.Request) {
+	if cleared := p.clearParts(req); len(cleared) > 0 {
+		p.node.reportCleared(req.Service, cleared, 0)
+	}
+}
+
+// clearParts records a request's first event, and returns the parts of its prompt that this clears.
+func (p *placer) clearParts(req *placement.Request) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Now()
 	pool := p.pool(req.Service)
+	var cleared []string
 	if placed := pool.FirstEvent(now, req.ID); placed != nil {
-		p.node.suspects.recordAnswer(placed.Service, prompt.IDs(placed.SharedParts()))
+		cleared = p.node.suspects.recordAnswer(placed.Service, prompt.IDs(placed.SharedParts()), now)
 	}
 	p.grantWaiting(pool, now)
+	return cleared
 }
 
 // recordEnd records the end of an assignment. A crash that ended it is recorded first: otherwise the next request with the same parts could be
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -69,11 +69,19 @@
 	return blocked, suspected
 }
 
-// recordAnswer records that an answer to a request with some shared parts has begun, and returns those that it clears.
-func (s *suspects) recordAnswer(service string, parts []string) []string {
+// recordAnswer records that an answer to a request with some shared parts began at an instant, and returns those that it clears.
+func (s *suspects) recordAnswer(service string, parts []string, at clock.Instant) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.service(service).RecordAnswer(clock.Now(), parts)
+	return s.service(service).RecordAnswer(at, parts)
+}
+
+// takeAnswered returns the parts of a broken exchange's prompt that answers have cleared since the crash, once, and when the first of these
+// answers began.
+func (s *suspects) takeAnswered(endpoint string, b *suspect.BrokenExchange) ([]string, clock.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.service(b.Service).TakeAnswered(endpoint, b.BrokenAt, b.Parts)
 }
 
 // blocks returns the blocked combinations of parts by service.
@@ -185,7 +193,8 @@
 	}
 }
 
-// attributeCrash attributes a crash to the parts of a broken exchange's prompt.
+// attributeCrash attributes a crash to the parts of a broken exchange's prompt. The leader hears of most answers, so it tells its peers of those
+// that have begun since the crash: the instances that were answered may not have known that they had something to report.
 func (n *Node) attributeCrash(endpoint string, b *suspect.BrokenExchange) {
 	blocked, suspected := n.suspects.recordPartCrash(endpoint, b)
 	if len(suspected) > 0 {
@@ -196,6 +205,13 @@
 		n.log.Warn(event.PartBlocked, "prompts with these parts are blocked", zap.String("service", b.Service), zap.Strings("parts", parts),
 			zap.String("endpoint", endpoint))
 	}
+	now := clock.Now()
+	if !n.leadership.holdsLease(now) {
+		return
+	}
+	if answered, at := n.suspects.takeAnswered(endpoint, b); len(answered) > 0 {
+		n.reportCleared(b.Service, answered, now.Sub(at))
+	}
 }
 
 // recordReportedCrash counts a crash that a peer reported.
@@ -216,13 +232,16 @@
 	if req == nil || len(req.Parts) < 2 {
 		return
 	}
-	cleared := n.suspects.recordAnswer(req.Service, prompt.IDs(req.SharedParts()))
-	if len(cleared) == 0 {
-		return
+	if cleared := n.suspects.recordAnswer(req.Service, prompt.IDs(req.SharedParts()), clock.Now()); len(cleared) > 0 {
+		n.reportCleared(req.Service, cleared, 0)
 	}
-	n.log.Info(event.PartCleared, "an answer has begun to a prompt with suspected parts", zap.String("service", req.Service),
-		zap.Strings("parts", cleared))
-	n.notifyPeers(peer.KindPartsCleared, peer.PartsCleared{Service: req.Service, Parts: cleared})
+}
+
+// reportCleared reports to all peers that answers to prompts with some parts have begun, the first of them some time ago.
+func (n *Node) reportCleared(service string, parts []string, age time.Duration) {
+	n.log.Info(event.PartCleared, "an answer has begun to a prompt with suspected parts", zap.String("service", service),
+		zap.Strings("parts", parts), zap.Int64("age_ms", age.Milliseconds()))
+	n.notifyPeers(peer.KindPartsCleared, peer.PartsCleared{Service: service, Parts: parts, Age: age})
 }
 
 // partsBlocked reports whether engines crash on parts of a request's prompt.
--- a/internal/protocol/peer/messages.go
+++ b/internal/protocol/peer/messages.go
@@ -164,4 +164,6 @@
 type PartsCleared struct {
 	Service string
 	Parts   []string
+	// Age is the most time that may have passed since the answer began, or zero if it has just begun.
+	Age time.Duration `msgpack:",omitempty"`
 }
