Hand leadership over when the leader's placement has stopped

Found by reading.

Cause: a hand-over is decided by how long arrived data waits until it is read, which a held lock doesn't change. The lease is renewed by a task of its own.

Ruled out: to stop renewing the lease (a vacancy of a lease time and an election, in which the instance may stand again at once); any lateness of placement as a delay (scans of many queued requests would hand over a leader that is merely busy); a bound of its own beside the policy (terms after hand-overs must double for this reason too, where whoever leads is stopped).

Change: while placement hasn't run for a second, each sample of the dispatch delay counts as much as a sample may (50 ms). So the instance is behind after some 0.3 s more, hands over after 3 s to a peer that isn't behind, stands back, and doesn't accept the lease. A pause of the whole process is one sample, as before. leadership.go is unchanged.

Test: TestStoppedPlacementKeepsLease, which holds the placer's lock of the leader. Before: no other leader within 6 s.

Conclusion: a stopped placement costs about four seconds of leadership. Left: the lease is kept while no peer is willing and within the minimum of a term (256 s at most); requests that arrive at the instance itself wait for its placement.

--- a/internal/gateway/dispatch_delay.go
+++ b/internal/gateway/dispatch_delay.go
@@ -63,7 +63,7 @@
 	return nil
 }
 
-// dispatchDelay is the task that measures whether this instance is behind.
+// dispatchDelay is the task that measures whether this instance is behind, with what it reads or with its placement.
 type dispatchDelay struct {
 	node  *Node
 	probe DelayProbe
@@ -86,8 +86,10 @@
 	}
 }
 
+// record adds a sample. While placement is stopped, the requests that arrive wait for it however soon they are read.
 func (d *dispatchDelay) record(delay time.Duration) {
 	now := clock.Now()
+	delay = max(delay, d.node.placer.stall(now))
 	d.mu.Lock()
 	since := d.delays.BehindSince()
 	changed := d.delays.Record(now, delay)
--- a/internal/gateway/hand_over_test.go
+++ b/internal/gateway/hand_over_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gypsumvale/internal/coordination/succession"
+	"gypsumvale/internal/gateway"
 	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/settings"
 	"gypsumvale/internal/standin/hosted"
@@ -84,6 +86,39 @@
 	return record.Name
 }
 
+func TestStoppedPlacementKeepsLease(t *testing.T) {
+	Convey("a leader whose placement stops while it reads what arrives", t, func() {
+		s := startSite(3)
+		eventually("a leader is elected", func() bool { return s.leaderName() != "" })
+		first, revision := s.leaderName(), s.store.ModRevision("gypsum/lead")
+		hold := func() (release func()) {
+			for _, e := range s.entries {
+				if e.cfg.Name == first {
+					return gateway.HoldPlacement(e.node)
+				}
+			}
+			return nil
+		}
+		Convey("hands its lease over, and leaves it to the others", func() {
+			release := hold()
+			defer release()
+			eventually("another leads", func() bool { return s.leaderName() != "" && s.leaderName() != first })
+			for _, e := range s.entries {
+				if e.cfg.Name != first {
+					s.expectAnswered(s.call(e, http.MethodPost, "/redraft/", "notes"))
+				}
+			}
+		})
+		Convey("keeps it when placement runs again soon", func() {
+			release := hold()
+			time.Sleep(2 * time.Second)
+			release()
+			time.Sleep(handOverTime)
+			So(s.store.ModRevision("gypsum/lead"), ShouldEqual, revision)
+		})
+	})
+}
+
 const (
 	behindDelay = 40 * time.Millisecond
 	// handOverTime is longer than a leader is behind before it hands over.
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -399,18 +399,32 @@
 	})
 }
 
-// stallTimeout is how long the queue may go without being processed before this is logged: many grant periods.
+// stallTimeout is how long the queue may go without being processed before placement counts as stopped: many grant periods.
 const stallTimeout = time.Second
 
-// logStall logs when placement on this instance has stopped, and when it runs again. It takes no lock, since whoever holds the placer's may
-// be the reason.
-func (p *placer) logStall(now clock.Instant) {
+// age returns how long ago the queue was last processed, or zero before the first time. It takes no lock, since whoever holds the placer's may
+// be the reason why that is long.
+func (p *placer) age(now clock.Instant) time.Duration {
 	lastRun := clock.Instant(p.lastRun.Load())
-	span := now.Sub(lastRun)
-	stalled := lastRun != 0 && span > stallTimeout
-	if lastRun != 0 {
-		p.node.metrics.PlacementAge.Set(span.Seconds())
+	if lastRun == 0 {
+		return 0
+	}
+	return now.Sub(lastRun)
+}
+
+// stall returns how long placement on this instance has been stopped, or zero if it runs.
+func (p *placer) stall(now clock.Instant) time.Duration {
+	if age := p.age(now); age > stallTimeout {
+		return age
 	}
+	return 0
+}
+
+// logStall logs when placement on this instance has stopped, and when it runs again.
+func (p *placer) logStall(now clock.Instant) {
+	span := p.stall(now)
+	stalled := span != 0
+	p.node.metrics.PlacementAge.Set(p.age(now).Seconds())
 	if stalled == p.stalled {
 		return
 	}
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -59,6 +59,7 @@
 
 type entry struct {
 	cfg    *settings.Hosted
+	node   *gateway.Node
 	cancel context.CancelFunc
 	done   chan struct{}
 	// runErr is the result of node.Run; it may be read once done is closed.
@@ -157,13 +158,13 @@
 	configure(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &entry{cfg: cfg, cancel: cancel, done: make(chan struct{})}
-	node := gateway.New(cfg, event.Discard(), gateway.Dependencies{
+	e.node = gateway.New(cfg, event.Discard(), gateway.Dependencies{
 		Store: platform.NewStoreClient(cfg.Store), Schema: platform.StoreSchema{}, Headers: platform.HeaderCodec{},
 		Engines: platform.NewEngineClient(), Caches: platform.NewCacheClient(), Delay: probe,
 	})
 	go func() {
 		defer close(e.done)
-		e.runErr = node.Run(ctx)
+		e.runErr = e.node.Run(ctx)
 	}()
 	s.entries = append(s.entries, e)
 	return e
