--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -249,7 +249,9 @@
 		n.metrics.Placements.WithLabelValues("owner").Inc()
 		choice, err := p.placeLocally(req)
 		for errors.Is(err, placement.ErrQueued) && ctx.Err() == nil {
-			choice, err = p.awaitGrant(ctx, req.ID, awaitTimeout)
+			var g placement.Grant
+			g, err = p.awaitGrant(ctx, req.ID, awaitTimeout)
+			choice = g.Choice
 		}
 		if errors.Is(err, placement.ErrQueued) {
 			p.recordEnd(req, assignmentEnd{outcome: placement.OutcomeWithdrawn})
@@ -339,12 +341,12 @@
 
 // awaitGrant waits until a queued request is granted or rejected; it returns placement.ErrQueued if the request is still queued at the
 // timeout.
-func (p *placer) awaitGrant(ctx context.Context, id placement.AssignmentID, timeout time.Duration) (placement.Choice, error) {
+func (p *placer) awaitGrant(ctx context.Context, id placement.AssignmentID, timeout time.Duration) (placement.Grant, error) {
 	p.mu.Lock()
 	waiter := p.waiters[id]
 	p.mu.Unlock()
 	if waiter == nil {
-		return placement.Choice{}, errNoOwner
+		return placement.Grant{}, errNoOwner
 	}
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
@@ -353,11 +355,11 @@
 		p.mu.Lock()
 		delete(p.waiters, id)
 		p.mu.Unlock()
-		return g.Choice, g.Err
+		return g, g.Err
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return placement.Choice{}, placement.ErrQueued
+	return placement.Grant{}, placement.ErrQueued
 }
 
 // grantWaiting grants queued requests as far as there is capacity; the caller holds the lock.
@@ -397,18 +399,32 @@
 	})
 }
 
-// stallTimeout is how long the queue may go without being processed before this is logged: many grant periods.
+// stallTimeout is how long the queue may go without being processed before placement counts as stopped: many grant periods.
 const stallTimeout = time.Second
 
-// logStall logs when placement on this instance has stopped, and when it runs again. It takes no lock, since whoever holds the placer's may
-// be the reason.
-func (p *placer) logStall(now clock.Instant) {
+// age returns how long ago the queue was last processed, or zero before the first time. It takes no lock, since whoever holds the placer's may
+// be the reason why that is long.
+func (p *placer) age(now clock.Instant) time.Duration {
 	lastRun := clock.Instant(p.lastRun.Load())
-	span := now.Sub(lastRun)
-	stalled := lastRun != 0 && span > stallTimeout
-	if lastRun != 0 {
-		p.node.metrics.PlacementAge.Set(span.Seconds())
+	if lastRun == 0 {
+		return 0
+	}
+	return now.Sub(lastRun)
+}
+
+// stall returns how long placement on this instance has been stopped, or zero if it runs.
+func (p *placer) stall(now clock.Instant) time.Duration {
+	if age := p.age(now); age > stallTimeout {
+		return age
 	}
+	return 0
+}
+
+// logStall logs when placement on this instance has stopped, and when it runs again.
+func (p *placer) logStall(now clock.Instant) {
+	span := p.stall(now)
+	stalled := span != 0
+	p.node.metrics.PlacementAge.Set(p.age(now).Seconds())
 	if stalled == p.stalled {
 		return
 	}
@@ -435,15 +451,26 @@
 	}
 }
 
+// recordFirstEvent records a request's first event. The instance that reported it may not know of a crash with which parts of the prompt are
+// charged here, so the parts that it clears are reported to all peers.
 func (p *placer) recordFirstEvent(req *placement.Request) {
+	if cleared := p.clearParts(req); len(cleared) > 0 {
+		p.node.reportCleared(req.Service, cleared, 0)
+	}
+}
+
+// clearParts records a request's first event, and returns the parts of its prompt that this clears.
+func (p *placer) clearParts(req *placement.Request) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Now()
 	pool := p.pool(req.Service)
+	var cleared []string
 	if placed := pool.FirstEvent(now, req.ID); placed != nil {
-		p.node.suspects.recordAnswer(placed.Service, prompt.IDs(placed.SharedParts()))
+		cleared = p.node.suspects.recordAnswer(placed.Service, prompt.IDs(placed.SharedParts()), now)
 	}
 	p.grantWaiting(pool, now)
+	return cleared
 }
 
 // recordEnd records the end of an assignment. A crash that ended it is recorded first: otherwise the next request with the same parts could be
