--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -68,6 +68,7 @@
 }
 
 func TestChangeIgnoredAfterStoreRestored(t *testing.T) {
+	t.Parallel()
 	Convey("entries whose store was restored from a copy that lacks configurations", t, func() {
 		s := startRestoredSite(3)
 		s.restore()
@@ -80,6 +81,7 @@
 }
 
 func TestLeaseOfRestoredStore(t *testing.T) {
+	t.Parallel()
 	Convey("a site whose store is restored from a copy", t, func() {
 		s := startSite(2)
 		eventually("a leader is elected", func() bool { return s.leaderName() != "" })
@@ -110,6 +112,7 @@
 }
 
 func TestRestoredLeaderRecordTakenForLast(t *testing.T) {
+	t.Parallel()
 	Convey("a leader that the restored copy names as the last one, though another has led since", t, func() {
 		s := newSite()
 		s.putConfiguration(defaultSpec())
@@ -145,6 +148,7 @@
 }
 
 func TestStoreRestoredToBeforeEntries(t *testing.T) {
+	t.Parallel()
 	Convey("entries whose store is restored from a copy that is older than they are", t, func() {
 		s := newSite()
 		s.putConfiguration(defaultSpec())
@@ -187,6 +191,7 @@
 }
 
 func TestRevokedKeyInRestoredConfiguration(t *testing.T) {
+	t.Parallel()
 	Convey("a site whose store is restored from a copy with a key that has been revoked since", t, func() {
 		s := startSite(2)
 		copied := s.store.Copy()
@@ -224,6 +229,7 @@
 }
 
 func TestUndecodableConfigurationWrittenAgain(t *testing.T) {
+	t.Parallel()
 	Convey("entries go on accepting keys when a configuration that can't be decoded is written again to a restored store", t, func() {
 		s := startSite(2)
 		copied := s.store.Copy()
