Keep an entry's part of the retry budget while a restored store lacks entries

Found by reading: all entries together would repeat more requests than the budget allows (BUDGET) for a moment after the store was restored from a copy that is older than most registrations. Cause: the reserve is divided by the number of registered entries as read, and the copy's is far too low; it is lowered again within seconds, but services that are used for the first time meanwhile start with the larger part, and the others may save up to it.

Change: for 2.2 s after a restoration the number by which the reserve is divided doesn't fall. It is checked when a budget is used, since entries that follow a relay don't read the number again unless it changes.

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -47,7 +47,7 @@
 	rewrittenBy     clock.Instant
 }
 
-// rewriteTime is how long the operator may take to write again what a store that was restored from a copy has lost.
+// rewriteTime is how long the operator and entries may take to write again what a store that was restored from a copy has lost.
 const rewriteTime = 2200 * time.Millisecond
 
 // recordEra records the store's era, as a read or a relay shows it.
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -248,7 +248,7 @@
 		m.node.log.Info(event.PlacementOwnerChanged, "leader changed", zap.String("leader", m.currentLeader), zap.String("before", previous),
 			zap.Uint64("revision", revision.Number()))
 	}
-	m.node.retryBudgets.setInstances(len(m.entries))
+	m.node.retryBudgets.setInstances(clock.Now(), len(m.entries), restored)
 	m.node.blocks.apply(items, restored)
 	return true
 }
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"gypsumvale/internal/settings"
 	"gypsumvale/internal/standin/hosted"
@@ -294,3 +295,34 @@
 		So(rejected.Load(), ShouldBeLessThan, 0)
 	})
 }
+
+func TestRetryBudgetOfRestoredStore(t *testing.T) {
+	Convey("an entry whose restored store lacks the registrations of most entries takes no larger part of the retry budget", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		for i := range 2 {
+			s.addEndpoint(hosted.EndpointConfig{ID: fmt.Sprintf("cal-%d", i), Service: "calendar", Work: time.Millisecond})
+		}
+		const share, reserve, others, requests = 0.2, 480, 200, 20
+		e := s.addEntryWith(func(cfg *settings.Hosted) { cfg.RetryShare, cfg.RetryReserve = share, reserve })
+		e.expectReady(true)
+		eventually("it leads", func() bool { return s.leaderName() == e.cfg.Name })
+		copied := s.store.Copy()
+		for i := range others {
+			record, err := msgpack.Marshal(map[string]any{"addr": "127.0.0.1:1", "zone": "quay", "run": fmt.Sprintf("other-%d#1", i), "cpu": 0.5})
+			So(err, ShouldBeNil)
+			s.store.PutRaw(fmt.Sprintf("gypsum/entries/other-%d", i), record)
+		}
+		time.Sleep(time.Second)
+		s.store.Restore(copied)
+		// By then the entry has read the copy.
+		time.Sleep(700 * time.Millisecond)
+		s.eachEndpoint(hosted.EndpointFault{DropAnswers: true})
+		repeated := 0.0
+		for i := range requests {
+			a := s.call(e, http.MethodGet, fmt.Sprintf("/read/%d", i), "")
+			repeated += float64(max(0, len(s.runs(a.id))-1))
+		}
+		So(repeated, ShouldBeLessThanOrEqualTo, share*requests+float64(reserve)/others)
+	})
+}
