Don't confirm a configuration by a relay that knows only the restored store's

Found by reading: an entry would accept a key that was revoked before the store was restored (StrictRevoke), if it has missed the revocation, holds a newer configuration than the copy's, and follows a relay that holds no newer one. Cause: the entry knows that the store's configuration is outdated, and doesn't confirm by its own reads, but confirmed by the relay's, which can't know it. Change: a relay's confirmation doesn't count while the store's configuration is older than the one held here.

TestConfigurationConfirmedByOutdatedRelay failed before (200 with the revoked key); with TestRevokedKeyInRestoredConfiguration it passes with -race (14.2 s).

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -286,13 +286,14 @@
 	c.recordEra(clock.Now(), kv.Revision(update.RegistrationsRevision).Era())
 	c.apply(fromPeerItems(update.OperatorItems))
 	c.mu.Lock()
-	complete := kv.Revision(update.OperatorRevision) >= c.newest
+	complete, outdated := kv.Revision(update.OperatorRevision) >= c.newest, c.outdatedAt != 0
 	if complete && !update.Uncertain {
 		// The relay knows every version that was in force, and has sent those that were missing here.
 		c.versions.MarkKnown(kv.Revision(update.OperatorRevision))
 	}
 	c.mu.Unlock()
-	if complete {
+	// The relay may know no newer configuration than the restored store's.
+	if complete && !outdated {
 		c.node.confirmation.Confirm(asOf.Add(-update.ConfirmAge))
 	}
 }
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -326,3 +327,60 @@
 		So(repeated, ShouldBeLessThanOrEqualTo, share*requests+float64(reserve)/others)
 	})
 }
+
+// cutOff starts a server in front of the store that leaves calls without an answer while the flag is set, and returns its address.
+func (s *site) cutOff(cut *atomic.Bool) string {
+	store := s.store.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if cut.Load() {
+			// net/http detects a disconnected caller only after the request body has been read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
+		}
+		store.ServeHTTP(w, r)
+	}))
+	Reset(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// expectNotAccepted expects for some time that an entry accepts no request with a key.
+func (s *site) expectNotAccepted(e *entry, key string, duration time.Duration) {
+	for until := time.Now().Add(duration); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		So(s.call(e, http.MethodGet, "/read/", "", "Credential", key).status, ShouldNotEqual, http.StatusOK)
+	}
+}
+
+func TestConfigurationConfirmedByOutdatedRelay(t *testing.T) {
+	Convey("an entry that has missed a revocation doesn't accept the key by a relay that knows no newer configuration than the restored store", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		s.addEndpoint(hosted.EndpointConfig{ID: "cal-0", Service: "calendar", Work: time.Millisecond})
+		var cut atomic.Bool
+		address := s.cutOff(&cut)
+		relay := s.addEntryWith(func(cfg *settings.Hosted) { cfg.Store, cfg.LinkMbps = address, 200 })
+		follower := s.addEntryWith(func(cfg *settings.Hosted) { cfg.LinkMbps = 100 })
+		relay.expectReady(true)
+		follower.expectReady(true)
+		copied := s.store.Copy()
+		cut.Store(true)
+		time.Sleep(time.Second)
+		s.putConfiguration(configurationWithRoutes(4, 1))
+		eventually("the follower serves the added route", func() bool {
+			return s.call(follower, http.MethodGet, "/added-0/", "").status == http.StatusOK
+		})
+		s.store.SetFault(hosted.StoreFault{Silent: true})
+		s.putConfiguration(configurationWithKey(5, "new"))
+		time.Sleep(follower.cfg.MaxRevocationDelay)
+		s.store.Restore(copied)
+		s.store.SetFault(hosted.StoreFault{})
+		cut.Store(false)
+		s.expectNotAccepted(follower, testKey, 5*time.Second)
+		s.putConfiguration(configurationWithKey(5, "new"))
+		for _, e := range s.entries {
+			eventually("the new key is accepted", func() bool {
+				return s.call(e, http.MethodGet, "/read/", "", "Credential", "new").status == http.StatusOK
+			})
+		}
+	})
+}
