Ask peers at the start before a configuration is confirmed

Found by reading: an entry that starts on a restored store accepts keys that were revoked after the copy was made (StrictRevoke), from its first read until a peer has told it of a newer configuration. Cause: the first read confirms the copy's configuration, and the peers are asked only after that. Ruled out: the time after the peers' answer; the configuration is outdated then and isn't confirmed.

--- a/internal/gateway/catch_up.go
+++ b/internal/gateway/catch_up.go
@@ -47,7 +47,8 @@
 			return
 		}
 	}
-	for c.learn(ctx) {
+	// At the start there may be no peers, or none that answers.
+	for required := false; c.learn(ctx, required); required = true {
 		select {
 		case <-ctx.Done():
 			return
@@ -57,14 +58,15 @@
 }
 
 // learn queries peers until one has answered and the announcements of target versions are known, and reports false if the context has
-// ended.
-func (c *catchUp) learn(ctx context.Context) bool {
+// ended. If an answer is required, a round of queries without one doesn't count as having asked.
+func (c *catchUp) learn(ctx context.Context, required bool) bool {
 	answered := false
 	for range maxCatchUpRounds {
 		era := c.node.configuration.knownEra()
-		if c.query(ctx) {
-			answered = true
-			c.node.configuration.recordPeersAsked(era)
+		answered = c.query(ctx) || answered
+		if (answered || !required) && c.node.configuration.recordPeersAsked(era) && !required {
+			// The next read confirms the configuration, for which callers wait at the start.
+			c.node.poller.wake()
 		}
 		if answered && !c.node.placer.hasUnknownAge(clock.Now()) {
 			break
@@ -79,7 +81,7 @@
 // canQuery reports whether this entry has read the store, so that its peers are known.
 func (c *catchUp) canQuery() bool {
 	_, known := c.node.members.leader()
-	return known && c.node.confirmation.SentAt() != 0
+	return known
 }
 
 // query queries some peers, and reports whether any has answered.
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -45,8 +45,8 @@
 	era             uint64
 	confirmedBefore clock.Instant
 	rewrittenBy     clock.Instant
-	// askBy is until when confirmations wait for peers to be asked for a newer configuration than the restored store's; it is zero once one
-	// has answered.
+	// askBy is until when confirmations wait, at the start and after a restoration, for peers to be asked for a newer configuration than the
+	// store's; it is zero once they were.
 	askBy clock.Instant
 }
 
@@ -57,12 +57,15 @@
 func (c *configuration) recordEra(now clock.Instant, era uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.era != 0 && era > c.era {
+	if era <= c.era {
+		return
+	}
+	c.askBy = now.Add(rewriteTime)
+	if c.era != 0 {
 		c.confirmedBefore, c.rewrittenBy = c.node.confirmation.SentAt(), now.Add(rewriteTime)
-		c.askBy = c.rewrittenBy
 		c.node.catchUp.wake()
 	}
-	c.era = max(c.era, era)
+	c.era = era
 }
 
 // knownEra returns the store's era, or zero before the first read.
@@ -72,13 +75,16 @@
 	return c.era
 }
 
-// recordPeersAsked records that a peer has answered with its configuration if it is newer. It was asked in the given era.
-func (c *configuration) recordPeersAsked(era uint64) {
+// recordPeersAsked records that peers were asked for a newer configuration in the given era, and reports whether confirmations waited for
+// that.
+func (c *configuration) recordPeersAsked(era uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if era == c.era {
-		c.askBy = 0
+	if era != c.era || c.askBy == 0 {
+		return false
 	}
+	c.askBy = 0
+	return true
 }
 
 // announcedAfter returns an instant at which nothing that is new here had been written, or zero if none is known. While the operator writes
@@ -168,9 +174,9 @@
 // which may not be the one held here either.
 var errOutdated = errors.New("the restored store has an older configuration")
 
-// errPeersNotAsked is returned after a restoration until a peer has been asked, or the operator has had time to write again. The store's
-// configuration may be the one held here, and both be older than a peer's.
-var errPeersNotAsked = errors.New("no peer has been asked for a newer configuration than the restored store's")
+// errPeersNotAsked is returned at the start and after a restoration until peers have been asked, or the operator has had time to write again.
+// The store's configuration may be the one held here, and both be older than a peer's.
+var errPeersNotAsked = errors.New("no peer has been asked for a newer configuration than the store's")
 
 // checkOutdated returns errOutdated if the store's configuration, as last read, is older than the one held here, and errPeersNotAsked if it
 // may be older than a peer's.
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -204,6 +204,14 @@
 			}
 			s.store.Restore(copied)
 			started := s.addEntry()
+			accepted := 0
+			for until := time.Now().Add(1500 * time.Millisecond); time.Now().Before(until); time.Sleep(time.Millisecond) {
+				if s.send(started, http.MethodGet, "/read/", "").status == http.StatusOK {
+					accepted++
+				}
+			}
+			So(accepted, ShouldEqual, 0)
+			s.putConfiguration(configurationWithKey(4, "new"))
 			eventually("the new key is accepted", func() bool { return read(started, "new") == http.StatusOK })
 			So(read(started, testKey), ShouldEqual, http.StatusUnauthorized)
 		})
