Date weight versions by reads before the first of two restorations

Found by reading: requests may begin on replaced weights later than the bound (VERSION) if the store is restored twice before the operator has written again. Cause: the read by which new versions are dated was replaced at each restoration by the last one before it; before the second, that is a read of the first copy, which may lack the version as well. Change: it is kept as long as the operator may still be writing again.

TestReplacedWeightsAfterTwoRestorations failed before (a request was answered 36 ms after the bound); it passes with -race.

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -40,8 +40,8 @@
 	// outdatedAt is the revision at which a restored store had an older configuration than the last one that was read here, or zero once the
 	// store has that one again, or a newer one.
 	outdatedAt kv.Revision
-	// era is the store's era, confirmedBefore is the instant of the last confirmation before it began, and rewrittenBy is when the operator
-	// has written again what the store had lost.
+	// era is the store's era, and rewrittenBy is when the operator has written again what the store had lost at its beginning.
+	// confirmedBefore is the instant of the last confirmation while the store had all that the operator had written.
 	era             uint64
 	confirmedBefore clock.Instant
 	rewrittenBy     clock.Instant
@@ -62,7 +62,10 @@
 	}
 	c.askBy = now.Add(rewriteTime)
 	if c.era != 0 {
-		c.confirmedBefore, c.rewrittenBy = c.node.confirmation.SentAt(), now.Add(rewriteTime)
+		if !now.Before(c.rewrittenBy) {
+			c.confirmedBefore = c.node.confirmation.SentAt()
+		}
+		c.rewrittenBy = now.Add(rewriteTime)
 		c.node.catchUp.wake()
 	}
 	c.era = era
--- a/internal/gateway/replaced_weights_test.go
+++ b/internal/gateway/replaced_weights_test.go
@@ -190,3 +190,24 @@
 		s.expectNoRuns(again, 200*time.Millisecond)
 	})
 }
+
+func TestReplacedWeightsAfterTwoRestorations(t *testing.T) {
+	Convey("entries whose store was restored twice begin no request on replaced weights later than others", t, func() {
+		s := startReplacement(2, 8*time.Second, func(_ int, cfg *settings.Hosted) { cfg.MaxRevocationDelay = time.Minute })
+		copied := s.store.Copy()
+		s.store.SetFault(hosted.StoreFault{Silent: true})
+		s.announce(2)
+		end := s.end
+		time.Sleep(3 * time.Second)
+		s.store.Restore(copied)
+		s.store.SetFault(hosted.StoreFault{})
+		// By then the entries have read the copy, and the operator still has time to write again.
+		time.Sleep(1700 * time.Millisecond)
+		s.store.Restore(copied)
+		time.Sleep(800 * time.Millisecond)
+		s.announce(2)
+		s.end = end
+		time.Sleep(time.Until(end))
+		s.expectNoRuns(s.entries, time.Second)
+	})
+}
