Send entries of an earlier release revisions without eras

Found by reading: while a site is upgraded, entries of the earlier release that follow a relay of the new one would take over revisions that no read of their own reaches (1<<40 and above). As soon as they read the store themselves they ignore what the operator has changed, and confirm the configuration that they hold, so that routes come late (CONFIG) and revoked keys are accepted (StrictRevoke) until they are upgraded. Cause: messages carry revisions with the store's era, which that release compares with the store's numbers. Ruled out: new entries that follow a relay of the earlier release; its data is of era zero and isn't followed once the entry has read the store.

Change: a query says whether its sender's revisions hold eras; without that, the reply has the store's numbers. What remains: fencing numbers, which fall when an entry of the earlier release leads after one of the new.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -184,7 +184,7 @@
 	r.mu.Lock()
 	query := peer.SyncRequest{
 		Run: r.lastRun, Seen: r.lastSeen, MaxDelay: hold,
-		OperatorRevision: uint64(n.configuration.syncRevision()), SystemKeysDigest: digest,
+		Eras: true, OperatorRevision: uint64(n.configuration.syncRevision()), SystemKeysDigest: digest,
 	}
 	r.mu.Unlock()
 	n.discovery.fillQuery(&query)
@@ -260,7 +260,12 @@
 		Ready: n.table.Load() != nil && n.discovery.loaded.Load(), Run: n.incarnation, Seen: seen,
 		Delay: now.Sub(receivedAt), ConfirmAge: n.confirmation.Age(now), TargetVersions: n.placer.sharedTargets(now, true),
 	}
-	update.OperatorRevision, update.OperatorItems, update.Uncertain = n.configuration.itemsSince(kv.Revision(query.OperatorRevision))
+	after := kv.Revision(query.OperatorRevision)
+	if !query.Eras {
+		// A number that is out of range is taken as zero, so that everything is sent.
+		after, _ = kv.NewRevision(n.configuration.knownEra(), query.OperatorRevision)
+	}
+	update.OperatorRevision, update.OperatorItems, update.Uncertain = n.configuration.itemsSince(after)
 	var listAge time.Duration
 	update.RegistrationsRevision, update.Changes, listAge = n.discovery.changesSince(now, query, n.incarnation)
 	update.Age = max(listAge, update.ConfirmAge)
@@ -269,9 +274,25 @@
 	if digest != query.SystemKeysDigest {
 		update.Revision, update.SystemKeys = uint64(revision), toPeerItems(items)
 	}
+	if !query.Eras {
+		removeEras(&update)
+	}
 	return update
 }
 
+// removeEras replaces revisions by their numbers.
+func removeEras(update *peer.SyncReply) {
+	number := func(revision *uint64) { *revision = kv.Revision(*revision).Number() }
+	number(&update.OperatorRevision)
+	number(&update.RegistrationsRevision)
+	number(&update.Revision)
+	for _, items := range [][]peer.Item{update.OperatorItems, update.SystemKeys} {
+		for i := range items {
+			number(&items[i].Revision)
+		}
+	}
+}
+
 func toPeerItems(items []kv.Item) []peer.Item {
 	list := make([]peer.Item, len(items))
 	for i, item := range items {
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -47,3 +47,33 @@
 		So(reply.ReadsStore, ShouldBeFalse)
 	})
 }
+
+func TestRevisionsOfEarlierRelease(t *testing.T) {
+	Convey("a relay sends an entry of an earlier release revisions as the store has them, to which that entry compares its own reads", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		s.addEndpoint(hosted.EndpointConfig{ID: "cal-0", Service: "calendar", Work: time.Millisecond})
+		s.addEntry()
+		p := s.startPeer()
+		reply := p.sync(&peer.SyncReply{}, 0)
+		So(reply.Ready, ShouldBeTrue)
+		So(reply.OperatorRevision, ShouldEqual, s.store.ModRevision("op/config"))
+		So(reply.OperatorItems, ShouldHaveLength, 1)
+		So(reply.OperatorItems[0].Revision, ShouldEqual, s.store.ModRevision("op/config"))
+		const lowest = uint64(1 << 40)
+		So(reply.RegistrationsRevision, ShouldBeBetween, 0, lowest)
+		So(reply.Revision, ShouldBeBetween, 0, lowest)
+		So(reply.SystemKeys, ShouldNotBeEmpty)
+		for _, item := range reply.SystemKeys {
+			So(item.Revision, ShouldEqual, s.store.ModRevision(item.Key))
+		}
+		Convey("and only what is newer than the entry has", func() {
+			ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+			defer cancel()
+			query := peer.SyncRequest{OperatorRevision: reply.OperatorRevision}
+			var again peer.SyncReply
+			So(p.network.Call(ctx, p.leader.cfg.Name, p.leader.cfg.Peers, peer.KindSync, query, &again), ShouldBeNil)
+			So(again.OperatorItems, ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -76,6 +76,8 @@
 	// Seen.
 	MaxDelay time.Duration `msgpack:"Hold"`
 
+	// Eras is true if revisions hold the store's era; those of an earlier release are the store's numbers.
+	Eras bool
 	// OperatorRevision is the revision of the operator's newest write that the sender has.
 	OperatorRevision uint64 `msgpack:"Operator"`
 	// RegistrationsDigest is the digest of the sender's registrations.
