--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -40,24 +40,54 @@
 	// outdatedAt is the revision at which a restored store had an older configuration than the last one that was read here, or zero once the
 	// store has that one again, or a newer one.
 	outdatedAt kv.Revision
-	// era is the store's era, confirmedBefore is the instant of the last confirmation before it began, and rewrittenBy is when the operator
-	// has written again what the store had lost.
+	// era is the store's era, and rewrittenBy is when the operator has written again what the store had lost at its beginning.
+	// confirmedBefore is the instant of the last confirmation while the store had all that the operator had written.
 	era             uint64
 	confirmedBefore clock.Instant
 	rewrittenBy     clock.Instant
+	// askBy is until when confirmations wait, at the start and after a restoration, for peers to be asked for a newer configuration than the
+	// store's; it is zero once they were.
+	askBy clock.Instant
 }
 
-// rewriteTime is how long the operator may take to write again what a store that was restored from a copy has lost.
+// rewriteTime is how long the operator and entries may take to write again what a store that was restored from a copy has lost.
 const rewriteTime = 2200 * time.Millisecond
 
 // recordEra records the store's era, as a read or a relay shows it.
 func (c *configuration) recordEra(now clock.Instant, era uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.era != 0 && era > c.era {
-		c.confirmedBefore, c.rewrittenBy = c.node.confirmation.SentAt(), now.Add(rewriteTime)
+	if era <= c.era {
+		return
+	}
+	c.askBy = now.Add(rewriteTime)
+	if c.era != 0 {
+		if !now.Before(c.rewrittenBy) {
+			c.confirmedBefore = c.node.confirmation.SentAt()
+		}
+		c.rewrittenBy = now.Add(rewriteTime)
+		c.node.catchUp.wake()
+	}
+	c.era = era
+}
+
+// knownEra returns the store's era, or zero before the first read.
+func (c *configuration) knownEra() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era
+}
+
+// recordPeersAsked records that peers were asked for a newer configuration in the given era, and reports whether confirmations waited for
+// that.
+func (c *configuration) recordPeersAsked(era uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if era != c.era || c.askBy == 0 {
+		return false
 	}
-	c.era = max(c.era, era)
+	c.askBy = 0
+	return true
 }
 
 // announcedAfter returns an instant at which nothing that is new here had been written, or zero if none is known. While the operator writes
@@ -147,11 +177,19 @@
 // which may not be the one held here either.
 var errOutdated = errors.New("the restored store has an older configuration")
 
-// checkOutdated returns errOutdated if the store's configuration, as last read, is older than the one held here.
+// errPeersNotAsked is returned at the start and after a restoration until peers have been asked, or the operator has had time to write again.
+// The store's configuration may be the one held here, and both be older than a peer's.
+var errPeersNotAsked = errors.New("no peer has been asked for a newer configuration than the store's")
+
+// checkOutdated returns errOutdated if the store's configuration, as last read, is older than the one held here, and errPeersNotAsked if it
+// may be older than a peer's.
 func (c *configuration) checkOutdated(items []kv.Item) error {
 	c.mu.Lock()
-	outdatedAt := c.outdatedAt
+	outdatedAt, askBy := c.outdatedAt, c.askBy
 	c.mu.Unlock()
+	if clock.Now().Before(askBy) {
+		return errPeersNotAsked
+	}
 	if outdatedAt != 0 || c.node.table.Load() != nil && !slices.ContainsFunc(items, func(item kv.Item) bool {
 		return c.node.deps.Schema.IsConfiguration(item.Key)
 	}) {
@@ -283,16 +321,18 @@
 
 // applyRelayed applies what a relay knows of the operator's writes; its ages hold as of the given instant or later.
 func (c *configuration) applyRelayed(asOf clock.Instant, update *peer.SyncReply) {
-	c.recordEra(clock.Now(), kv.Revision(update.RegistrationsRevision).Era())
+	now := clock.Now()
+	c.recordEra(now, kv.Revision(update.RegistrationsRevision).Era())
 	c.apply(fromPeerItems(update.OperatorItems))
 	c.mu.Lock()
-	complete := kv.Revision(update.OperatorRevision) >= c.newest
+	complete, outdated := kv.Revision(update.OperatorRevision) >= c.newest, c.outdatedAt != 0 || now.Before(c.askBy)
 	if complete && !update.Uncertain {
 		// The relay knows every version that was in force, and has sent those that were missing here.
 		c.versions.MarkKnown(kv.Revision(update.OperatorRevision))
 	}
 	c.mu.Unlock()
-	if complete {
+	// The relay may know no newer configuration than the restored store's.
+	if complete && !outdated {
 		c.node.confirmation.Confirm(asOf.Add(-update.ConfirmAge))
 	}
 }
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"gypsumvale/internal/settings"
 	"gypsumvale/internal/standin/hosted"
@@ -205,6 +209,14 @@
 			}
 			s.store.Restore(copied)
 			started := s.addEntry()
+			accepted := 0
+			for until := time.Now().Add(1500 * time.Millisecond); time.Now().Before(until); time.Sleep(time.Millisecond) {
+				if s.send(started, http.MethodGet, "/read/", "").status == http.StatusOK {
+					accepted++
+				}
+			}
+			So(accepted, ShouldEqual, 0)
+			s.putConfiguration(configurationWithKey(4, "new"))
 			eventually("the new key is accepted", func() bool { return read(started, "new") == http.StatusOK })
 			So(read(started, testKey), ShouldEqual, http.StatusUnauthorized)
 		})
@@ -262,3 +274,176 @@
 		})
 	})
 }
+
+// rejectGrants starts a server in front of the store that rejects as many grants of leases as the counter says, and returns its address.
+func (s *site) rejectGrants(remaining *atomic.Int64) string {
+	store := s.store.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/-/kv-lease" && remaining.Add(-1) >= 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		store.ServeHTTP(w, r)
+	}))
+	Reset(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func TestEntryUnregisteredAfterFailedAttempt(t *testing.T) {
+	Convey("an entry that follows a relay registers in the restored store although its first attempt fails", t, func() {
+		s := newSite()
+		var rejected atomic.Int64
+		address := s.rejectGrants(&rejected)
+		s.putConfiguration(defaultSpec())
+		s.addEndpoint(hosted.EndpointConfig{ID: "cal-0", Service: "calendar", Work: time.Millisecond})
+		s.addEntryWith(func(cfg *settings.Hosted) { cfg.CPUCores, cfg.LinkMbps = 2, 200 }).expectReady(true)
+		eventually("the first entry leads", func() bool { return s.leaderName() == s.entries[0].cfg.Name })
+		copied := s.store.Copy()
+		s.addEntryWith(func(cfg *settings.Hosted) { cfg.Store, cfg.LinkMbps = address, 100 }).expectReady(true)
+		// By then the second entry follows the first.
+		time.Sleep(time.Second)
+		So(s.store.Keys("gypsum/entries/"), ShouldHaveLength, 2)
+		rejected.Store(1)
+		s.store.Restore(copied)
+		So(s.store.Keys("gypsum/entries/"), ShouldHaveLength, 1)
+		eventually("both are registered", func() bool { return len(s.store.Keys("gypsum/entries/")) == 2 })
+		So(rejected.Load(), ShouldBeLessThan, 0)
+	})
+}
+
+func TestRetryBudgetOfRestoredStore(t *testing.T) {
+	Convey("an entry whose restored store lacks the registrations of most entries takes no larger part of the retry budget", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		for i := range 2 {
+			s.addEndpoint(hosted.EndpointConfig{ID: fmt.Sprintf("cal-%d", i), Service: "calendar", Work: time.Millisecond})
+		}
+		const share, reserve, others, requests = 0.2, 480, 200, 20
+		e := s.addEntryWith(func(cfg *settings.Hosted) { cfg.RetryShare, cfg.RetryReserve = share, reserve })
+		e.expectReady(true)
+		eventually("it leads", func() bool { return s.leaderName() == e.cfg.Name })
+		copied := s.store.Copy()
+		for i := range others {
+			record, err := msgpack.Marshal(map[string]any{"addr": "127.0.0.1:1", "zone": "quay", "run": fmt.Sprintf("other-%d#1", i), "cpu": 0.5})
+			So(err, ShouldBeNil)
+			s.store.PutRaw(fmt.Sprintf("gypsum/entries/other-%d", i), record)
+		}
+		time.Sleep(time.Second)
+		s.store.Restore(copied)
+		// By then the entry has read the copy.
+		time.Sleep(700 * time.Millisecond)
+		s.eachEndpoint(hosted.EndpointFault{DropAnswers: true})
+		repeated := 0.0
+		for i := range requests {
+			a := s.call(e, http.MethodGet, fmt.Sprintf("/read/%d", i), "")
+			repeated += float64(max(0, len(s.runs(a.id))-1))
+		}
+		So(repeated, ShouldBeLessThanOrEqualTo, share*requests+float64(reserve)/others)
+	})
+}
+
+// cutOff starts a server in front of the store that leaves calls without an answer while the flag is set, and returns its address.
+func (s *site) cutOff(cut *atomic.Bool) string {
+	store := s.store.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if cut.Load() {
+			// net/http detects a disconnected caller only after the request body has been read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
+		}
+		store.ServeHTTP(w, r)
+	}))
+	Reset(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// expectNotAccepted expects for some time that an entry accepts no request with a key.
+func (s *site) expectNotAccepted(e *entry, key string, duration time.Duration) {
+	for until := time.Now().Add(duration); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		So(s.call(e, http.MethodGet, "/read/", "", "Credential", key).status, ShouldNotEqual, http.StatusOK)
+	}
+}
+
+func TestConfigurationConfirmedByOutdatedRelay(t *testing.T) {
+	Convey("an entry that has missed a revocation doesn't accept the key by a relay that knows no newer configuration than the restored store", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		s.addEndpoint(hosted.EndpointConfig{ID: "cal-0", Service: "calendar", Work: time.Millisecond})
+		var cut atomic.Bool
+		address := s.cutOff(&cut)
+		relay := s.addEntryWith(func(cfg *settings.Hosted) { cfg.Store, cfg.LinkMbps = address, 200 })
+		follower := s.addEntryWith(func(cfg *settings.Hosted) { cfg.LinkMbps = 100 })
+		relay.expectReady(true)
+		follower.expectReady(true)
+		copied := s.store.Copy()
+		cut.Store(true)
+		time.Sleep(time.Second)
+		s.putConfiguration(configurationWithRoutes(4, 1))
+		eventually("the follower serves the added route", func() bool {
+			return s.call(follower, http.MethodGet, "/added-0/", "").status == http.StatusOK
+		})
+		s.store.SetFault(hosted.StoreFault{Silent: true})
+		s.putConfiguration(configurationWithKey(5, "new"))
+		time.Sleep(follower.cfg.MaxRevocationDelay)
+		s.store.Restore(copied)
+		s.store.SetFault(hosted.StoreFault{})
+		cut.Store(false)
+		s.expectNotAccepted(follower, testKey, 5*time.Second)
+		s.putConfiguration(configurationWithKey(5, "new"))
+		for _, e := range s.entries {
+			eventually("the new key is accepted", func() bool {
+				return s.call(e, http.MethodGet, "/read/", "", "Credential", "new").status == http.StatusOK
+			})
+		}
+	})
+}
+
+func TestConfigurationConfirmedBeforeWrittenAgain(t *testing.T) {
+	Convey("an entry that has missed a revocation, and knows the configuration that the restored store has", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		s.addEndpoint(hosted.EndpointConfig{ID: "cal-0", Service: "calendar", Work: time.Millisecond})
+		var cut atomic.Bool
+		address := s.cutOff(&cut)
+		cutOff := s.addEntryWith(func(cfg *settings.Hosted) { cfg.Store, cfg.Zone = address, "quay" })
+		other := s.addEntry()
+		for _, e := range s.entries {
+			e.expectReady(true)
+		}
+		// By then both have registered and know each other.
+		time.Sleep(time.Second)
+		copied := s.store.Copy()
+		cut.Store(true)
+		time.Sleep(time.Second)
+		s.putConfiguration(configurationWithKey(4, "new"))
+		eventually("the key is revoked", func() bool { return s.call(other, http.MethodGet, "/read/", "").status == http.StatusUnauthorized })
+		time.Sleep(cutOff.cfg.MaxRevocationDelay)
+		s.store.Restore(copied)
+		cut.Store(false)
+		Convey("doesn't accept the key before the operator writes again", func() {
+			s.expectNotAccepted(cutOff, testKey, 4*time.Second)
+			s.putConfiguration(configurationWithKey(4, "new"))
+			for _, e := range s.entries {
+				eventually("the new key is accepted", func() bool {
+					return s.call(e, http.MethodGet, "/read/", "", "Credential", "new").status == http.StatusOK
+				})
+				s.expectNotAccepted(e, testKey, 20*time.Millisecond)
+			}
+		})
+	})
+	Convey("entries accept keys soon after a restoration that has lost no configuration", t, func() {
+		s := startSite(2)
+		copied := s.store.Copy()
+		s.store.SetFault(hosted.StoreFault{Silent: true})
+		time.Sleep(s.entries[0].cfg.MaxRevocationDelay)
+		s.store.Restore(copied)
+		s.store.SetFault(hosted.StoreFault{})
+		restored := time.Now()
+		for _, e := range s.entries {
+			eventually("the key is accepted", func() bool { return s.call(e, http.MethodGet, "/read/", "").status == http.StatusOK })
+		}
+		// A call without an answer ends after 0.6 s, and the next follows 0.4 s later; two polls more are 0.5 s.
+		So(time.Since(restored), ShouldBeLessThan, 1700*time.Millisecond)
+	})
+}
