Send nothing to endpoints that have said in an answer that they leave

Cause: only registrations were looked at; no answer's head was read for it. Ruled out: taking it for a registration (an older reading would undo it). Weight orders to them stop. A choice names the incarnation of its endpoint (StartMilli, absent from older leaders: the registered one is taken).

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -135,7 +135,7 @@
 }
 
 // eligibleEndpoints returns the endpoints to evaluate for a request, and reports whether there are others that are busy. Endpoints where the
-// request has failed, that load weights or whose weights have expired are never returned.
+// request has failed, that want none, that load weights or whose weights have expired are never returned.
 func (p *Pool) eligibleEndpoints(now clock.Instant, req *Request, q *queuedRequest) (eligible []*endpointState, busy bool) {
 	if len(p.endpointList) > maxFullScan {
 		preferred := p.holders(req)
@@ -188,7 +188,7 @@
 	for _, s := range p.endpointList {
 		p.checks++
 		switch {
-		case s.version[req.Model] < oldest || contains(req.Avoid, s.ID):
+		case s.version[req.Model] < oldest || contains(req.Avoid, s.ID) || p.barred(now, s, req):
 		case p.available(now, s, req):
 			return nil, true
 		case now.Before(s.loadingUntil):
@@ -208,15 +208,15 @@
 	fetch    fetch
 }
 
-// available reports whether an endpoint is usable and not in a zone that seems unreachable from the caller's.
+// available reports whether an endpoint is usable, takes requests of the entry, and is not in a zone that seems unreachable from the caller's.
 func (p *Pool) available(now clock.Instant, s *endpointState, req *Request) bool {
-	return s.usable(now) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone)
+	return s.usable(now) && !p.barred(now, s, req) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone)
 }
 
 // evaluate estimates the time to the first event on one endpoint, and the cost by which endpoints are compared.
 func (p *Pool) evaluate(now clock.Instant, s *endpointState, req *Request, home string, known int, meanErrorRate float64) candidate {
 	p.evaluations++
-	c := Choice{Endpoint: s.ID, Address: s.Address}
+	c := Choice{Endpoint: s.ID, Address: s.Address, StartMilli: s.StartMilli}
 	if p.engine == nil || req.Model == "" {
 		return p.evaluatePlain(now, s, req, c, meanErrorRate)
 	}
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -6,8 +6,10 @@
 
 	"github.com/pkg/errors"
 
+	"gypsumvale/internal/coordination/notice"
 	"gypsumvale/internal/state/clock"
 	"gypsumvale/internal/state/prompt"
+	"gypsumvale/internal/state/registration"
 )
 
 // AssignmentID identifies an assignment across all entries, from its placement request until its end.
@@ -64,6 +66,8 @@
 type Choice struct {
 	Endpoint string
 	Address  string
+	// StartMilli identifies the endpoint's incarnation; zero if the instance that chose doesn't tell.
+	StartMilli int64 `msgpack:",omitempty"`
 	// Version is the weight version that the endpoint is believed to run; zero for plain services.
 	Version int
 	// CacheSpace names the cache space that the request may use.
@@ -97,6 +101,14 @@
 	Check(now clock.Instant, service string, shared []prompt.Part) (blocked bool, suspected []string)
 }
 
+// Notices knows what endpoints have said of themselves.
+type Notices interface {
+	// Empty reports whether no endpoint has said anything that is in force.
+	Empty() bool
+	// Check returns why an endpoint gets no requests from an entry, and the end of its pause if it is paused.
+	Check(now clock.Instant, entry string, endpoint registration.Incarnation) (notice.Reason, clock.Instant)
+}
+
 // OverloadError is returned when even the best endpoint would miss the caller's first-event deadline.
 type OverloadError struct {
 	// RetryAt is when the backlog will have shrunk enough for a retry.
@@ -128,6 +140,8 @@
 	Reachability *Reachability
 	// Suspicions is nil if no parts are suspected.
 	Suspicions Suspicions
+	// Notices is nil if endpoints say nothing of themselves.
+	Notices Notices
 }
 
 // CacheUpdate is an update from a cache: its changes after a given event number.
--- a/internal/coordination/registry/view.go
+++ b/internal/coordination/registry/view.go
@@ -179,6 +179,9 @@
 // HasMissing reports whether the use of any endpoints depends on how long ago the store has recovered from an outage or a restoration.
 func (v *View) HasMissing() bool { return len(v.missing) > 0 || len(v.unproven) > 0 }
 
+// Registration returns the registration of an endpoint, or nil if it has none.
+func (v *View) Registration(id string) *registration.Registration { return v.endpoints[id] }
+
 // Snapshot returns the endpoints that may get new work, by service and sorted by identifier.
 func (v *View) Snapshot() map[string][]*registration.Registration {
 	byService := make(map[string][]*registration.Registration)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -64,6 +64,7 @@
 	RegistrationInvalid     Number = 411
 	EndpointUnresponsive    Number = 412
 	ZoneReachabilityChanged Number = 413
+	EndpointLeaves          Number = 414
 	WeightsAnnounced        Number = 710
 	LeaderChanged           Number = 711
 	OrderEnded              Number = 712
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -19,6 +19,7 @@
 	"gypsumvale/internal/protocol/exchange"
 	"gypsumvale/internal/state/clock"
 	"gypsumvale/internal/state/prompt"
+	"gypsumvale/internal/state/registration"
 	"gypsumvale/internal/state/route"
 	"gypsumvale/internal/transport/upstream"
 )
@@ -42,8 +43,13 @@
 func (j *job) attempt(ctx context.Context, choice *placement.Choice) (retry.Outcome, placement.Outcome) {
 	watchedCtx, wd := j.startWatchdog(ctx)
 	defer wd.stop()
-	j.headReceived, j.begun, j.sentAt, j.namedVersion, j.crash = false, false, clock.Now(), 0, nil
-	resp, err := j.send(watchedCtx, choice)
+	j.headReceived, j.begun, j.sentAt, j.namedVersion, j.crash, j.barred = false, false, clock.Now(), 0, nil, nil
+	endpoint := j.node.incarnationOf(choice)
+	resp, err := j.send(watchedCtx, choice, endpoint)
+	if barred := (*barredError)(nil); errors.As(err, &barred) {
+		j.barred = barred
+		return retry.NotSent, placement.OutcomeWithdrawn
+	}
 	if err != nil && errors.Is(context.Cause(watchedCtx), errNotStarted) {
 		return j.withdrawn(choice, err)
 	}
@@ -80,8 +86,12 @@
 }
 
 // send sends the request with the dispatch headers; time-dependent values are computed at the time of sending.
-func (j *job) send(ctx context.Context, choice *placement.Choice) (*upstream.Response, error) {
-	headers := j.node.deps.Headers
+func (j *job) send(ctx context.Context, choice *placement.Choice, endpoint registration.Incarnation) (*upstream.Response, error) {
+	headers, notices := j.node.deps.Headers, j.node.notices
+	permit := func() error { return notices.permit(endpoint) }
+	if err := permit(); err != nil {
+		return nil, fmt.Errorf("attempt: %w", err)
+	}
 	now := clock.Now()
 	if now.Sub(j.placedAt) > maxChoiceAge {
 		// By now the sources may have been freed, and the space reserved for a save given to another request.
@@ -102,9 +112,11 @@
 	resp, err := j.node.upstreams.Send(ctx, choice.Address, &upstream.Request{
 		Method: j.r.Method, Target: j.target, Host: j.r.Host, Header: header, Body: j.body,
 		HasBody: j.r.ContentLength != 0 || len(j.r.TransferEncoding) > 0 || j.r.Method == http.MethodPost,
+		Permit:  permit,
 		Accepts: func(status int, h http.Header) bool {
-			id := headers.ReadReply(status, h).ID
-			return id == j.head.ID || id == "" && status >= http.StatusMultipleChoices
+			reply := headers.ReadReply(status, h)
+			notices.record(endpoint, &reply)
+			return reply.ID == j.head.ID || reply.ID == "" && status >= http.StatusMultipleChoices
 		},
 	})
 	if err != nil {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -38,6 +38,7 @@
 	upstreams    *upstream.Pool
 	placer       *placer
 	suspects     *suspects
+	notices      *notices
 	blocks       *blocks
 	retryBudgets *retryBudgets
 
@@ -70,6 +71,7 @@
 	n.upstreams = upstream.NewPool(n.metrics.Dials.Inc)
 	n.placer = newPlacer(n)
 	n.suspects = newSuspects()
+	n.notices = newNotices(n)
 	n.blocks = newBlocks(n)
 	n.retryBudgets = newRetryBudgets(cfg.RetryShare, cfg.RetryReserve)
 	n.configuration = &configuration{node: n, targets: make(map[string]int), items: make(map[string]kv.Item)}
@@ -180,6 +182,7 @@
 		inUse := n.discovery.addresses()
 		n.upstreams.Sweep(now, func(address string) bool { return inUse[address] })
 		n.placer.removeExpired(now)
+		n.notices.sweep(now)
 		n.metrics.InFlight.Set(float64(n.inFlight.Load()))
 	})
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -17,6 +17,7 @@
 	"gypsumvale/internal/protocol/exchange"
 	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/state/clock"
+	"gypsumvale/internal/state/registration"
 	"gypsumvale/internal/state/route"
 )
 
@@ -72,6 +73,9 @@
 	sentAt       clock.Instant
 	// crash is the crash of the endpoint that ended the current attempt, or nil if parts of the prompt aren't charged with one.
 	crash *peer.CrashReport
+	// barred is why nothing was sent in the current attempt, or nil; withdrawals counts the placements that were given up for it.
+	barred      *barredError
+	withdrawals int
 }
 
 // ServeHTTP serves one request of a caller.
@@ -246,6 +250,13 @@
 		}
 		outcome, placementOutcome := j.attempt(ctx, &choice)
 		n.placer.reportEnd(&j.placementReq, owner, assignmentEnd{placementOutcome, j.namedVersion, j.crash})
+		if j.barred != nil {
+			if refused := j.withdraw(ctx, &choice); refused != nil {
+				j.fail(ctx, refused)
+				return
+			}
+			continue
+		}
 		n.metrics.Attempts.WithLabelValues(outcome.String()).Inc()
 		action := j.attempts.RecordAttempt(clock.Now(), outcome, n.retryBudgets.forService(j.service).Take)
 		if outcome == retry.Answered {
@@ -271,6 +282,34 @@
 	}
 }
 
+// maxWithdrawals limits how often a request is placed again since its endpoint has said meanwhile that it wants no requests.
+const maxWithdrawals = 8
+
+// withdraw prepares a request for another placement after its endpoint has turned out to want no requests. That is no attempt, since nothing
+// was sent.
+func (j *job) withdraw(ctx context.Context, choice *placement.Choice) *refusal {
+	n := j.node
+	n.log.Info(event.AttemptFailed, "placement withdrawn", zap.String("request", j.head.ID), zap.String("endpoint", choice.Endpoint),
+		zap.Error(j.barred))
+	j.withdrawals++
+	switch {
+	case ctx.Err() != nil:
+		return unavailable("deadline", clock.Now().Add(shortRetryDelay))
+	case j.withdrawals > maxWithdrawals:
+		return unavailable("no_endpoint", clock.Now().Add(shortRetryDelay))
+	}
+	n.notices.avoidLeaving(&j.placementReq, n.incarnationOf(choice))
+	return nil
+}
+
+// incarnationOf returns the incarnation of a chosen endpoint: the one that the choice names, or else the registered one.
+func (n *Node) incarnationOf(choice *placement.Choice) registration.Incarnation {
+	if choice.StartMilli == 0 {
+		return n.discovery.incarnation(choice.Endpoint)
+	}
+	return registration.Incarnation{ID: choice.Endpoint, StartMilli: choice.StartMilli}
+}
+
 func (j *job) refusalOf(err error) *refusal {
 	var overload *placement.OverloadError
 	switch {
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -166,6 +166,9 @@
 		}
 		engines += len(list)
 		for _, r := range list {
+			if w.node.notices.leaves(r.Incarnation()) {
+				continue
+			}
 			loads[r.ID] = w.node.placer.endpointLoad(service, r.ID)
 			for model, running := range r.Versions {
 				running = max(running, w.reported[r.Incarnation()][model])
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -79,4 +79,6 @@
 	Endpoint string
 	// Version is the weight version that ran the request, or zero if unknown.
 	Version int
+	// Leaving is true if the endpoint states that it leaves and takes no new requests.
+	Leaving bool
 }
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -24,6 +24,9 @@
 	Body   []byte
 	// HasBody is true if the caller sent a body, even an empty one.
 	HasBody bool
+	// Permit, unless it is nil, is called once a connection is open, directly before the request is written. After an error the request is
+	// not sent.
+	Permit func() error
 	// Accepts reports whether a response with this status and header belongs to the request. Other responses are skipped.
 	Accepts func(status int, h http.Header) bool
 }
@@ -61,6 +64,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("send to %s: %w", address, err)
 	}
+	if r.Permit != nil {
+		if err := r.Permit(); err != nil {
+			c.close()
+			return nil, fmt.Errorf("send to %s: %w: %w", address, ErrNotSent, err)
+		}
+	}
 	stop := context.AfterFunc(ctx, c.close)
 	resp, err := c.roundTrip(r)
 	if err != nil {
