Hear what endpoints say in answers to the leader's calls, and call none that wants none

Change: the clients of engines and caches pass the head of each answer to an observer, before anything else is done with it; cache polls wait for the end of a pause, reports fail meanwhile, and engines that leave or are paused get no weight orders (result barred in 712).

--- a/internal/gateway/dependencies.go
+++ b/internal/gateway/dependencies.go
@@ -50,6 +50,8 @@
 type Engines interface {
 	Report(ctx context.Context, id, address string) (rollout.Report, error)
 	Order(ctx context.Context, address string, o *rollout.LoadOrder) (rollout.OrderResult, error)
+	// Observe sets a function that is called with the head of each answer; endpoint is empty if the call named none.
+	Observe(observe func(endpoint, address string, reply *exchange.Reply))
 }
 
 // Caches reads the updates and contents of engines' and stores' caches, and orders stores to free parts.
@@ -57,6 +59,8 @@
 	Updates(ctx context.Context, address string, since int64, wait time.Duration) (placement.CacheUpdate, error)
 	List(ctx context.Context, address string) (placement.StoreListing, error)
 	Free(ctx context.Context, f *placement.FreeOrder) error
+	// Observe sets a function that is called with the head of each answer; endpoint is empty if the call named none.
+	Observe(observe func(endpoint, address string, reply *exchange.Reply))
 }
 
 // Dependencies holds a node's clients of the platform.
--- a/internal/gateway/endpoint_notices_test.go
+++ b/internal/gateway/endpoint_notices_test.go
@@ -46,6 +46,35 @@
 	return body.Born
 }
 
+func TestLeaderIgnoresAnswersToItsOwnCalls(t *testing.T) {
+	Convey("a leader that follows the caches of engines", t, func() {
+		s := startSite(1)
+		e := s.entries[0]
+		eventually("a leader is elected", func() bool { return s.store.Value("gypsum/lead") != nil })
+		engine := s.usedEngine(e)
+
+		Convey("sends no prompts to an engine that says in its answer to a call that it leaves", func() {
+			calls := engine.Calls()
+			engine.SetFault(hosted.EndpointFault{Leaving: true})
+			eventually("the leader has called twice", func() bool { return engine.Calls() >= calls+3 })
+			s.expectNoArrivals(e, engine, http.MethodPost, "/redraft/")
+		})
+		Convey("makes no calls to an engine while that wants nothing", func() {
+			eventually("the leader follows the engine", func() bool { return engine.Calls() > 0 })
+			engine.SetFault(hosted.EndpointFault{RetryAfter: 3500 * time.Millisecond})
+			s.expectAnswered(s.call(e, http.MethodPost, "/redraft/", "any"))
+			rejected := time.Now()
+			// A call that waits at the engine isn't broken off.
+			time.Sleep(1300 * time.Millisecond)
+			calls := engine.Calls()
+			time.Sleep(time.Until(rejected.Add(3400 * time.Millisecond)))
+			So(engine.Calls(), ShouldEqual, calls)
+			engine.SetFault(hosted.EndpointFault{})
+			eventually("the leader follows the engine again", func() bool { return engine.Calls() > calls })
+		})
+	})
+}
+
 func TestLeaderGrantsWhatAnEntryMayNotUse(t *testing.T) {
 	Convey("a leader", t, func() {
 		s := startEngineSite(4)
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -12,6 +12,7 @@
 	"gypsumvale/internal/duty"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/state/clock"
+	"gypsumvale/internal/state/registration"
 )
 
 const (
@@ -100,6 +101,9 @@
 	needList := c.isStore
 	failing := false
 	for ctx.Err() == nil {
+		if pause := f.node.notices.pause(registration.Incarnation{ID: c.name, StartMilli: c.startMilli}); pause > 0 && !duty.Sleep(ctx, pause) {
+			return
+		}
 		var err error
 		if needList {
 			next, err = f.listStore(ctx, c)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -72,6 +72,8 @@
 	n.placer = newPlacer(n)
 	n.suspects = newSuspects()
 	n.notices = newNotices(n)
+	deps.Engines.Observe(n.notices.recordCall)
+	deps.Caches.Observe(n.notices.recordCall)
 	n.blocks = newBlocks(n)
 	n.retryBudgets = newRetryBudgets(cfg.RetryShare, cfg.RetryReserve)
 	n.configuration = &configuration{node: n, targets: make(map[string]int), items: make(map[string]kv.Item)}
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -134,6 +134,36 @@
 // reportAgain has the leader told everything with the next request, since it has chosen an endpoint that wants none.
 func (t *notices) reportAgain() { t.setReported("") }
 
+// recordCall records what the answer to a call says, unless the address is that of no endpoint in use.
+func (t *notices) recordCall(id, address string, reply *exchange.Reply) {
+	if !reply.Leaving && reply.Pause == 0 && reply.InvalidPause == "" {
+		return
+	}
+	if id != "" {
+		t.record(t.node.discovery.incarnation(id), reply)
+		return
+	}
+	for _, list := range t.node.discovery.snapshot() {
+		for _, r := range list {
+			if r.Address == address {
+				t.record(r.Incarnation(), reply)
+			}
+		}
+	}
+}
+
+// pause returns for how much longer an endpoint wants nothing from this entry.
+func (t *notices) pause(endpoint registration.Incarnation) time.Duration {
+	if t.Empty() {
+		return 0
+	}
+	now := clock.Now()
+	if reason, until := t.Check(now, t.node.incarnation, endpoint); reason == notice.Paused {
+		return until.Sub(now)
+	}
+	return 0
+}
+
 // minProlongation is by how much an answer must prolong a pause to be logged and reported: many rejections may arrive at once.
 const minProlongation = 100 * time.Millisecond
 
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"gypsumvale/internal/coordination/notice"
 	"gypsumvale/internal/coordination/placement"
 	"gypsumvale/internal/coordination/rollout"
 	"gypsumvale/internal/duty"
@@ -166,7 +167,7 @@
 		}
 		engines += len(list)
 		for _, r := range list {
-			if w.node.notices.leaves(r.Incarnation()) {
+			if w.node.notices.permit(r.Incarnation()) != nil {
 				continue
 			}
 			loads[r.ID] = w.node.placer.endpointLoad(service, r.ID)
@@ -213,6 +214,9 @@
 		// An earlier order, possibly one without an answer, is being executed.
 		w.awaitLoaded(ctx, e)
 		return
+	case w.node.notices.permit(e.Incarnation()) != nil:
+		w.failOrder(e, "barred", nil)
+		return
 	case !w.canSendOrder():
 		w.finishOrder(ctx, e, "lease_lapsing")
 		return
@@ -301,7 +305,7 @@
 	w.planner.LoadStarted(e.ID, toTime(deadline.Add(reportPeriod+reportTimeout)))
 	w.mu.Unlock()
 	w.node.placer.setLoadingUntil(e.Service, e.ID, deadline)
-	for clock.Now().Before(deadline) && duty.Sleep(ctx, reportPeriod) {
+	for clock.Now().Before(deadline) && !w.node.notices.leaves(e.Incarnation()) && duty.Sleep(ctx, reportPeriod) {
 		report, err := w.report(ctx, e)
 		if err == nil && w.recordReport(e, &report) {
 			w.finishOrder(ctx, e, "loaded")
@@ -312,6 +316,9 @@
 }
 
 func (w *weightRollout) report(ctx context.Context, e *outdatedEngine) (rollout.Report, error) {
+	if w.node.notices.pause(e.Incarnation()) > 0 {
+		return rollout.Report{}, fmt.Errorf("engine %s: %w", e.ID, &barredError{notice.Paused})
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := w.node.deps.Engines.Report(ctx, e.ID, e.Address)
--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,6 +130,7 @@
 	orderCount   int
 	running      int
 	arrivals     []time.Time
+	calls        int
 	runs         []Run
 	leaving      bool
 	// stopped is true while the endpoint is down, and ended once it won't start again.
@@ -282,6 +284,13 @@
 	return append([]time.Time(nil), e.arrivals...)
 }
 
+// Calls returns the number of the platform's management calls that arrived.
+func (e *Endpoint) Calls() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.calls
+}
+
 // Version returns the weight version that is currently loaded.
 func (e *Endpoint) Version() int {
 	e.mu.Lock()
@@ -293,6 +302,9 @@
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	leaving := e.fault.Leaving
+	if strings.HasPrefix(r.URL.Path, "/-/") {
+		e.calls++
+	}
 	e.mu.Unlock()
 	if leaving {
 		w.Header().Set("Server-Leaving", "1")
