--- a/internal/coordination/placement/notices_test.go
+++ b/internal/coordination/placement/notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -82,6 +83,24 @@
 			So(grants[0].Err, ShouldBeNil)
 			So(grants[0].Choice.Endpoint, ShouldEqual, list[0].ID)
 		})
+		Convey("doesn't grant all that waits at once when a pause ends", func() {
+			table.RecordLeaving(list[1].Incarnation())
+			table.RecordLeaving(list[2].Incarnation())
+			table.RecordPause(start, "x", list[0].ID, start.Add(pause))
+			queued := 0
+			for i := range 12 {
+				if _, err := p.Place(start, newRequest(fmt.Sprint("context", i), 8000)); errors.Is(err, placement.ErrQueued) {
+					queued++
+				}
+			}
+			granted := 0
+			for _, g := range p.ProcessQueue(start.Add(pause)) {
+				if g.Err == nil {
+					granted++
+				}
+			}
+			So(granted, ShouldBeBetween, 0, queued)
+		})
 		Convey("rejects a queued request when its pause is prolonged beyond its deadline", func() {
 			pauseAll("x", pause)
 			expectError(p, start, from("x"), placement.ErrQueued)
