--- a/internal/gateway/endpoint_notices_test.go
+++ b/internal/gateway/endpoint_notices_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,6 +77,38 @@
 	})
 }
 
+func TestBarredEndpointsAreCounted(t *testing.T) {
+	Convey("an entry counts the endpoints that it may not use", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		for _, id := range []string{"cal-0", "cal-1", "cal-2"} {
+			s.addEndpoint(hosted.EndpointConfig{ID: id, Service: "calendar", Work: time.Millisecond})
+		}
+		e := s.addEntryWith(func(cfg *settings.Hosted) { cfg.Metrics = freeAddress() })
+		e.expectReady(true)
+		shows := func(line string) func() bool {
+			return func() bool {
+				resp, err := http.Get("http://" + e.cfg.Metrics + "/metrics")
+				if err != nil {
+					return false
+				}
+				defer func() { _ = resp.Body.Close() }()
+				text, err := io.ReadAll(resp.Body)
+				return err == nil && strings.Contains(string(text), line+"\n")
+			}
+		}
+		s.endpoints[0].SetFault(hosted.EndpointFault{Leaving: true})
+		s.endpoints[1].SetFault(hosted.EndpointFault{RetryAfter: 3 * time.Second})
+		s.callUntilArrival(e, s.endpoints[0], http.MethodGet, "/read/")
+		s.callUntilArrival(e, s.endpoints[1], http.MethodGet, "/read/")
+		s.endpoints[1].SetFault(hosted.EndpointFault{})
+		eventually("a leaving endpoint is counted", shows(`gypsum_endpoints_barred{reason="leaving"} 1`))
+		eventually("a paused endpoint is counted", shows(`gypsum_endpoints_barred{reason="paused"} 1`))
+		eventually("the end of the pause shows", shows(`gypsum_endpoints_barred{reason="paused"} 0`))
+		So(shows(`gypsum_endpoints_barred{reason="leaving"} 1`)(), ShouldBeTrue)
+	})
+}
+
 func TestLeaderGrantsWhatAnEntryMayNotUse(t *testing.T) {
 	Convey("a leader", t, func() {
 		s := startEngineSite(4)
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -204,15 +204,25 @@
 	return unknown
 }
 
-// sweep forgets what is no longer in force.
+// sweep forgets what is no longer in force, and counts the endpoints that this entry may not use.
 func (t *notices) sweep(now clock.Instant) {
 	if t.Empty() {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.table.Sweep(now, func(e registration.Incarnation) bool { return t.node.discovery.incarnation(e.ID) == e })
+	registered := func(e registration.Incarnation) bool { return t.node.discovery.incarnation(e.ID) == e }
+	t.table.Sweep(now, registered)
 	t.inForce.Store(!t.table.Empty())
+	leaving := 0
+	for _, e := range t.table.Leaving() {
+		if registered(e) {
+			leaving++
+		}
+	}
+	barred := t.node.metrics.Barred
+	barred.WithLabelValues(notice.Leaving.String()).Set(float64(leaving))
+	barred.WithLabelValues(notice.Paused.String()).Set(float64(len(t.table.Pauses(now, t.node.incarnation))))
 }
 
 // avoidLeaving adds the chosen endpoint to those that a request avoids if it has said that it leaves: the instance that chose it may not know.
