Place a request alone when the leader insists on an endpoint that is barred

Found by reading: a leader of an earlier release ignores what it is told of endpoints. Callers of an entry that heard that such an endpoint leaves or wants no requests would get no_endpoint after eight withdrawn grants, as long as that leader prefers the endpoint. Change: after two withdrawn grants of a request the entry places it by its own counts, which follow the table. Adding the endpoint to those that the request avoids is no longer needed, and would have kept it out beyond a pause. TestLeaderInsistsOnAnEndpoint, with a leader that grants one endpoint whatever it is told, failed before for both signals: no request was served at the other engine within 6 s. It passes now.

--- a/internal/gateway/endpoint_notices_test.go
+++ b/internal/gateway/endpoint_notices_test.go
@@ -77,6 +77,27 @@
 	})
 }
 
+func TestLeaderInsistsOnAnEndpoint(t *testing.T) {
+	for what, fault := range map[string]hosted.EndpointFault{"leaves": {Leaving: true}, "wants no requests": {RetryAfter: 5 * time.Second}} {
+		Convey("an entry whose leader grants only an endpoint that "+what+" places requests alone", t, func() {
+			s, leader := startSiteWithSlowLeader(0)
+			engine := s.endpoints[0]
+			s.addEndpoint(hosted.EndpointConfig{ID: "llm-1", Service: "llm", Model: testModel, Version: 1, Events: 6, Work: 5 * time.Millisecond})
+			eventually("the leader has placed a request", func() bool {
+				s.call(s.entries[0], http.MethodPost, "/redraft/", "any")
+				placed, _ := leader.lists()
+				return len(placed) > 0
+			})
+			engine.SetFault(fault)
+			s.callUntilArrival(s.entries[0], engine, http.MethodPost, "/redraft/")
+			eventually("the other engine is known", func() bool {
+				return s.call(s.entries[0], http.MethodPost, "/redraft/", "any").status == http.StatusOK
+			})
+			s.expectNoArrivals(s.entries[0], engine, http.MethodPost, "/redraft/")
+		})
+	}
+}
+
 func TestBarredEndpointsAreCounted(t *testing.T) {
 	Convey("an entry counts the endpoints that it may not use", t, func() {
 		s := newSite()
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"gypsumvale/internal/coordination/notice"
-	"gypsumvale/internal/coordination/placement"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/protocol/exchange"
 	"gypsumvale/internal/protocol/peer"
@@ -225,13 +224,6 @@
 	barred.WithLabelValues(notice.Paused.String()).Set(float64(len(t.table.Pauses(now, t.node.incarnation))))
 }
 
-// avoidLeaving adds the chosen endpoint to those that a request avoids if it has said that it leaves: the instance that chose it may not know.
-func (t *notices) avoidLeaving(req *placement.Request, endpoint registration.Incarnation) {
-	if t.leaves(endpoint) {
-		req.Avoid = append(req.Avoid, endpoint.ID)
-	}
-}
-
 // incarnation returns the registered incarnation of an endpoint; its start time is zero if none is registered.
 func (d *discovery) incarnation(id string) registration.Incarnation {
 	d.mu.Lock()
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -232,8 +232,8 @@
 }
 
 // place selects an endpoint for a request: at the leader, which knows the load of all instances, or else from this instance's own counts.
-// It returns the name of the instance that decided, empty for this one.
-func (p *placer) place(ctx context.Context, req *placement.Request) (placement.Choice, string, error) {
+// It returns the name of the instance that decided, empty for this one. If alone is true, the leader isn't asked unless it is this instance.
+func (p *placer) place(ctx context.Context, req *placement.Request, alone bool) (placement.Choice, string, error) {
 	n := p.node
 	now := clock.Now()
 	req.Uncoordinated = false
@@ -244,7 +244,7 @@
 		leader = n.members.owner()
 	}
 	switch {
-	case leader == "" || n.leaderBackoff.active(now, leader):
+	case leader == "" || alone && leader != n.cfg.Name || n.leaderBackoff.active(now, leader):
 	case leader == n.cfg.Name:
 		n.metrics.Placements.WithLabelValues("owner").Inc()
 		choice, err := p.placeLocally(req)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -233,7 +233,7 @@
 	ctx, cancel := context.WithTimeout(j.r.Context(), max(0, j.deadline.Sub(j.arrived)))
 	defer cancel()
 	for {
-		choice, owner, err := n.placer.place(ctx, &j.placementReq)
+		choice, owner, err := n.placer.place(ctx, &j.placementReq, j.withdrawals > maxGrantsWithdrawn)
 		if err != nil {
 			j.fail(ctx, j.refusalOf(err))
 			return
@@ -286,8 +286,13 @@
 	}
 }
 
-// maxWithdrawals limits how often a request is placed again since its endpoint has said meanwhile that it wants no requests.
-const maxWithdrawals = 8
+const (
+	// maxGrantsWithdrawn is how many of the leader's grants of a request are withdrawn before this entry places the request alone: a leader of an
+	// earlier release isn't told what endpoints say.
+	maxGrantsWithdrawn = 1
+	// maxWithdrawals limits how often a request is placed again since its endpoint has said meanwhile that it wants no requests.
+	maxWithdrawals = 8
+)
 
 // withdraw prepares a request for another placement after its endpoint has turned out to want no requests. That is no attempt, since nothing
 // was sent.
@@ -302,7 +307,6 @@
 	case j.withdrawals > maxWithdrawals:
 		return unavailable("no_endpoint", clock.Now().Add(shortRetryDelay))
 	}
-	n.notices.avoidLeaving(&j.placementReq, n.incarnationOf(choice))
 	n.notices.reportAgain()
 	return nil
 }
