--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -74,18 +74,22 @@
 		h.leadership.invite(from.Name, m.Count)
 		return peer.Empty{}, nil
 	case peer.KindEndpointNotice:
-		m, err := decode[peer.EndpointNotice](body)
-		if err != nil {
-			return nil, err
-		}
-		h.notices.recordReported(from.Incarnation, m)
-		return peer.Empty{}, nil
+		return peer.Empty{}, h.recordNotice(from, body)
 	case peer.KindCatchUp:
 		return (*Node)(h).serveCatchUp(), nil
 	}
 	return nil, fmt.Errorf("kind %d: %w", kind, errUnknownKind)
 }
 
+func (h *handler) recordNotice(from peer.Hello, body []byte) error {
+	m, err := decode[peer.EndpointNotice](body)
+	if err != nil {
+		return err
+	}
+	h.notices.recordReported(from.Incarnation, m)
+	return nil
+}
+
 func decode[M any](body []byte) (*M, error) {
 	m := new(M)
 	if err := msgpack.Unmarshal(body, m); err != nil {
--- a/internal/gateway/leaving_endpoint_test.go
+++ b/internal/gateway/leaving_endpoint_test.go
@@ -106,7 +106,10 @@
 			eventually("no engine gets requests", func() bool {
 				return s.call(e, http.MethodPost, "/redraft/", "any").status == http.StatusServiceUnavailable
 			})
-			_, err := http.Post("http://"+engine.Address()+"/", "text/plain", strings.NewReader("crash"))
+			resp, err := http.Post("http://"+engine.Address()+"/", "text/plain", strings.NewReader("crash"))
+			if err == nil {
+				_ = resp.Body.Close()
+			}
 			So(err, ShouldNotBeNil)
 			engine.SetFault(hosted.EndpointFault{})
 			s.callUntilArrival(e, engine, http.MethodPost, "/redraft/")
--- a/internal/standin/hosted/responses.go
+++ b/internal/standin/hosted/responses.go
@@ -17,10 +17,8 @@
 	e.arrivals = append(e.arrivals, time.Now())
 	e.mu.Unlock()
 	if f.RetryAfter > 0 {
-		w.Header().Set("Request-Id", id)
-		w.Header().Set("Not-Executed", "1")
 		w.Header().Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', -1, 64))
-		w.WriteHeader(http.StatusServiceUnavailable)
+		reject(w, id)
 		return
 	}
 	if f.StartDelay > 0 {
@@ -50,9 +48,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case full:
-		w.Header().Set("Request-Id", id)
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		reject(w, id)
 		return
 	}
 	defer func() {
@@ -78,6 +74,13 @@
 	e.respond(w, r, id, f)
 }
 
+// reject answers that a request has not run and will not run.
+func reject(w http.ResponseWriter, id string) {
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // Seal returns the signature that an endpoint puts on its response to a request.
 func Seal(endpoint, id string) string { return endpoint + "." + id }
 
