--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -79,4 +80,10 @@
 	Endpoint string
 	// Version is the weight version that ran the request, or zero if unknown.
 	Version int
+	// Leaving is true if the endpoint states that it leaves and takes no new requests.
+	Leaving bool
+	// Pause is for how long the endpoint wants no requests from this entry, or zero.
+	Pause time.Duration
+	// InvalidPause is the text in which the endpoint stated a pause that can't be read, or that is longer than allowed; empty if it is valid.
+	InvalidPause string
 }
