Register stand-in endpoints again after the store was restored from a copy

Cause: StoreClient took a renewal that succeeds for proof that its registrations are there. Change: the era in which the lease was granted is compared with that of each response, and in a later era everything is registered again under a new lease.

TestRegistrationLostByRestoration failed before (no registration for 2 s) and passes with -race.

--- a/internal/standin/hosted/remote.go
+++ b/internal/standin/hosted/remote.go
@@ -30,8 +30,10 @@
 	address string
 	http    *http.Client
 
-	mu    sync.Mutex
-	lease uint64
+	mu sync.Mutex
+	// era is the store's era in its last response, leaseEra the one in which it granted the lease.
+	era, leaseEra string
+	lease         uint64
 	// registrations holds the values to register by key, and acknowledged the keys that the store has confirmed under the
 	// current lease.
 	registrations map[string][]byte
@@ -67,10 +69,12 @@
 func (s *StoreClient) renew() error {
 	if s.lease != 0 {
 		err := s.call(http.MethodPost, fmt.Sprintf("/-/kv-keep/%d", s.lease), nil, nil)
-		if errors.Is(err, errLeaseExpired) {
+		switch {
+		case errors.Is(err, errLeaseExpired), err == nil && s.era != s.leaseEra:
+			// A store that was restored from a copy may have granted the lease again to another caller.
 			s.lease = 0
 			clear(s.acknowledged)
-		} else if err != nil {
+		case err != nil:
 			return err
 		}
 	}
@@ -79,7 +83,7 @@
 		if err := s.call(http.MethodPost, "/-/kv-lease", map[string]int64{"TtlMs": registrationTTL.Milliseconds()}, &granted); err != nil {
 			return err
 		}
-		s.lease = granted.Lease
+		s.lease, s.leaseEra = granted.Lease, s.era
 	}
 	for key, value := range s.registrations {
 		if s.acknowledged[key] {
@@ -135,6 +139,7 @@
 		return fmt.Errorf("call store: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	s.era = resp.Header.Get("Store-Era")
 	reply, err := io.ReadAll(resp.Body)
 	switch {
 	case err != nil:
