Keep the stand-in store's history after its restoration

Found by reading: a stand-in store that had discarded its history before it was restored would answer watches with 410 until its revisions have passed those it had discarded, though it has all changes since the copy. Cause: Restore left the start of the history at a revision of the lost era. Change: the history begins at the copy's next revision at the latest.

TestHistoryUnavailableAfterRestoration failed before (410 instead of 200) and passes with -race.

--- a/internal/standin/hosted/remote_test.go
+++ b/internal/standin/hosted/remote_test.go
@@ -39,3 +39,24 @@
 		})
 	})
 }
+
+func TestHistoryUnavailableAfterRestoration(t *testing.T) {
+	Convey("a store that has discarded its history, and is restored from an earlier copy", t, func() {
+		store := hosted.NewStore()
+		server := httptest.NewServer(store.Handler())
+		defer server.Close()
+		c := store.Copy()
+		for range 5 {
+			store.PutRaw("k", nil)
+		}
+		store.Compact()
+		store.Restore(c)
+		Convey("has the history since then", func() {
+			store.PutRaw("k", nil)
+			resp, err := server.Client().Get(server.URL + "/-/kv-watch?PathPrefix=k&after=1&WaitMs=0")
+			So(err, ShouldBeNil)
+			So(resp.Body.Close(), ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 200)
+		})
+	})
+}
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -201,6 +201,7 @@
 		s.leases[id] = &storeLease{l.ttl, time.Now().Add(l.ttl)}
 	}
 	s.history = slices.DeleteFunc(s.history, func(e storeEvent) bool { return e.Revision > c.revision })
+	s.historyStart = min(s.historyStart, s.revision+1)
 	s.era++
 	s.notifyWatches()
 }
