Restore the soak's metadata store from earlier copies

Found by reading: no test restored the store while real processes ran. The stand-in store can be copied and restored over HTTP; drills of the soak take it away for up to 1 s and restore it from a copy up to 6 s old, after which the operator writes its newest configuration and weights again. Drills draw from a generator of their own, so that seeds draw the same other faults as before (the new drills may occupy the store meanwhile, so timing differs). New check: no valid request is answered 401, 403 or 404 by an undisturbed entry, later than the bound after its key was acknowledged.

Seed 3 is a regression case.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -66,6 +66,7 @@
 		s.checkResponse(r, j.runs[r.id])
 		s.checkDeadline(r)
 		s.checkRevokedKey(o, r, j.runs[r.id])
+		s.checkAllowed(o, r)
 	}
 	for id, runs := range j.runs {
 		r := byID[id]
@@ -139,6 +140,19 @@
 	}
 }
 
+// checkAllowed checks that no undisturbed entry answered as if a valid request weren't allowed, later than maxRevocationDelay after its key
+// was issued.
+func (s *site) checkAllowed(o *operator, r *request) {
+	replaced, ok := o.replacedAt[r.key]
+	denied := r.status == http.StatusUnauthorized || r.status == http.StatusForbidden || r.status == http.StatusNotFound
+	if !denied || ok && replaced.Before(r.finished) || r.sent.Before(o.issuedAt[r.key].Add(maxRevocationDelay)) {
+		return
+	}
+	if s.undisturbed(r.sent.Add(-maxRevocationDelay), r.finished, machine, "store", r.entry.name, r.entry.name+" store", r.entry.name+" peers") {
+		s.breach("%s was answered by %s with status %d, %v after its key was issued", r.id, r.entry.name, r.status, r.sent.Sub(o.issuedAt[r.key]))
+	}
+}
+
 // checkExecutions checks that only an idempotent request ran more than once, and that each run had the caller's workspace, body and path.
 func (s *site) checkExecutions(o *operator, r *request, runs []hosted.JournalEntry) {
 	if len(runs) > 1 && !idempotent(r.path) {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -240,37 +240,74 @@
 	}}
 }
 
+// restoreFault takes the store away for a moment, and restores it from an earlier copy. The operator then writes again what it wrote.
+func (s *site) restoreFault(random *rand.Rand, o *operator) fault {
+	age, downtime := randomDuration(random, 6*time.Second), randomDuration(random, time.Second)
+	control := func(path string, fault any) {
+		data, err := json.Marshal(fault)
+		if err == nil {
+			err = s.control(s.store, path, data)
+		}
+		if err != nil {
+			s.breach("%s: %v", path, err)
+		}
+	}
+	return fault{kind: "copy", part: "copy", do: func() {
+		control("copy", nil)
+		time.Sleep(age)
+		s.disturb("restore", "store", func() {
+			control("fault", hosted.StoreFault{Down: true})
+			time.Sleep(downtime)
+			control("restore", nil)
+			control("fault", hosted.StoreFault{})
+			o.restore()
+		})
+	}}
+}
+
 const (
 	maxConcurrentFaults = 6
-	// maxFaultInterval is the longest time between the starts of two faults.
+	// maxFaultInterval is the longest time between the starts of two faults, and maxDrillInterval between those of two drills.
 	maxFaultInterval = 500 * time.Millisecond
+	maxDrillInterval = 4 * time.Second
 )
 
-// injectFaults injects random faults until the given time, waits until all are restored, and returns how many it injected.
-func (s *site) injectFaults(random *rand.Rand, o *operator, end time.Time) int {
+// injectAll injects the faults and drills of a seed until the given time, waits until all are restored, and returns how many it injected.
+// Drills have a schedule of their own, so that a seed draws the same faults with and without them.
+func (s *site) injectAll(seed uint64, o *operator, end time.Time) int {
+	var wg sync.WaitGroup
+	drills := 0
+	wg.Go(func() {
+		drills = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<33)), maxDrillInterval, end, func(random *rand.Rand) fault { return s.restoreFault(random, o) })
+	})
+	faults := s.injectFaults(rand.New(rand.NewPCG(seed, 1<<32)), maxFaultInterval, end, func(random *rand.Rand) fault { return s.randomFault(random, o) })
+	wg.Wait()
+	return faults + drills
+}
+
+// injectFaults injects the faults that draw returns until the given time, waits until all are restored, and returns how many it injected.
+func (s *site) injectFaults(random *rand.Rand, maxInterval time.Duration, end time.Time, draw func(*rand.Rand) fault) int {
 	var wg sync.WaitGroup
-	var mu sync.Mutex
-	inUse := make(map[string]bool)
 	slots := make(chan struct{}, maxConcurrentFaults)
 	injected := 0
 	for time.Now().Before(end) {
-		f := s.randomFault(rand.New(rand.NewPCG(random.Uint64(), 0)), o)
-		mu.Lock()
-		free := !inUse[f.part]
-		inUse[f.part] = true
-		mu.Unlock()
+		f := draw(rand.New(rand.NewPCG(random.Uint64(), 0)))
+		s.mu.Lock()
+		free := !s.inUse[f.part]
+		s.inUse[f.part] = true
+		s.mu.Unlock()
 		if free {
 			injected++
 			slots <- struct{}{}
 			wg.Go(func() {
 				s.disturb(f.kind, f.part, f.do)
-				mu.Lock()
-				inUse[f.part] = false
-				mu.Unlock()
+				s.mu.Lock()
+				s.inUse[f.part] = false
+				s.mu.Unlock()
 				<-slots
 			})
 		}
-		time.Sleep(time.Duration(random.Float64() * float64(maxFaultInterval)))
+		time.Sleep(time.Duration(random.Float64() * float64(maxInterval)))
 	}
 	wg.Wait()
 	return injected
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -31,12 +31,16 @@
 	keys, previousKeys map[string]string
 	// keyWorkspaces are the workspaces by key, of all keys ever issued.
 	keyWorkspaces map[string]string
-	// revokedAt holds, by key, when the store acknowledged the revocation.
-	revokedAt map[string]time.Time
+	// revokedAt holds, by key, when the store acknowledged the revocation, and issuedAt when it acknowledged the key. A key may be rejected
+	// from replacedAt on, when its revocation was sent.
+	revokedAt, issuedAt, replacedAt map[string]time.Time
 }
 
 func newOperator(s *site) *operator {
-	o := &operator{site: s, weights: 1, keys: make(map[string]string), previousKeys: make(map[string]string), keyWorkspaces: make(map[string]string), revokedAt: make(map[string]time.Time)}
+	o := &operator{
+		site: s, weights: 1, keys: make(map[string]string), previousKeys: make(map[string]string), keyWorkspaces: make(map[string]string),
+		revokedAt: make(map[string]time.Time), issuedAt: make(map[string]time.Time), replacedAt: make(map[string]time.Time),
+	}
 	for _, name := range workspaceNames {
 		o.issueKey(name)
 	}
@@ -54,6 +58,18 @@
 // publish writes the current configuration as a new version.
 func (o *operator) publish() {
 	o.version++
+	o.writeConfiguration()
+}
+
+// restore writes the newest configuration and weight version again after the store has lost them.
+func (o *operator) restore() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.writeConfiguration()
+	o.writeWeights()
+}
+
+func (o *operator) writeConfiguration() {
 	route := func(path, kind, service string, attempts int, resumable bool) hosted.Route {
 		return hosted.Route{
 			Name: path, Hostname: hosted.SiteHostname, PathPrefix: path, Type: kind, Backend: service, TimeoutMs: 5000, TargetLatencyMs: 400,
@@ -87,9 +103,11 @@
 	defer o.mu.Unlock()
 	name := workspaceNames[random.IntN(len(workspaceNames))]
 	old := o.keys[name]
+	o.replacedAt[old] = time.Now()
 	o.issueKey(name)
 	o.publish()
-	o.revokedAt[old], o.previousKeys[name] = time.Now(), old
+	now := time.Now()
+	o.revokedAt[old], o.issuedAt[o.keys[name]], o.previousKeys[name] = now, now, old
 }
 
 // announceWeights announces the next weight version.
@@ -97,7 +115,14 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.weights++
-	o.write("op/version/"+hosted.SiteModel, map[string]any{"Model": hosted.SiteModel, "Version": o.weights})
+	o.writeWeights()
+}
+
+// writeWeights writes the newest weight version, if one was announced.
+func (o *operator) writeWeights() {
+	if o.weights > 1 {
+		o.write("op/version/"+hosted.SiteModel, map[string]any{"Model": hosted.SiteModel, "Version": o.weights})
+	}
 }
 
 // publishInvalid writes an invalid configuration, and the valid one soon after.
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -98,6 +98,8 @@
 	breaches     []string
 	disturbances []disturbance
 	callers      []*caller
+	// inUse holds the parts that a fault disturbs now.
+	inUse map[string]bool
 }
 
 // breach records a violated guarantee.
@@ -131,7 +133,7 @@
 
 func newSite(t *testing.T) *site {
 	t.Helper()
-	s := &site{t: t, dir: t.TempDir()}
+	s := &site{t: t, dir: t.TempDir(), inUse: make(map[string]bool)}
 	store := s.freeAddress()
 	s.store = &node{name: "store", controlAddress: store, args: []string{"gypsum-standin", "hosted-store", "--listen", store}}
 	s.start(s.store)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -17,6 +16,7 @@
 	cause string
 }{
 	{26, "a configuration that can't be decoded hid the revocation of a key"},
+	{3, "changes were ignored after the metadata store was restored from a copy"},
 }
 
 func envUint(name string, fallback uint64) uint64 {
@@ -60,7 +60,7 @@
 	s.expectHealthy(o)
 	end := time.Now().Add(duration)
 	callers := s.startCallers(o, seed, end.Add(time.Second))
-	faults := s.injectFaults(rand.New(rand.NewPCG(seed, 1<<32)), o, end)
+	faults := s.injectAll(seed, o, end)
 	callers.Wait()
 	s.waitReady(time.Now().Add(readyTimeout))
 	time.Sleep(settleTime)
--- a/internal/standin/hosted/handlers.go
+++ b/internal/standin/hosted/handlers.go
@@ -27,6 +27,8 @@
 	r.POST("/control/put", s.controlPut)
 	r.POST("/control/fault", s.controlFault)
 	r.POST("/control/compact", s.controlCompact)
+	r.POST("/control/copy", s.controlCopy)
+	r.POST("/control/restore", s.controlRestore)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		s.mu.Lock()
 		name := req.Method + " " + req.URL.Path
@@ -269,3 +271,22 @@
 }
 
 func (s *Store) controlCompact(http.ResponseWriter, *http.Request, httprouter.Params) { s.Compact() }
+
+// controlCopy makes the copy that controlRestore restores the store from.
+func (s *Store) controlCopy(http.ResponseWriter, *http.Request, httprouter.Params) {
+	c := s.Copy()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copy = c
+}
+
+func (s *Store) controlRestore(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	s.mu.Lock()
+	c := s.copy
+	s.mu.Unlock()
+	if c == nil {
+		http.Error(w, "no copy was made", http.StatusConflict)
+		return
+	}
+	s.Restore(c)
+}
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -59,7 +59,9 @@
 	era       uint64
 	lastLease uint64
 	fault     StoreFault
-	changed   chan struct{}
+	// copy is the last copy made over HTTP.
+	copy    *Copy
+	changed chan struct{}
 	// calls is the number of calls by method and path, such as "GET /-/kv-range".
 	calls map[string]int
 }
