Hold entries to what they know of leaving endpoints while the store is disturbed

Change: those disturbances excuse a request only if they lie before the end of the bound; until then the entry must have heard of the leaving.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -188,8 +188,8 @@
 	}
 }
 
-// checkLeaving checks that a leaving endpoint received no new requests after maxLeavingDelay from entries whose connections were
-// undisturbed.
+// checkLeaving checks that a leaving endpoint received no new requests after maxLeavingDelay from entries that were undisturbed, and whose
+// connections and store were until then. An entry that knows of the leaving is bound while the store is disturbed too.
 func (s *site) checkLeaving(name string, records []hosted.JournalEntry, byID map[string]*request) {
 	var since time.Time
 	for _, record := range records {
@@ -203,7 +203,9 @@
 			if r == nil || r.sent.Before(since.Add(maxLeavingDelay)) {
 				continue
 			}
-			if s.undisturbed(since.Add(-settleTime), record.At, machine, "store", r.entry.name, r.entry.name+" store", r.entry.name+" peers") {
+			known := since.Add(maxLeavingDelay)
+			if s.undisturbed(since.Add(-settleTime), known, "store", r.entry.name+" store", r.entry.name+" peers") &&
+				s.undisturbed(since.Add(-settleTime), record.At, machine, r.entry.name) {
 				s.breach("%s reached %s %v after that endpoint began to leave, through %s", r.id, name, record.At.Sub(since), r.entry.name)
 			}
 		}
