Let stand-ins say that they leave or want no requests for a while

Tests need endpoints whose answers carry what the platform's endpoints say of themselves: Server-Leaving in all answers, and Retry-After with a rejection. Arrivals lists all requests, since a rejected one counts too. No behaviour of an entry changes.

--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -95,6 +95,10 @@
 	CrashOnPart string
 	// RestartAfter is how long after a crash the endpoint starts again. Zero leaves it down.
 	RestartAfter time.Duration
+	// Leaving states in all answers that the endpoint leaves, whatever its registration says.
+	Leaving bool
+	// RetryAfter rejects every request without executing it and asks for no others for this time. Zero disables it.
+	RetryAfter time.Duration
 }
 
 // Run is a request whose execution an endpoint has started.
@@ -125,6 +129,7 @@
 	version      int
 	orderCount   int
 	running      int
+	arrivals     []time.Time
 	runs         []Run
 	leaving      bool
 	// stopped is true while the endpoint is down, and ended once it won't start again.
@@ -275,6 +280,13 @@
 	return append([]Run(nil), e.runs...)
 }
 
+// Arrivals returns when requests arrived, also those that were rejected.
+func (e *Endpoint) Arrivals() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]time.Time(nil), e.arrivals...)
+}
+
 // Version returns the weight version that is currently loaded.
 func (e *Endpoint) Version() int {
 	e.mu.Lock()
@@ -284,6 +296,12 @@
 
 // ServeHTTP serves callers' requests and the platform's management calls.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	leaving := e.fault.Leaving
+	e.mu.Unlock()
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.cfg.ID {
 		w.Header().Set("Instance-Id", e.cfg.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/internal/standin/hosted/responses.go
+++ b/internal/standin/hosted/responses.go
@@ -14,7 +14,15 @@
 	id := r.Header.Get("Request-Id")
 	e.mu.Lock()
 	f := e.fault
+	e.arrivals = append(e.arrivals, time.Now())
 	e.mu.Unlock()
+	if f.RetryAfter > 0 {
+		w.Header().Set("Request-Id", id)
+		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', -1, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if f.StartDelay > 0 {
 		e.sleep(r, f.StartDelay)
 		if r.Context().Err() != nil {
