Let stand-in endpoints say more about their leaving and their pauses

The soak needs endpoints that state their leaving in all answers before they are registered as leaving, and that reject random requests with a time to come back in each form: whole and fractional seconds, and a date. Answers written to the connection directly say it too. No behaviour of an entry changes.

--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -43,19 +43,29 @@
 	Journal io.Writer
 }
 
-// JournalEntry is one line of an endpoint's journal. Exactly one of Run, Order, Started and Leaving is set.
+// JournalEntry is one line of an endpoint's journal. Exactly one of Run, Rejected, Order, Started and Leaving is set.
 type JournalEntry struct {
 	At time.Time
 	// Endpoint is the ID of the endpoint.
 	Endpoint string
-	Run      *Run   `json:",omitempty"`
-	Order    *Order `json:",omitempty"`
+	Run      *Run       `json:",omitempty"`
+	Rejected *Rejection `json:",omitempty"`
+	Order    *Order     `json:",omitempty"`
+	// AnswerSaysLeaving is true if the answer to the request states that the endpoint leaves.
+	AnswerSaysLeaving bool `json:",omitempty"`
 	// Started is true if the endpoint has started.
 	Started bool `json:",omitempty"`
 	// Leaving is true if the registrar has acknowledged that the endpoint is leaving.
 	Leaving bool `json:",omitempty"`
 }
 
+// Rejection is a request that the endpoint answers without executing it.
+type Rejection struct {
+	RequestID string
+	// RetryAt is when the endpoint wants further requests. It is zero if the answer doesn't say so.
+	RetryAt time.Time `json:",omitzero"`
+}
+
 // Order is an order to load a weight version that the endpoint accepted.
 type Order struct {
 	Owner   string
@@ -99,6 +109,11 @@
 	Leaving bool
 	// RetryAfter rejects every request without executing it and asks for no others for this time. Zero disables it.
 	RetryAfter time.Duration
+	// RandomRetryAfter rejects half of the requests, chosen at random, and asks for no others for a random time up to this one, in seconds
+	// or as a date. Zero disables it.
+	RandomRetryAfter time.Duration
+	// LeaveDelay is how long an endpoint that has begun to leave delays its registration as leaving.
+	LeaveDelay time.Duration
 }
 
 // Run is a request whose execution an endpoint has started.
@@ -131,7 +146,8 @@
 	running      int
 	arrivals     []time.Time
 	runs         []Run
-	leaving      bool
+	// leaving is true once the endpoint has begun to leave, and draining once it registers as leaving.
+	leaving, draining bool
 	// stopped is true while the endpoint is down, and ended once it won't start again.
 	stopped bool
 	ended   bool
@@ -195,7 +211,7 @@
 func (e *Endpoint) register() error {
 	e.mu.Lock()
 	state := "ready"
-	if e.leaving {
+	if e.draining {
 		state = "draining"
 	}
 	type model struct {
@@ -218,10 +234,15 @@
 	}{e.cfg.Service, e.Address(), e.cfg.Zone, "v1", e.cfg.Slots, state, 0, 1, models, startedMilli})
 }
 
-// Leave registers the endpoint as leaving. It continues to serve requests.
+// Leave makes the endpoint state in its answers that it leaves, and registers it as leaving. It continues to serve requests.
 func (e *Endpoint) Leave() error {
 	e.mu.Lock()
 	e.leaving = true
+	delay := e.fault.LeaveDelay
+	e.mu.Unlock()
+	time.Sleep(delay)
+	e.mu.Lock()
+	e.draining = true
 	e.mu.Unlock()
 	if err := e.register(); err != nil {
 		return fmt.Errorf("leave: %w", err)
@@ -294,13 +315,16 @@
 	return e.version
 }
 
+// leavingHeader states in an answer that the endpoint leaves.
+const leavingHeader = "Server-Leaving"
+
 // ServeHTTP serves callers' requests and the platform's management calls.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	leaving := e.fault.Leaving
+	leaving := e.leaving || e.fault.Leaving
 	e.mu.Unlock()
 	if leaving {
-		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set(leavingHeader, "1")
 	}
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.cfg.ID {
 		w.Header().Set("Instance-Id", e.cfg.ID)
--- a/internal/standin/hosted/responses.go
+++ b/internal/standin/hosted/responses.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,11 +17,8 @@
 	f := e.fault
 	e.arrivals = append(e.arrivals, time.Now())
 	e.mu.Unlock()
-	if f.RetryAfter > 0 {
-		w.Header().Set("Request-Id", id)
-		w.Header().Set("Not-Executed", "1")
-		w.Header().Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', -1, 64))
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if hint := f.drawRetry(); hint.text != "" {
+		e.reject(w, id, hint)
 		return
 	}
 	if f.StartDelay > 0 {
@@ -38,7 +36,7 @@
 		lastEvent, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		run := Run{id, e.cfg.ID, r.Header.Get("Tenant-Id"), r.RequestURI, body, lastEvent, r.Header.Clone()}
 		e.runs = append(e.runs, run)
-		err = e.appendJournal(JournalEntry{Run: &run})
+		err = e.appendJournal(JournalEntry{Run: &run, AnswerSaysLeaving: saysLeaving(w)})
 	}
 	e.mu.Unlock()
 	switch {
@@ -50,9 +48,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case full:
-		w.Header().Set("Request-Id", id)
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		e.reject(w, id, retryHint{})
 		return
 	}
 	defer func() {
@@ -78,6 +74,68 @@
 	e.respond(w, r, id, f)
 }
 
+// retryHint is the time at which an endpoint wants further requests, and its text in the answer. The zero value gives none.
+type retryHint struct {
+	text string
+	at   time.Time
+}
+
+// drawRetry returns the time to come back with which a request is rejected, or the zero value if it isn't.
+func (f EndpointFault) drawRetry() retryHint {
+	switch {
+	case f.RetryAfter > 0:
+		return retryInSeconds(f.RetryAfter)
+	case f.RandomRetryAfter > 0 && rand.IntN(2) == 0:
+		return randomRetry(f.RandomRetryAfter)
+	}
+	return retryHint{}
+}
+
+func retryInSeconds(d time.Duration) retryHint {
+	return retryHint{strconv.FormatFloat(d.Seconds(), 'f', -1, 64), time.Now().Add(d)}
+}
+
+// randomRetry returns a random time up to a limit, in whole or fractional seconds or as a date, which may be rounded up to the next second.
+func randomRetry(limit time.Duration) retryHint {
+	d := rand.N(limit)
+	switch rand.IntN(3) {
+	case 0:
+		return retryInSeconds(d.Truncate(time.Second) + time.Second)
+	case 1:
+		return retryInSeconds(d)
+	}
+	at := time.Now().Add(d).Truncate(time.Second).Add(time.Second)
+	return retryHint{at.UTC().Format(http.TimeFormat), at}
+}
+
+// reject answers a request without executing it.
+func (e *Endpoint) reject(w http.ResponseWriter, id string, hint retryHint) {
+	rejection := Rejection{id, hint.at}
+	e.mu.Lock()
+	err := e.appendJournal(JournalEntry{Rejected: &rejection, AnswerSaysLeaving: saysLeaving(w)})
+	e.mu.Unlock()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Not-Executed", "1")
+	if hint.text != "" {
+		w.Header().Set("Retry-After", hint.text)
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// saysLeaving reports whether an answer states that the endpoint leaves.
+func saysLeaving(w http.ResponseWriter) bool { return w.Header().Get(leavingHeader) != "" }
+
+// rawLeaving returns the header line of an answer that is written to the connection directly, or nothing.
+func rawLeaving(w http.ResponseWriter) string {
+	if !saysLeaving(w) {
+		return ""
+	}
+	return leavingHeader + ": 1\r\n"
+}
+
 // Seal returns the signature that an endpoint puts on its response to a request.
 func Seal(endpoint, id string) string { return endpoint + "." + id }
 
@@ -186,11 +244,11 @@
 	defer func() { _ = conn.Close() }()
 	text := ""
 	if f.Stray {
-		text += e.rawResponse("someone-elses-request")
+		text += e.rawResponse("someone-elses-request", "")
 	}
-	text += e.rawResponse(id)
+	text += e.rawResponse(id, rawLeaving(w))
 	if f.Trailing {
-		text += e.rawResponse("someone-elses-request")
+		text += e.rawResponse("someone-elses-request", "")
 	}
 	_, _ = io.WriteString(conn, text)
 	// Leaves the peer time to read. Whether it closes or reuses the connection, it must ignore the bytes after the response.
@@ -209,7 +267,7 @@
 		lastEvent = 0
 	}
 	// Write errors mean that the caller has disconnected.
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Type: text/event-stream\r\n\r\n", id, Seal(e.cfg.ID, id))
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\n%sContent-Type: text/event-stream\r\n\r\n", id, Seal(e.cfg.ID, id), rawLeaving(w))
 	if f.CrashOnPart != "" && hasPart(r, f.CrashOnPart) {
 		_ = conn.Close()
 		e.crash()
@@ -228,11 +286,11 @@
 	}
 }
 
-func (e *Endpoint) rawResponse(id string) string {
+func (e *Endpoint) rawResponse(id, extraHeader string) string {
 	body := Body(id)
 	if e.cfg.Events > 0 {
 		body = Stream(e.cfg.Events)
 	}
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s",
-		id, Seal(e.cfg.ID, id), len(body), body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		id, Seal(e.cfg.ID, id), extraHeader, len(body), body)
 }
