Let the soak's endpoints leave and ask for pauses in their answers

The soak drew neither of what endpoints may say in their answers: that they leave, up to 6 s before their registration says so, and that they want no requests for up to 3 s, with half of the requests rejected. Both draw from a generator of their own, so that seeds draw the same other faults and restorations of the store as before (an endpoint that they occupy may get none of the others meanwhile). The check of a healthy site begins after the last pause. No check of what they say yet.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -265,24 +265,63 @@
 	}}
 }
 
+const (
+	// maxLeavingTime is longer than an endpoint takes to end after it was registered as leaving.
+	maxLeavingTime = 6 * time.Second
+	// maxPause is the longest time for which an endpoint asks for no requests, up to rounding to the next second.
+	maxPause = 3 * time.Second
+)
+
+// signalFault makes an endpoint leave that says so in its answers some time before it registers it, or makes it ask for pauses.
+func (s *site) signalFault(random *rand.Rand, m *node) fault {
+	delay, duration, pause := randomDuration(random, 6*time.Second), randomDuration(random, 4*time.Second), randomDuration(random, maxPause)
+	if random.IntN(2) == 0 {
+		return fault{kind: "pause", part: m.name, do: func() {
+			s.applyFault(m, hosted.EndpointFault{RandomRetryAfter: pause}, hosted.EndpointFault{}, duration)
+		}}
+	}
+	return fault{kind: "leave", part: m.name, do: func() {
+		data, err := json.Marshal(hosted.EndpointFault{LeaveDelay: delay})
+		if err == nil {
+			err = s.control(m, "fault", data)
+		}
+		if err != nil {
+			// The process is starting, and accepts no calls yet.
+			return
+		}
+		p := m.signal(syscall.SIGTERM)
+		select {
+		case <-p.exited:
+		case <-time.After(delay + maxLeavingTime):
+			// It waits until the store acknowledges that it leaves.
+			<-m.signal(syscall.SIGKILL).exited
+		}
+		s.start(m)
+	}}
+}
+
 const (
 	maxConcurrentFaults = 6
-	// maxFaultInterval is the longest time between the starts of two faults, and maxDrillInterval between those of two drills.
-	maxFaultInterval = 500 * time.Millisecond
-	maxDrillInterval = 4 * time.Second
+	// Longest times between the starts of two faults, of two restorations of the store, and of two signals of endpoints.
+	maxFaultInterval   = 500 * time.Millisecond
+	maxRestoreInterval = 4 * time.Second
+	maxSignalInterval  = 2 * time.Second
 )
 
-// injectAll injects the faults and drills of a seed until the given time, waits until all are restored, and returns how many it injected.
-// Drills have a schedule of their own, so that a seed draws the same faults with and without them.
+// injectAll injects all faults of a seed until the given time, waits until all are restored, and returns how many it injected.
+// Restorations and signals have schedules of their own, so that a seed draws the same other faults with and without them.
 func (s *site) injectAll(seed uint64, o *operator, end time.Time) int {
 	var wg sync.WaitGroup
-	drills := 0
+	restorations, signals := 0, 0
+	wg.Go(func() {
+		restorations = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<33)), maxRestoreInterval, end, func(random *rand.Rand) fault { return s.restoreFault(random, o) })
+	})
 	wg.Go(func() {
-		drills = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<33)), maxDrillInterval, end, func(random *rand.Rand) fault { return s.restoreFault(random, o) })
+		signals = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<34)), maxSignalInterval, end, func(random *rand.Rand) fault { return s.signalFault(random, pick(random, s.endpoints)) })
 	})
 	faults := s.injectFaults(rand.New(rand.NewPCG(seed, 1<<32)), maxFaultInterval, end, func(random *rand.Rand) fault { return s.randomFault(random, o) })
 	wg.Wait()
-	return faults + drills
+	return faults + restorations + signals
 }
 
 // injectFaults injects the faults that draw returns until the given time, waits until all are restored, and returns how many it injected.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -63,7 +63,7 @@
 	faults := s.injectAll(seed, o, end)
 	callers.Wait()
 	s.waitReady(time.Now().Add(readyTimeout))
-	time.Sleep(settleTime)
+	time.Sleep(max(settleTime, maxPause+2*time.Second))
 	s.expectHealthy(o)
 	s.expectWeights(o, time.Now().Add(weightsTimeout))
 	s.checkResults(o)
