Check that fencing tokens of weight orders rise while the store is disturbed

Found by reading: the soak excused orders with lower fencing tokens while the store was disturbed, and never compared tokens of one holder, so it couldn't see tokens that go back when the store is restored from a copy. Change: a lower token is a breach unless the sender was frozen or replaced, or a link to the endpoint or to the store was disturbed, shortly before; by whichever holder. All that was checked before still is.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -212,23 +212,27 @@
 	}
 }
 
-// checkOrders checks that an endpoint received weight orders from one lease holder at a time.
+// checkOrders checks that an endpoint received weight orders from one lease holder at a time, and with fencing tokens that rise, also while
+// the store is disturbed.
 func (s *site) checkOrders(name string, records []hosted.JournalEntry) {
 	var last *hosted.JournalEntry
 	for i, record := range records {
 		if record.Order == nil {
 			continue
 		}
-		if last != nil && last.Order.Owner != record.Order.Owner {
-			allowed := !s.undisturbed(record.At.Add(-lateOrderGrace), record.At, machine, record.Order.Owner, record.Order.Owner+" store", name, name+" endpoint", "store")
+		if last != nil {
+			owner, since := record.Order.Owner, record.At.Add(-lateOrderGrace)
+			onTime := s.undisturbed(since, record.At, machine, owner, owner+" store", name, name+" endpoint")
 			switch {
-			case last.Order.Fence == record.Order.Fence:
-				s.breach("%s received orders of %s and %s with the same fencing token", name, last.Order.Owner, record.Order.Owner)
-			case allowed:
 			case last.Order.Fence > record.Order.Fence:
-				s.breach("%s received an order of %s with an older fencing token than that of %s", name, record.Order.Owner, last.Order.Owner)
-			case record.At.Sub(last.At) < lease:
-				s.breach("%s received orders of %s and %s only %v apart", name, last.Order.Owner, record.Order.Owner, record.At.Sub(last.At))
+				if onTime {
+					s.breach("%s received an order of %s with an older fencing token than that of %s", name, owner, last.Order.Owner)
+				}
+			case last.Order.Owner == owner:
+			case last.Order.Fence == record.Order.Fence:
+				s.breach("%s received orders of %s and %s with the same fencing token", name, last.Order.Owner, owner)
+			case onTime && s.undisturbed(since, record.At, "store") && record.At.Sub(last.At) < lease:
+				s.breach("%s received orders of %s and %s only %v apart", name, last.Order.Owner, owner, record.At.Sub(last.At))
 			}
 		}
 		last = &records[i]
