Check what the soak's entries do after endpoints say that they leave or pause

Two checks, from what endpoints see: no request that was sent later than the bound for leaving reaches an endpoint from an entry that had read in an answer that it leaves, and at most two reach it between 0.5 s after a 503 with Retry-After and the end of that time. Entries are told apart by the caller's request. An entry counts as having read an answer if the request's caller got a whole response later; only a kill, stop or freeze of the entry excuses the first, also a disturbed connection to the endpoint the second.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -79,6 +79,8 @@
 	s.checkRetryBudget(byID, j)
 	for name, records := range j.records {
 		s.checkLeaving(name, records, byID)
+		s.checkSaidLeaving(name, records, byID)
+		s.checkPauses(name, records, byID)
 		s.checkOrders(name, records)
 	}
 }
