--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -59,7 +59,9 @@
 	era       uint64
 	lastLease uint64
 	fault     StoreFault
-	changed   chan struct{}
+	// copy is the last copy made over HTTP.
+	copy    *Copy
+	changed chan struct{}
 	// calls is the number of calls by method and path, such as "GET /-/kv-range".
 	calls map[string]int
 }
@@ -201,6 +203,7 @@
 		s.leases[id] = &storeLease{l.ttl, time.Now().Add(l.ttl)}
 	}
 	s.history = slices.DeleteFunc(s.history, func(e storeEvent) bool { return e.Revision > c.revision })
+	s.historyStart = min(s.historyStart, s.revision+1)
 	s.era++
 	s.notifyWatches()
 }
