Don't take a zone in which two endpoints crash for one that is cut off

Cause: two failures at different endpoints of a zone within a second made it unreachable until the next response, whatever had come from the zone before. Engines that crash together break what they run within a millisecond, and are tried again together after equal backoffs.

Ruled out: to take a refused connection for a sign that the zone can be reached (some cuts refuse or reset connections, and a firewall may); to ask for three endpoints or a share of them (a quarter of a zone's engines may crash at once); a longer window without a response alone (broken requests that had run long would count where little traffic comes from the zone).

Change: a failure is evidence against the zone only if nothing has come from it since the failed request was sent, nor within the time of a dial (150 ms) before the failure. What tells a cut from crashes is the silence of the others, however connections fail. A dial without an answer takes that long itself, so that silent cuts are noticed as before; a zone that refuses connections is noticed after 150 ms of silence, in which refusals cost a round trip each and put each endpoint into its own backoff.

Test: TestCrashesLookLikeCut, on 18 and 60 endpoints. TestUnreachableZone passes, and the other tests of the package with -race, in one run.

Conclusion: crashes of some endpoints are left to their own backoffs. With little traffic from a zone, two crashes at once may make it look cut off still.

--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -174,7 +174,7 @@
 		return nil
 	}
 	a.endpoint.recordResponse(now)
-	p.cfg.Reachability.recordContact(a.req.Zone, a.endpoint)
+	p.cfg.Reachability.recordContact(now, a.req.Zone, a.endpoint)
 	a.endpoint.prefillDone(a)
 	p.holds.remove(a)
 	p.recordCapacityChange(a.endpoint)
@@ -226,23 +226,23 @@
 	switch outcome {
 	case OutcomeAnswered:
 		s.recordResponse(now)
-		p.cfg.Reachability.recordContact(a.req.Zone, s)
+		p.cfg.Reachability.recordContact(now, a.req.Zone, s)
 		s.failures = 0
 		s.observeError(false)
 	case OutcomeFailed:
 		s.observeError(true)
 	case OutcomeUnreachable:
 		s.backOff(now)
-		p.cfg.Reachability.recordFailure(now, a.req.Zone, s)
+		p.cfg.Reachability.recordFailure(now, a.req.Zone, s, a.sentAt)
 	case OutcomeRejected:
 		s.recordResponse(now)
-		p.cfg.Reachability.recordContact(a.req.Zone, s)
+		p.cfg.Reachability.recordContact(now, a.req.Zone, s)
 		s.backoffUntil = now.Add(rejectedBackoff)
 	case OutcomeMisdirected:
 		s.backoffUntil = now.Add(maxBackoff)
 	case OutcomeStale:
 		s.recordResponse(now)
-		p.cfg.Reachability.recordContact(a.req.Zone, s)
+		p.cfg.Reachability.recordContact(now, a.req.Zone, s)
 		p.assumeNextVersion(now, a)
 	case OutcomeWithdrawn:
 	}
--- a/internal/coordination/placement/reachability.go
+++ b/internal/coordination/placement/reachability.go
@@ -9,6 +9,9 @@
 const (
 	// failureWindow is the time within which two endpoints of a zone must fail for the zone to count as unreachable; it fits several dials.
 	failureWindow = time.Second
+	// minPathSilence is how long nothing must have come from a zone for a failure there to say anything of the zone: as long as a dial without
+	// an answer takes.
+	minPathSilence = 150 * time.Millisecond
 	// firstPathBackoff is the first backoff for an unreachable zone. Each further failure doubles it, up to maxBackoff.
 	firstPathBackoff = 500 * time.Millisecond
 	maxPathDoublings = 2
@@ -21,10 +24,15 @@
 //	load pattern                                        response
 //	a zone is unreachable, its endpoints still listed   after failures at two endpoints no request goes there, instead of a dial for each
 //	the zone is reachable again                         one request probes it; its first event or response admits all others
-//	several endpoints of a zone crash at once           the first event or response of any other endpoint makes the zone available at once
+//	several endpoints of a zone crash at once           the zone is used on if other endpoints there have responded since the failed requests
+//	                                                    were sent, or just before; else their next response makes it available at once
+//
+// Whether a connection was refused doesn't matter: a crashed endpoint's host refuses connections, and so may a firewall for a whole zone.
 type Reachability struct {
-	paths   map[pathKey]*pathState
-	changes []PathChange
+	paths map[pathKey]*pathState
+	// contacts holds when something last came from a zone.
+	contacts map[pathKey]clock.Instant
+	changes  []PathChange
 }
 
 // PathChange is a change in the reachability of one zone from another.
@@ -52,15 +60,22 @@
 }
 
 // NewReachability returns a state in which all zones are reachable.
-func NewReachability() *Reachability { return &Reachability{paths: make(map[pathKey]*pathState)} }
+func NewReachability() *Reachability {
+	return &Reachability{paths: make(map[pathKey]*pathState), contacts: make(map[pathKey]clock.Instant)}
+}
 
-// recordFailure records that an endpoint could not be reached from a zone or that the connection to it was lost.
-func (r *Reachability) recordFailure(now clock.Instant, from string, s *endpointState) {
+// recordFailure records that an endpoint could not be reached from a zone or that the connection to it was lost, by a request sent at an
+// instant.
+func (r *Reachability) recordFailure(now clock.Instant, from string, s *endpointState, sentAt clock.Instant) {
 	if from == "" || from == s.Zone {
 		return
 	}
 	key := pathKey{from, s.Zone}
 	p := r.paths[key]
+	if (p == nil || p.backoffs == 0) && min(sentAt, now.Add(-minPathSilence)).Before(r.contacts[key]) {
+		// The zone was reachable while the request ran, so the endpoint alone has failed.
+		return
+	}
 	if p == nil {
 		p = &pathState{}
 		r.paths[key] = p
@@ -80,8 +95,9 @@
 }
 
 // recordContact records a response from an endpoint's zone.
-func (r *Reachability) recordContact(from string, s *endpointState) {
+func (r *Reachability) recordContact(now clock.Instant, from string, s *endpointState) {
 	key := pathKey{from, s.Zone}
+	r.contacts[key] = now
 	p := r.paths[key]
 	if p == nil {
 		return
--- a/internal/coordination/placement/reachability_test.go
+++ b/internal/coordination/placement/reachability_test.go
@@ -104,3 +104,121 @@
 		So(zoneOf(place(f.pool, start.Add(4*time.Second), newRequest("x", 2000)).Endpoint), ShouldEqual, "a")
 	})
 }
+
+// busyFleet is a pool over three zones whose endpoints answer after a while. Endpoints that are down break what runs there at once, and refuse
+// what is sent there later.
+type busyFleet struct {
+	pool  *placement.Pool
+	reach *placement.Reachability
+	// zones holds the zone of each endpoint.
+	zones map[string]string
+	// down reports whether an endpoint is down now.
+	down func(endpoint string) bool
+	// running holds the requests on the endpoints, and refused those that were refused, with when they end.
+	running map[string]map[placement.AssignmentID]clock.Instant
+	refused map[placement.AssignmentID]clock.Instant
+	// sentDown counts the requests sent to endpoints that were down.
+	sentDown int
+}
+
+func newBusyFleet(size int) *busyFleet {
+	f := &busyFleet{
+		reach: placement.NewReachability(), zones: make(map[string]string), down: func(string) bool { return false },
+		running: make(map[string]map[placement.AssignmentID]clock.Instant), refused: make(map[placement.AssignmentID]clock.Instant),
+	}
+	f.pool = placement.NewPool(placement.Config{PrefillRate: prefillRate, Reachability: f.reach})
+	f.pool.SetEngine(&placement.Engine{Slots: 32, CacheTokens: 100000, TokenSeconds: 1e-6})
+	list := endpoints(size)
+	for i, r := range list {
+		r.Zone = string("abc"[i%3])
+		f.zones[r.ID] = r.Zone
+	}
+	f.pool.SetEndpoints(list)
+	return f
+}
+
+const (
+	// busyAnswer is the time to an answer, and refusalTime that to a refusal.
+	busyAnswer  = 300 * time.Millisecond
+	refusalTime = time.Millisecond
+)
+
+// run places a request every 5 ms, as a leader with requests of zone a does, and ends those that are due. It returns the changes in
+// reachability.
+func (f *busyFleet) run(from clock.Instant, duration time.Duration) (changes []placement.PathChange) {
+	for now := from; now.Before(from.Add(duration)); now = now.Add(time.Millisecond) {
+		f.endDue(now)
+		changes = append(changes, f.reach.TakeChanges()...)
+		if now.Sub(from)%(5*time.Millisecond) != 0 {
+			continue
+		}
+		req := newRequest(fmt.Sprint("c", requestCount%40), 2000)
+		req.FirstEventDeadline, req.Deadline = now.Add(3*time.Second), now.Add(15*time.Second)
+		c, err := f.pool.Place(now, req)
+		if err != nil {
+			continue
+		}
+		if f.down(c.Endpoint) {
+			f.sentDown++
+			f.refused[req.ID] = now.Add(refusalTime)
+			continue
+		}
+		if f.running[c.Endpoint] == nil {
+			f.running[c.Endpoint] = make(map[placement.AssignmentID]clock.Instant)
+		}
+		f.running[c.Endpoint][req.ID] = now.Add(busyAnswer)
+	}
+	return changes
+}
+
+func (f *busyFleet) endDue(now clock.Instant) {
+	for id, at := range f.refused {
+		if !now.Before(at) {
+			delete(f.refused, id)
+			f.pool.Done(now, id, placement.OutcomeUnreachable)
+		}
+	}
+	for endpoint, list := range f.running {
+		for id, at := range list {
+			switch {
+			case f.down(endpoint):
+				f.pool.Done(now, id, placement.OutcomeUnreachable)
+			case !now.Before(at):
+				f.pool.FirstEvent(now, id)
+				f.pool.Done(now, id, placement.OutcomeAnswered)
+			default:
+				continue
+			}
+			delete(list, id)
+		}
+	}
+}
+
+func TestCrashesLookLikeCut(t *testing.T) {
+	for _, size := range []int{18, 60} {
+		Convey(fmt.Sprintf("a leader that places 200 requests a second on %d endpoints of three zones", size), t, func() {
+			f := newBusyFleet(size)
+			f.run(start, time.Second)
+			failed := start.Add(time.Second)
+			Convey("avoids no zone in which two endpoints crash at once, while the others answer", func() {
+				f.down = func(endpoint string) bool { return endpoint == "e02" || endpoint == "e05" }
+				So(f.run(failed, 4*time.Second), ShouldBeEmpty)
+			})
+			Convey("avoids a zone whose endpoints all break connections and refuse new ones, until one answers", func() {
+				f.down = func(endpoint string) bool { return f.zones[endpoint] == "c" }
+				changes := f.run(failed, 3*time.Second)
+				So(len(changes), ShouldBeGreaterThan, 0)
+				t.Logf("%d endpoints: %d requests sent to the zone, first backoff until %v after the failure", size, f.sentDown, changes[0].Until.Sub(failed))
+				So(changes[0].Unreachable, ShouldBeTrue)
+				So(changes[0].To, ShouldEqual, "c")
+				// Each endpoint refuses a request or two before the zone is avoided, and one probe follows each backoff.
+				So(f.sentDown, ShouldBeLessThan, 2*size/3)
+
+				f.down = func(string) bool { return false }
+				changes = f.run(failed.Add(3*time.Second), 2500*time.Millisecond)
+				So(len(changes), ShouldBeGreaterThan, 0)
+				So(changes[len(changes)-1].Unreachable, ShouldBeFalse)
+			})
+		})
+	}
+}
