--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -25,73 +25,47 @@
 func (h *handler) Serve(ctx context.Context, from peer.Hello, kind peer.Kind, body []byte) (any, error) {
 	switch kind {
 	case peer.KindPlace:
-		m, err := decode[peer.PlaceRequest](body)
-		if err != nil {
-			return nil, err
-		}
-		return h.place(from, m), nil
+		return answer(body, func(m *peer.PlaceRequest) any { return h.place(from, m) })
 	case peer.KindAwaitPlacement:
-		m, err := decode[peer.AwaitPlacement](body)
-		if err != nil {
-			return nil, err
-		}
-		g, err := h.placer.awaitGrant(ctx, placement.AssignmentID{Entry: from.Incarnation, Number: m.Number}, awaitTimeout)
-		return h.placeReply(g.Request, g.Choice, err), nil
-	case peer.KindAssignmentUpdate:
-		m, err := decode[peer.AssignmentUpdate](body)
-		if err != nil {
-			return nil, err
-		}
-		h.recordAssignmentUpdate(from, m)
-		return peer.Empty{}, nil
+		return answer(body, func(m *peer.AwaitPlacement) any {
+			g, err := h.placer.awaitGrant(ctx, placement.AssignmentID{Entry: from.Incarnation, Number: m.Number}, awaitTimeout)
+			return h.placeReply(g.Request, g.Choice, err)
+		})
 	case peer.KindSync:
-		m, err := decode[peer.SyncRequest](body)
-		if err != nil {
-			return nil, err
-		}
-		return h.relay.serveSync(ctx, m), nil
-	case peer.KindCrashReport:
-		m, err := decode[peer.CrashReport](body)
-		if err != nil {
-			return nil, err
-		}
-		(*Node)(h).recordReportedCrash(m)
-		return peer.Empty{}, nil
-	case peer.KindPartsCleared:
-		m, err := decode[peer.PartsCleared](body)
-		if err != nil {
-			return nil, err
-		}
-		h.suspects.recordAnswer(m.Service, m.Parts, clock.Now().Add(-m.Age))
-		return peer.Empty{}, nil
+		return answer(body, func(m *peer.SyncRequest) any { return h.relay.serveSync(ctx, m) })
 	case peer.KindSuccessor:
 		return h.handOver.serveQuery(from.Name), nil
+	case peer.KindCatchUp:
+		return answer(body, func(m *peer.CatchUpRequest) any { return (*Node)(h).serveCatchUp(m) })
+	case peer.KindAssignmentUpdate:
+		return record(body, func(m *peer.AssignmentUpdate) { h.recordAssignmentUpdate(from, m) })
+	case peer.KindCrashReport:
+		return record(body, (*Node)(h).recordReportedCrash)
+	case peer.KindPartsCleared:
+		return record(body, func(m *peer.PartsCleared) { h.suspects.recordAnswer(m.Service, m.Parts, clock.Now().Add(-m.Age)) })
 	case peer.KindHandOver:
-		m, err := decode[peer.HandOver](body)
-		if err != nil {
-			return nil, err
-		}
-		h.leadership.invite(from.Name, m.Count)
-		return peer.Empty{}, nil
+		return record(body, func(m *peer.HandOver) { h.leadership.invite(from.Name, m.Count) })
 	case peer.KindEndpointNotice:
-		return peer.Empty{}, h.recordNotice(from, body)
-	case peer.KindCatchUp:
-		m, err := decode[peer.CatchUpRequest](body)
-		if err != nil {
-			return nil, err
-		}
-		return (*Node)(h).serveCatchUp(m), nil
+		return record(body, func(m *peer.EndpointNotice) { h.notices.recordReported(from.Incarnation, m) })
 	}
 	return nil, fmt.Errorf("kind %d: %w", kind, errUnknownKind)
 }
 
-func (h *handler) recordNotice(from peer.Hello, body []byte) error {
-	m, err := decode[peer.EndpointNotice](body)
+// answer decodes a message and returns the reply to it.
+func answer[M any](body []byte, reply func(*M) any) (any, error) {
+	m, err := decode[M](body)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	h.notices.recordReported(from.Incarnation, m)
-	return nil
+	return reply(m), nil
+}
+
+// record decodes a message that has an empty reply, and passes it on.
+func record[M any](body []byte, accept func(*M)) (any, error) {
+	return answer(body, func(m *M) any {
+		accept(m)
+		return peer.Empty{}
+	})
 }
 
 func decode[M any](body []byte) (*M, error) {
