--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -288,7 +288,7 @@
 
 const (
 	// maxGrantsWithdrawn is how many of the leader's grants of a request are withdrawn before this entry places the request alone: a leader of an
-	// earlier release isn't told what endpoints say.
+	// earlier release ignores what it is told of endpoints.
 	maxGrantsWithdrawn = 1
 	// maxWithdrawals limits how often a request is placed again since its endpoint has said meanwhile that it wants no requests.
 	maxWithdrawals = 8
