--- a/internal/gateway/endpoint_notices_test.go
+++ b/internal/gateway/endpoint_notices_test.go
@@ -49,6 +49,7 @@
 }
 
 func TestLeaderIgnoresAnswersToItsOwnCalls(t *testing.T) {
+	t.Parallel()
 	Convey("a leader that follows the caches of engines", t, func() {
 		s := startSite(1)
 		e := s.entries[0]
@@ -78,6 +79,7 @@
 }
 
 func TestLeaderInsistsOnAnEndpoint(t *testing.T) {
+	t.Parallel()
 	for what, fault := range map[string]hosted.EndpointFault{"leaves": {Leaving: true}, "wants no requests": {RetryAfter: 5 * time.Second}} {
 		Convey("an entry whose leader grants only an endpoint that "+what+" places requests alone", t, func() {
 			s, leader := startSiteWithSlowLeader(0)
@@ -99,6 +101,7 @@
 }
 
 func TestBarredEndpointsAreCounted(t *testing.T) {
+	t.Parallel()
 	Convey("an entry counts the endpoints that it may not use", t, func() {
 		s := newSite()
 		s.putConfiguration(defaultSpec())
@@ -131,6 +134,7 @@
 }
 
 func TestLeaderGrantsWhatAnEntryMayNotUse(t *testing.T) {
+	t.Parallel()
 	Convey("a leader", t, func() {
 		s := startEngineSite(4)
 		p := s.startPeer()
--- a/internal/gateway/hand_over_test.go
+++ b/internal/gateway/hand_over_test.go
@@ -87,6 +87,7 @@
 }
 
 func TestStoppedPlacementKeepsLease(t *testing.T) {
+	t.Parallel()
 	Convey("a leader whose placement stops while it reads what arrives", t, func() {
 		s := startSite(3)
 		eventually("a leader is elected", func() bool { return s.leaderName() != "" })
--- a/internal/gateway/leaving_endpoint_test.go
+++ b/internal/gateway/leaving_endpoint_test.go
@@ -50,6 +50,7 @@
 }
 
 func TestRequestSentToEndpointThatSaidItLeaves(t *testing.T) {
+	t.Parallel()
 	Convey("an endpoint that says in its answers that it leaves", t, func() {
 		s := startSite(1)
 		e := s.entries[0]
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -193,6 +193,7 @@
 }
 
 func TestBlocksOfRestoredStore(t *testing.T) {
+	t.Parallel()
 	Convey("a block that a copy lacks from which the store is restored goes on to apply", t, func() {
 		s := startPartSite(2)
 		copied := s.store.Copy()
@@ -349,6 +350,7 @@
 
 // An entry whose request was answered before it hears of a crash has nothing to report, so that other entries would keep the part charged.
 func TestAnswerPrecedesCrashReport(t *testing.T) {
+	t.Parallel()
 	Convey("a leader tells its peers which parts an answer has cleared", t, func() {
 		s := startPartSite(1)
 		p := s.startPeer()
--- a/internal/gateway/pausing_endpoint_test.go
+++ b/internal/gateway/pausing_endpoint_test.go
@@ -12,6 +12,7 @@
 )
 
 func TestRequestSentToEndpointThatWantsNone(t *testing.T) {
+	t.Parallel()
 	const pause = 800 * time.Millisecond
 	rejecting := hosted.EndpointFault{RetryAfter: pause}
 
--- a/internal/gateway/replaced_weights_test.go
+++ b/internal/gateway/replaced_weights_test.go
@@ -92,6 +92,7 @@
 // A started entry finds a target version in the store that may have been announced long ago. Requests that wait at an engine with older weights
 // must not begin there later than the leader allows, which knows the announcement.
 func TestStartedEntryLimitsWaitByLeadersBound(t *testing.T) {
+	t.Parallel()
 	Convey("an entry that has started after new weights were announced, whose leader knows the announcement", t, func() {
 		const grace = 5 * time.Second
 		s := newSite()
