Don't block a sound part when a cut resets connections

Cause: a broken exchange and a refused dial count as a crash. Crashes count separately if the request was sent after the crash before; a request that is reset and repeated at once meets that at each engine behind the cut. Three such within 20 ms block the parts that their requests had in common.

Change: a request whose answer had not begun counts for a part only if it breaks 0.1 s or more after the last crash that counted: a request takes longer to be prefilled at its next engine.

Test: a case of TestPartTable; before, blocked after three resets 9 ms apart.

Conclusion: resets no longer block; they suspect parts still, so that requests with them go on one at a time until an answer clears them.

--- a/internal/coordination/suspect/parts.go
+++ b/internal/coordination/suspect/parts.go
@@ -14,6 +14,9 @@
 	answeringEvidence = 3
 	pendingEvidence   = 2
 	blockEvidence     = 6
+	// minCrashInterval is the least time after a crash for another to count for a part if the answer had not begun: a request takes longer to be
+	// prefilled at its next engine, and a cut that resets connections breaks its repeats sooner.
+	minCrashInterval = 100 * time.Millisecond
 	// recentAnswer is how long an answer protects a part from being suspected because of a single crash.
 	recentAnswer = 5 * time.Second
 	// forgetBlock is how long after its last crash a block is forgotten.
@@ -106,7 +109,8 @@
 //	crash of e3 with {a, b, x}           requests with both b and x are blocked
 //	{a, b} answered on e4                b is cleared: requests with x are blocked
 //
-// Crashes that may have a common cause count once: a part is charged again only for requests sent after the crash before.
+// Crashes that may have a common cause count once: a part is charged again only for requests sent after the crash before, and if their answers
+// had not begun, only some time after it.
 type PartTable struct {
 	crashes  []*engineCrash
 	answered map[string]clock.Instant
@@ -209,7 +213,7 @@
 		common := make(map[string][]string)
 		for _, e := range c.candidates() {
 			for _, part := range e.Parts {
-				if at, ok := t.answered[part]; ok && !at.Before(c.at) || !t.independent(part, &e) {
+				if at, ok := t.answered[part]; ok && !at.Before(c.at) || !t.independent(part, c, &e) {
 					continue
 				}
 				charged[part] = e
@@ -240,11 +244,12 @@
 	}
 }
 
-// independent reports whether an exchange is evidence beyond the crashes that a part is charged with already: its request was sent after the
-// last one, so that the crashes have no common cause, such as the loss of a rack.
-func (t *PartTable) independent(part string, e *Exchange) bool {
+// independent reports whether a crash that broke an exchange is evidence beyond the crashes that a part is charged with already: the request was
+// sent after the last one, and its answer was beginning or it broke some time after, so that the crashes have no common cause, such as the loss of
+// a rack or a cut.
+func (t *PartTable) independent(part string, c *engineCrash, e *Exchange) bool {
 	s := t.evidence[part]
-	return s == nil || s.lastAt.Before(e.SentAt)
+	return s == nil || s.lastAt.Before(e.SentAt) && (e.Answering || c.at.Sub(s.lastAt) >= minCrashInterval)
 }
 
 // addBlocks adds blocks for the parts with enough evidence after a crash, and returns their parts.
--- a/internal/coordination/suspect/parts_test.go
+++ b/internal/coordination/suspect/parts_test.go
@@ -101,6 +101,14 @@
 				},
 				at: 21100, suspected: []string{"b"},
 			},
+			{
+				name: "a request whose repeats are reset at one engine after the other, as in a cut, counts once",
+				events: []partEvent{
+					{at: 20000, crashed: "e1", sent: 19900, parts: "b", pending: true}, {at: 20008, crashed: "e2", sent: 20001, parts: "b", pending: true},
+					{at: 20017, crashed: "e3", sent: 20009, parts: "b", pending: true}, {at: 20026, crashed: "e4", sent: 20018, parts: "b", pending: true},
+				},
+				at: 20100, suspected: []string{"b"},
+			},
 			{
 				name: "requests that waited count only if they were sent after the last crash",
 				events: []partEvent{
