Take the era of what the operator wrote from relays

Found by reading: at an entry that follows a relay, requests may begin on replaced weights later than the bound (VERSION) after the store was restored, on sites whose registrations fill further pages. Cause: the entry takes the era from the revision of the registrations, which the relay reads after the operator's items; if that read fails or is late, the relay's confirmations of the copy count as ones of before the restoration, by which versions that are written again are dated. Change: the era is the higher one of the operator's items and the registrations.

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -322,7 +322,8 @@
 // applyRelayed applies what a relay knows of the operator's writes; its ages hold as of the given instant or later.
 func (c *configuration) applyRelayed(asOf clock.Instant, update *peer.SyncReply) {
 	now := clock.Now()
-	c.recordEra(now, kv.Revision(update.RegistrationsRevision).Era())
+	// The relay applies what the operator wrote before it has read all registrations.
+	c.recordEra(now, max(kv.Revision(update.OperatorRevision).Era(), kv.Revision(update.RegistrationsRevision).Era()))
 	c.apply(fromPeerItems(update.OperatorItems))
 	c.mu.Lock()
 	complete, outdated := kv.Revision(update.OperatorRevision) >= c.newest, c.outdatedAt != 0 || now.Before(c.askBy)
--- a/internal/gateway/replaced_weights_test.go
+++ b/internal/gateway/replaced_weights_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -8,9 +9,13 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
 
+	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/settings"
 	"gypsumvale/internal/standin/hosted"
+	"gypsumvale/internal/state/kv"
+	"gypsumvale/internal/transport/peers"
 )
 
 // replacement is a site whose engines don't carry out orders to load weights.
@@ -211,3 +216,75 @@
 		s.expectNoRuns(s.entries, time.Second)
 	})
 }
+
+// relayStub is a relay whose replies are set by a test.
+type relayStub struct {
+	stubPeerHandler
+
+	mu    sync.Mutex
+	reply peer.SyncReply
+}
+
+func (h *relayStub) Serve(_ context.Context, _ peer.Hello, kind peer.Kind, _ []byte) (any, error) {
+	if kind != peer.KindSync {
+		return peer.Empty{}, nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reply.Seen++
+	return h.reply, nil
+}
+
+// set sets the replies: the operator's items and their revision, and that of the registrations.
+func (h *relayStub) set(ready bool, operator, registrations kv.Revision, items ...peer.Item) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reply = peer.SyncReply{
+		Ready: ready, Run: "relay#1", Seen: h.reply.Seen, ReadsStore: true, OperatorRevision: uint64(operator),
+		RegistrationsRevision: uint64(registrations), OperatorItems: items,
+	}
+}
+
+// addRelay registers a stub as the relay of the entries' zone.
+func (s *site) addRelay() *relayStub {
+	stub := &relayStub{}
+	address := freeAddress()
+	network := peers.New(peers.Config{
+		Name: "relay", Incarnation: peers.NewIncarnation("relay"), Address: address, Secret: s.store.Value("gypsum/secret"),
+	}, stub)
+	_, err := network.Listen()
+	So(err, ShouldBeNil)
+	runNetwork(network)
+	record, err := msgpack.Marshal(map[string]any{"addr": address, "zone": "plateau", "run": "relay#1", "cpu": 0.5, "link": 1000.0})
+	So(err, ShouldBeNil)
+	s.store.PutRaw("gypsum/entries/relay", record)
+	return stub
+}
+
+func TestReplacedWeightsByRelayWithLateRegistrations(t *testing.T) {
+	Convey("an entry whose relay has read the restored store's configuration, but not its registrations yet", t, func() {
+		s := startReplacement(1, 8*time.Second, func(_ int, cfg *settings.Hosted) { cfg.MaxRevocationDelay = time.Minute })
+		at := func(era, number uint64) kv.Revision {
+			revision, err := kv.NewRevision(era, number)
+			So(err, ShouldBeNil)
+			return revision
+		}
+		relay := s.addRelay()
+		relay.set(true, at(1, 1000), at(1, 1000))
+		time.Sleep(time.Second)
+		s.store.SetFault(hosted.StoreFault{Silent: true})
+		time.Sleep(time.Second)
+		// The version is announced while the relay can't read the store, and lost.
+		relay.set(false, 0, 0)
+		s.announce(2)
+		time.Sleep(3 * time.Second)
+		relay.set(true, at(2, 50), at(1, 1000))
+		time.Sleep(600 * time.Millisecond)
+		data := s.store.Value("op/version/" + testModel)
+		relay.set(true, at(2, 61), at(2, 60), peer.Item{Key: "op/version/" + testModel, Data: data, Revision: uint64(at(2, 61))})
+		Convey("begins no request on replaced weights later than others", func() {
+			time.Sleep(time.Until(s.end))
+			s.expectNoRuns(s.entries, time.Second)
+		})
+	})
+}
