Remove a leader key that names an instance which doesn't lead

Found by reading: callers' prompts would be placed by each entry alone for good. Cause: a campaign whose write crosses a restoration of the store is reported as not known to be committed, so the instance doesn't lead; if the store executes it late, the key is bound to the lease that has got the number since, such as an entry's registration, which is renewed. The key then never expires, and no election begins while it exists. Ruled out: the lease of the instance's own last term; it ends within 1.5 s.

Change: an instance that is named for 1.9 s without leading removes the key, on condition of the revision that it has read.

TestLeaderKeyUnderAnothersLease failed before (no election within 6 s); it passes with -race 4 of 4. What remains: a key that names an instance which is gone.

--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -53,6 +53,8 @@
 
 	vacantSince clock.Instant
 	nextAttempt clock.Instant
+	// misnamedSince is since when the store names this instance as the leader though it doesn't lead.
+	misnamedSince clock.Instant
 	// nextRenewal is when the lease is renewed next; uncertain is true if the lease may have expired.
 	nextRenewal clock.Instant
 	uncertain   bool
@@ -127,8 +129,14 @@
 		l.campaign(ctx, handOvers)
 		return
 	}
+	if leader != l.node.cfg.Name {
+		l.misnamedSince = 0
+	}
 	if leader != "" {
 		l.vacantSince = 0
+		if leader == l.node.cfg.Name {
+			l.removeMisnamed(ctx, now)
+		}
 		return
 	}
 	if l.vacantSince == 0 {
@@ -145,6 +153,26 @@
 	}
 }
 
+// removeMisnamed removes the leader's key if it names this instance, which doesn't lead, for longer than the leader's lease lasts. A write that
+// crosses a restoration of the store may get another instance's lease, which has the same number and doesn't end.
+func (l *leadership) removeMisnamed(ctx context.Context, now clock.Instant) {
+	if l.misnamedSince == 0 {
+		l.misnamedSince = now
+	}
+	if now.Sub(l.misnamedSince) < leaderTTL+leaseRenewPeriod {
+		return
+	}
+	l.misnamedSince = now
+	ctx, cancel := context.WithTimeout(ctx, leaseRenewPeriod)
+	defer cancel()
+	_, err := l.node.deps.Store.Commit(ctx, kv.Transaction{
+		Conditions: []kv.Condition{{Key: leaderKey, Revision: l.node.members.leaderRecordRevision()}}, Removals: []string{leaderKey},
+	})
+	l.node.countStoreCall("remove_lead", err)
+	l.node.log.Warn(event.LeaderChanged, "removed the leader key, which named this instance though it does not lead", zap.Error(err))
+	l.node.poller.wake()
+}
+
 // requestHandOver makes the next step hand the lease over.
 func (l *leadership) requestHandOver(successor string) {
 	l.mu.Lock()
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -64,6 +64,7 @@
 	items              []kv.Item
 	entries            map[string]entryRecord
 	currentLeader      string
+	leaderRevision     kv.Revision
 	lastLeaderRecord   leaderRecord
 	lastLeaderRevision kv.Revision
 	secret             []byte
@@ -231,7 +232,7 @@
 	for _, item := range items {
 		switch {
 		case item.Key == leaderKey:
-			m.currentLeader = m.leaderOf(item).Name
+			m.currentLeader, m.leaderRevision = m.leaderOf(item).Name, item.Revision
 		case item.Key == lastLeaderKey:
 			m.lastLeaderRecord, m.lastLeaderRevision = m.leaderOf(item), item.Revision
 		case item.Key == secretKey:
@@ -331,6 +332,13 @@
 	return m.currentLeader, m.revision != 0 && m.network != nil
 }
 
+// leaderRecordRevision returns the revision at which the leader's key was written, as last read.
+func (m *members) leaderRecordRevision() kv.Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaderRevision
+}
+
 // lastLeader returns the most recent leader, and the revision at which its record was written.
 func (m *members) lastLeader() (leaderRecord, kv.Revision) {
 	m.mu.Lock()
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -441,3 +441,18 @@
 		So(time.Since(restored), ShouldBeLessThan, 1700*time.Millisecond)
 	})
 }
+
+func TestLeaderKeyUnderAnothersLease(t *testing.T) {
+	Convey("a site elects a leader although the leader's key names an entry that doesn't lead, and doesn't expire", t, func() {
+		s := startSite(2)
+		eventually("a leader is elected", func() bool { return s.leaderName() != "" })
+		copied := s.store.Copy()
+		// In the restored store, the key has no lease of the entry's.
+		s.store.Restore(copied)
+		data := s.store.Value("gypsum/lead")
+		s.store.Delete("gypsum/lead")
+		s.store.PutRaw("gypsum/lead", data)
+		written := s.store.ModRevision("gypsum/last")
+		eventually("a leader is elected again", func() bool { return s.store.ModRevision("gypsum/last") != written })
+	})
+}
