--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -37,9 +37,8 @@
 	versions        freshness.VersionTracker
 	// undecodable is the last configuration that couldn't be decoded.
 	undecodable kv.Item
-	// outdatedAt is the revision at which a restored store had an older configuration than the last one that was read here, or zero once the
-	// store has that one again, or a newer one.
-	outdatedAt kv.Revision
+	// outdated is true while a restored store has an older configuration than the last one that was read here.
+	outdated bool
 	// era is the store's era, and rewrittenBy is when the operator has written again what the store had lost at its beginning.
 	// confirmedBefore is the instant of the last confirmation while the store had all that the operator had written.
 	era             uint64
@@ -185,19 +184,23 @@
 // may be older than a peer's.
 func (c *configuration) checkOutdated(items []kv.Item) error {
 	c.mu.Lock()
-	outdatedAt, askBy := c.outdatedAt, c.askBy
+	outdated, askBy := c.outdated, c.askBy
 	c.mu.Unlock()
 	if clock.Now().Before(askBy) {
 		return errPeersNotAsked
 	}
-	if outdatedAt != 0 || c.node.table.Load() != nil && !slices.ContainsFunc(items, func(item kv.Item) bool {
-		return c.node.deps.Schema.IsConfiguration(item.Key)
-	}) {
+	if outdated || c.lost(items) {
 		return errOutdated
 	}
 	return nil
 }
 
+// lost reports whether the operator's items, as last read, lack the configuration though one is held here.
+func (c *configuration) lost(items []kv.Item) bool {
+	isConfiguration := func(item kv.Item) bool { return c.node.deps.Schema.IsConfiguration(item.Key) }
+	return c.node.table.Load() != nil && !slices.ContainsFunc(items, isConfiguration)
+}
+
 // fillGap reads the history up to a configuration that can't be decoded. If it returns no error, every configuration that has been in
 // force is known.
 func (c *configuration) fillGap(ctx context.Context) error {
@@ -219,7 +222,7 @@
 	}
 	c.apply(list.Items)
 	if !reached {
-		return fmt.Errorf("%w: history lacks revision %d", errHistoryGap, until)
+		return fmt.Errorf("%w: history lacks revision %d", errHistoryGap, until.Number())
 	}
 	c.mu.Lock()
 	c.versions.MarkKnown(until)
@@ -237,14 +240,13 @@
 	case err != nil:
 		c.recordUndecodable(item)
 	case c.isOutdated(table.Version, item):
-		c.outdatedAt = item.Revision
+		c.outdated = true
 	default:
 		c.versions.RecordDecoded(item.Revision)
 		if table.Version >= c.readableVersion {
-			c.readable, c.readableVersion, c.outdatedAt = item, table.Version, 0
-			if stored := c.items[item.Key].Revision; stored.Era() > item.Revision.Era() {
-				c.outdatedAt = stored
-			}
+			// A peer's configuration may be of an earlier era than the store's.
+			c.readable, c.readableVersion = item, table.Version
+			c.outdated = item.Revision.Era() < c.items[item.Key].Revision.Era()
 		}
 	}
 	c.mu.Unlock()
@@ -272,7 +274,7 @@
 	if again && !gap {
 		c.versions.MarkKnown(item.Revision)
 	}
-	c.undecodable, c.outdatedAt = item, 0
+	c.undecodable, c.outdated = item, false
 }
 
 // isOutdated reports whether a configuration that a restored store has is older than the last one that was read here, decodable or not; the
@@ -326,7 +328,7 @@
 	c.recordEra(now, max(kv.Revision(update.OperatorRevision).Era(), kv.Revision(update.RegistrationsRevision).Era()))
 	c.apply(fromPeerItems(update.OperatorItems))
 	c.mu.Lock()
-	complete, outdated := kv.Revision(update.OperatorRevision) >= c.newest, c.outdatedAt != 0 || now.Before(c.askBy)
+	complete, outdated := kv.Revision(update.OperatorRevision) >= c.newest, c.outdated || now.Before(c.askBy)
 	if complete && !update.Uncertain {
 		// The relay knows every version that was in force, and has sent those that were missing here.
 		c.versions.MarkKnown(kv.Revision(update.OperatorRevision))
