--- a/internal/gateway/endpoint_notices_test.go
+++ b/internal/gateway/endpoint_notices_test.go
@@ -176,10 +176,20 @@
 		}
 		eventually("a leader is elected", func() bool { return s.store.Value("gypsum/lead") != nil })
 		leader, e := s.entries[0], s.entries[1]
-		engine := s.usedEngine(e)
-		engine.SetFault(hosted.EndpointFault{RetryAfter: 2 * time.Second})
-		s.expectAnswered(s.call(e, http.MethodPost, "/redraft/", "first"))
-		before := len(engine.Arrivals())
+		var engine *hosted.Endpoint
+		var before int
+		eventually("an engine asks for a pause", func() bool {
+			engine = s.usedEngine(e)
+			used := len(engine.Arrivals())
+			engine.SetFault(hosted.EndpointFault{RetryAfter: 2 * time.Second})
+			s.expectAnswered(s.call(e, http.MethodPost, "/redraft/", "first"))
+			before = len(engine.Arrivals())
+			if before == used {
+				// The leader has chosen the other engine.
+				engine.SetFault(hosted.EndpointFault{})
+			}
+			return before > used
+		})
 		for range 20 {
 			s.expectAnswered(s.call(e, http.MethodPost, "/redraft/", "next"))
 		}
