Show that a leader that was replaced sends orders after the store is restored

Claim: a leader that was cut off from the store while another one led goes on leading when the store comes back from a copy made before the cut, and sends orders with its lower fencing token (rule ONE).

--- a/review/standin/rig.go
+++ b/review/standin/rig.go
@@ -30,7 +30,9 @@
 // entry is one process of gypsum-entry.
 type entry struct {
 	name, zone, callers, readiness, settings string
-	cmd                                      *exec.Cmd
+	// store is the link by which the entry reaches the store.
+	store *link
+	cmd   *exec.Cmd
 }
 
 // record is the file record.txt, with the time since its beginning in each line.
@@ -142,11 +144,16 @@
 // startEntries starts one entry in each zone and waits until all are ready.
 func (r *rig) startEntries(zones ...string) error {
 	for i, zone := range zones {
+		store, err := newLink(r.storeAddr)
+		if err != nil {
+			return err
+		}
 		e := &entry{
-			name: fmt.Sprintf("front-%s-%d", zone, i), zone: zone, callers: freeAddress(), readiness: freeAddress(),
+			store: store,
+			name:  fmt.Sprintf("front-%s-%d", zone, i), zone: zone, callers: freeAddress(), readiness: freeAddress(),
 			settings: filepath.Join(r.work, fmt.Sprintf("entry-%d.ini", i)),
 		}
-		text := fmt.Sprintf(settingsText, e.name, zone, e.callers, e.readiness, freeAddress(), freeAddress(), r.storeAddr)
+		text := fmt.Sprintf(settingsText, e.name, zone, e.callers, e.readiness, freeAddress(), freeAddress(), store.address)
 		if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
