Show that a stale tenant's name is passed on with a key that was taken away

Claim: on a Public route, a machine that the store turns away passes requests with a key that was taken away on in the name of its former tenant, without a bound in time (rule UNASKED).

--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -51,6 +51,7 @@
 		}
 		request := r.Header.Get("Request-Id")
 		fmt.Printf("%d %s runs %s\n", time.Now().UnixMilli(), *id, request)
+		fmt.Printf("%d %s tenant %q of %s\n", time.Now().UnixMilli(), *id, r.Header.Get("Tenant-Id"), request)
 		body := answerBody(*id, request, *size)
 		w.Header().Set("Request-Id", request)
 		w.Header().Set("Response-Seal", *id+"."+request)
