Show that a stopping instance passes requests on that it can't finish

Claim: an instance that was stopped passes requests on whose bodies it has read more than 3 s after the SIGTERM, and cuts them at the end of its grace (rule LOST).

--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	engineEvents    = 5
-	engineEventTime = 10 * time.Millisecond
+	defaultEvents    = 5
+	defaultEventTime = 10 * time.Millisecond
 )
 
 // cacheEntry is a part that an engine keeps.
@@ -32,7 +32,10 @@
 // engine is a replica that keeps the parts of prompts under the text in Cache-Salt.
 type engine struct {
 	id, model string
-	born      int64
+	// count and pause are the number of events in a stream, and the time before each.
+	count int
+	pause time.Duration
+	born  int64
 
 	mu     sync.Mutex
 	parts  map[[2]string]cacheEntry
@@ -48,10 +51,12 @@
 	zone := flags.String("zone", "", "zone")
 	store := flags.String("store", "", "address of the store")
 	model := flags.String("model", "", "model")
+	count := flags.Int("events", defaultEvents, "events in a stream")
+	pause := flags.Duration("pause", defaultEventTime, "time before each event")
 	if err := flags.Parse(args); err != nil {
 		return false, err
 	}
-	e := &engine{id: *id, model: *model, born: time.Now().UnixMilli(), parts: make(map[[2]string]cacheEntry)}
+	e := &engine{id: *id, model: *model, count: *count, pause: *pause, born: time.Now().UnixMilli(), parts: make(map[[2]string]cacheEntry)}
 	failed := make(chan error, 1)
 	go func() { failed <- http.ListenAndServe(*listen, e) }()
 	registrar := hosted.NewStoreClient(*store)
@@ -132,8 +137,8 @@
 	w.Header().Set("Response-Seal", e.id+"."+request)
 	w.Header().Set("Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := 1; n <= engineEvents; n++ {
-		time.Sleep(engineEventTime)
+	for n := 1; n <= e.count; n++ {
+		time.Sleep(e.pause)
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n); err != nil {
 			return
 		}
