--- a/review/standin/old_leader.go
+++ b/review/standin/old_leader.go
@@ -80,27 +80,14 @@
 // the cut. It checks that no replica gets an order with a lower fencing token after one with a higher token, or orders of two holders within
 // LeaseMs (rule ONE).
 func runOldLeader(args []string) (bool, error) {
-	r, err := newRig(args[0], hosted.Configuration{
-		Version: 1,
-		Routes: []hosted.Route{{
-			Name: "r-chat", Hostname: "review.example", PathPrefix: "/chat/", Type: "streaming", Backend: "modeles", TimeoutMs: 12000,
-			TargetLatencyMs: 400, GapAimMs: 400, MaxAttempts: 2, Sticky: true, Resumable: true,
-		}},
-		Services: []map[string]any{hosted.EngineService("modeles", engineModel, 8)},
-		Limits:   hosted.DefaultLimits(),
-		Tenants:  []hosted.Tenant{{Name: "tenant-a", APIKeys: []string{"key-of-tenant-a"}}},
-	})
+	r, err := newRig(args[0], chatConfiguration())
 	if err != nil {
 		return false, err
 	}
 	defer r.close()
 	zones := []string{"rennes", "brest", "vannes"}
-	for i := range engines {
-		id := fmt.Sprintf("i-%d", i)
-		if _, err := r.start(id, "target/review/gypsum-standin", "hosted-endpoint", "--listen", freeAddress(), "--store", r.storeAddr, "--id", id,
-			"--service", "modeles", "--zone", zones[i%len(zones)], "--model", engineModel, "--events", "20"); err != nil {
-			return false, err
-		}
+	if err := r.startEngines(engines, zones); err != nil {
+		return false, err
 	}
 	if err := r.startEntries(zones...); err != nil {
 		return false, err
@@ -161,7 +148,7 @@
 	if last := r.leader(); last != nil {
 		r.record.printf("%s leads", last.name)
 	}
-	return r.checkOrders()
+	return r.checkOrders(engines)
 }
 
 // receivedOrder is an order that a replica accepted.
@@ -172,9 +159,9 @@
 }
 
 // checkOrders reports whether the orders that replicas accepted break the rule ONE.
-func (r *rig) checkOrders() (bool, error) {
+func (r *rig) checkOrders(count int) (bool, error) {
 	var orders []receivedOrder
-	for i := range engines {
+	for i := range count {
 		text, err := os.ReadFile(filepath.Join(r.work, fmt.Sprintf("i-%d.log", i)))
 		if err != nil {
 			return false, err
