--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,10 +17,10 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: standin replica ... | long-answer FOLDER | slow-body FOLDER | old-leader FOLDER | engine ... | public-key FOLDER | regained-lease FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standin replica ... | long-answer FOLDER | slow-body FOLDER | old-leader FOLDER | public-key FOLDER | regained-lease FOLDER")
 		os.Exit(couldNot)
 	}
-	run, ok := map[string]func([]string) (bool, error){"replica": runReplica, "long-answer": runLongAnswer, "slow-body": runSlowBody, "old-leader": runOldLeader, "engine": runEngine, "public-key": runPublicKey, "regained-lease": runRegainedLease}[os.Args[1]]
+	run, ok := map[string]func([]string) (bool, error){"replica": runReplica, "long-answer": runLongAnswer, "slow-body": runSlowBody, "old-leader": runOldLeader, "public-key": runPublicKey, "regained-lease": runRegainedLease}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown command", os.Args[1])
 		os.Exit(couldNot)
