--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -280,7 +280,8 @@
 	fence := l.fence
 	l.mu.Unlock()
 	l.nextRenewal = 0
-	l.node.log.Info(event.LeaderChanged, "leadership kept in the restored store", zap.Uint64("fence", fence), zap.Uint64("era", item.Lease.Era))
+	l.node.log.Info(event.LeaderChanged, "leadership kept in the restored store", zap.Uint64("fence", fence), zap.Uint64("era", item.Lease.Era),
+		l.renewedField())
 	return true
 }
 
@@ -293,7 +294,15 @@
 	l.mu.Lock()
 	fence := l.fence
 	l.mu.Unlock()
-	l.node.log.Warn(event.LeaderChanged, "leader lease uncertain", zap.Bool("doubt", uncertain), zap.Uint64("fence", fence), zap.Error(err))
+	l.node.log.Warn(event.LeaderChanged, "leader lease uncertain", zap.Bool("doubt", uncertain), zap.Uint64("fence", fence), l.renewedField(),
+		zap.Error(err))
+}
+
+// renewedField is the log field that tells how long ago the last successful renewal was sent.
+func (l *leadership) renewedField() zap.Field {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return zap.Int64("renewed_ms", clock.Now().Sub(l.renewedAt).Milliseconds())
 }
 
 func (l *leadership) stepDown(err error) {
@@ -302,7 +311,7 @@
 	l.lease = kv.Lease{}
 	l.mu.Unlock()
 	l.uncertain = false
-	l.node.log.Warn(event.LeaderChanged, "leadership lost", zap.Uint64("fence", fence), zap.Error(err))
+	l.node.log.Warn(event.LeaderChanged, "leadership lost", zap.Uint64("fence", fence), l.renewedField(), zap.Error(err))
 }
 
 // release ends the lease so that another instance can take over at once.
