Step down in a restored store unless the lease had not ended

Cause: a leader that can't reach the store keeps its lease, since the store keeps leases over its outages and a renewal tells whether another one has led. In a restored store no renewal tells so. There the leader took the copy's record, its own name under its own lease, for proof that nobody had led since the copy. But its lease had ended in the meantime, another leader had been elected, and the store had lost that term with its lease.

Change: the leader is kept only if its lease had not ended by its own count when it knows that the store was restored, and the store was restored once. Then the last renewal before the restoration excludes any other leader. Else it steps down and ends the copy's lease, so that the election, with a new fencing number and the wait for earlier orders, begins at once.

Before: TestReplacedLeaderOrdersInRestoredStore failed: "Expected '' to be greater than or equal to ''".

--- /dev/null
+++ b/internal/gateway/leader_terms_test.go
@@ -0,0 +1,157 @@
+package gateway_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumvale/internal/settings"
+	"gypsumvale/internal/standin/hosted"
+)
+
+// orderLog collects the orders that endpoints accept, from their journals.
+type orderLog struct {
+	mu     sync.Mutex
+	orders []hosted.JournalEntry
+}
+
+// Write takes one line of a journal.
+func (l *orderLog) Write(line []byte) (int, error) {
+	var entry hosted.JournalEntry
+	if err := json.Unmarshal(bytes.TrimSpace(line), &entry); err != nil {
+		return 0, fmt.Errorf("decode journal: %w", err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if entry.Order != nil {
+		l.orders = append(l.orders, entry)
+	}
+	return len(line), nil
+}
+
+// all returns the orders in the order in which they were accepted.
+func (l *orderLog) all() []hosted.JournalEntry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]hosted.JournalEntry(nil), l.orders...)
+}
+
+// expectOneHolder expects that no endpoint got an order with a lower fencing number than an earlier one, or orders of two holders within the
+// lease time.
+func (l *orderLog) expectOneHolder(lease time.Duration) {
+	last := make(map[string]hosted.JournalEntry)
+	for _, o := range l.all() {
+		before, ordered := last[o.Endpoint]
+		last[o.Endpoint] = o
+		if !ordered {
+			continue
+		}
+		So(o.Order.Fence, ShouldBeGreaterThanOrEqualTo, before.Order.Fence)
+		if o.Order.Owner != before.Order.Owner {
+			So(o.At, ShouldHappenOnOrAfter, before.At.Add(lease))
+		}
+	}
+}
+
+// storeLink is one entry's path to the store, which can be cut.
+type storeLink struct {
+	address string
+	cut     atomic.Bool
+}
+
+// newStoreLink opens a path to the store that closes connections without an answer while it is cut.
+func (s *site) newStoreLink() *storeLink {
+	link := &storeLink{}
+	store := s.store.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if link.cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		store.ServeHTTP(w, r)
+	}))
+	Reset(server.Close)
+	link.address = server.Listener.Addr().String()
+	return link
+}
+
+// leaderSite is a site of two entries in two zones, of which the first is preferred as the leader, and engines whose orders are logged. No relay
+// tells the leader of a zone with one entry who leads.
+type leaderSite struct {
+	*site
+	first, second *entry
+	// link is the first entry's path to the store.
+	link   *storeLink
+	orders orderLog
+	lease  time.Duration
+}
+
+// startLeaderSite starts a site whose first entry leads.
+func startLeaderSite(engines int, lease time.Duration, configure func(number int, cfg *settings.Hosted)) *leaderSite {
+	s := &leaderSite{site: newSite(), lease: lease}
+	s.putConfiguration(defaultSpec())
+	for i := range engines {
+		s.addEndpoint(hosted.EndpointConfig{
+			ID: fmt.Sprintf("llm-%d", i), Service: "llm", Model: testModel, Version: 1, Events: 6, Work: 5 * time.Millisecond, Journal: &s.orders,
+		})
+	}
+	s.link = s.newStoreLink()
+	for i, zone := range []string{"quay", "plateau"} {
+		s.addEntryWith(func(cfg *settings.Hosted) {
+			cfg.Zone, cfg.Lease, cfg.CPUCores = zone, lease, float64(2-i)
+			if i == 0 {
+				cfg.Store = s.link.address
+			}
+			configure(i, cfg)
+		}).expectReady(true)
+	}
+	s.first, s.second = s.entries[0], s.entries[1]
+	s.expectLeader(s.first)
+	return s
+}
+
+func (s *leaderSite) expectLeader(e *entry) {
+	eventually(e.cfg.Name+" leads", func() bool { return s.leaderName() == e.cfg.Name })
+}
+
+func (s *leaderSite) announce(version int) {
+	So(s.store.Put("op/version/"+testModel, map[string]any{"Model": testModel, "Version": version}), ShouldBeNil)
+}
+
+func (s *leaderSite) expectVersion(version int) {
+	eventually(fmt.Sprintf("all engines run version %d", version), func() bool {
+		for _, e := range s.endpoints {
+			if e.Version() != version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// A leader that was cut off from the store went on with its earlier fencing number when the store came back from a copy of before its successor.
+func TestReplacedLeaderOrdersInRestoredStore(t *testing.T) {
+	t.Parallel()
+	Convey("a leader that was cut off and replaced, whose store is restored from a copy that names it as the leader", t, func() {
+		s := startLeaderSite(4, 2*time.Second, unchanged)
+		copied := s.store.Copy()
+		s.link.cut.Store(true)
+		s.expectLeader(s.second)
+		s.announce(2)
+		s.expectVersion(2)
+		s.store.Restore(copied)
+		s.link.cut.Store(false)
+		s.announce(3)
+		Convey("orders nothing under its earlier term", func() {
+			s.expectVersion(3)
+			s.orders.expectOneHolder(s.lease)
+		})
+	})
+}
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -266,15 +266,22 @@
 	}
 }
 
-// keepAfterRestoration keeps leading if the store was restored from a copy that has this instance as the leader, under the same lease: no
-// other instance has led since the copy was made. The next step renews the lease.
+// keepAfterRestoration keeps leading if the store was restored from a copy that has this instance as the leader, under the same lease, and the
+// lease had not ended before: then no other instance has led since the copy was made. The next step renews the lease.
+//
+// The copy alone is no proof. Once the lease has ended, another instance may have led, and the store has lost its term.
 func (l *leadership) keepAfterRestoration(ctx context.Context, lease kv.Lease) bool {
 	item, err := l.node.deps.Store.Get(ctx, leaderKey)
 	l.node.countStoreCall("read_lead", err)
-	if err != nil || item.Lease.Number != lease.Number || item.Lease.Era <= lease.Era ||
+	if err != nil || item.Lease.Number != lease.Number || item.Lease.Era != lease.Era+1 ||
 		l.node.members.leaderOf(item).Name != l.node.cfg.Name {
 		return false
 	}
+	if !l.holdsLease(clock.Now()) {
+		// Another leader can be elected at once instead of when the copy's lease expires.
+		l.endLease(ctx, item.Lease)
+		return false
+	}
 	l.mu.Lock()
 	l.lease = item.Lease
 	fence := l.fence
@@ -285,6 +292,14 @@
 	return true
 }
 
+// endLease ends a lease of the leader's key; if that fails, the lease expires.
+func (l *leadership) endLease(ctx context.Context, lease kv.Lease) {
+	err := l.node.deps.Store.End(ctx, lease)
+	l.node.countStoreCall("end_lead", err)
+	l.node.log.Info(event.LeaderChanged, "lease of an earlier term ended", zap.Uint64("era", lease.Era), zap.Error(err))
+	l.node.poller.wake()
+}
+
 // setUncertain records whether the lease may have expired, and logs a change.
 func (l *leadership) setUncertain(uncertain bool, err error) {
 	if l.uncertain == uncertain {
