Wait in a restored store until a lost lease has ended before an election

What callers can see: engines get orders of two leaders in turn within LeaseMs (ONE), when a leader is cut off while the store comes back from a copy of before its election.

Cause: a candidate takes the leader's absent key for proof that the last leader's lease has ended. A restored store has lost that lease with its key, and the leader goes on until the lease ends by its own count. The new leader counts its wait for earlier orders from its election.

Ruled out as a remedy: a longer wait before each first order, which every election would pay for.

Change: while the store names no leader of its current era, a candidate waits for the lease time from its first read of that era on. A candidate whose lease is of another era than its last read gives up.

Before: TestElectedBeforeLostLeaseEnds failed in 5 of 5 runs, the second leader's orders 34 to 550 ms too early.

--- a/internal/gateway/leader_terms_test.go
+++ b/internal/gateway/leader_terms_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -65,6 +66,8 @@
 type storeLink struct {
 	address string
 	cut     atomic.Bool
+	// renewals counts renewals of leases.
+	renewals atomic.Int64
 }
 
 // newStoreLink opens a path to the store that closes connections without an answer while it is cut.
@@ -76,14 +79,17 @@
 			panic(http.ErrAbortHandler)
 		}
 		store.ServeHTTP(w, r)
+		if strings.HasPrefix(r.URL.Path, "/-/kv-keep/") {
+			link.renewals.Add(1)
+		}
 	}))
 	Reset(server.Close)
 	link.address = server.Listener.Addr().String()
 	return link
 }
 
-// leaderSite is a site of two entries in two zones, of which the first is preferred as the leader, and engines whose orders are logged. No relay
-// tells the leader of a zone with one entry who leads.
+// leaderSite is a site of two entries in two zones, and engines whose orders are logged. An entry that is alone in its zone has no relay that
+// tells it who leads.
 type leaderSite struct {
 	*site
 	first, second *entry
@@ -105,15 +111,15 @@
 	s.link = s.newStoreLink()
 	for i, zone := range []string{"quay", "plateau"} {
 		s.addEntryWith(func(cfg *settings.Hosted) {
-			cfg.Zone, cfg.Lease, cfg.CPUCores = zone, lease, float64(2-i)
+			cfg.Zone, cfg.Lease = zone, lease
 			if i == 0 {
 				cfg.Store = s.link.address
 			}
 			configure(i, cfg)
 		}).expectReady(true)
+		s.expectLeader(s.entries[0])
 	}
 	s.first, s.second = s.entries[0], s.entries[1]
-	s.expectLeader(s.first)
 	return s
 }
 
@@ -121,6 +127,13 @@
 	eventually(e.cfg.Name+" leads", func() bool { return s.leaderName() == e.cfg.Name })
 }
 
+// cutAfterRenewal cuts the first entry off from the store, directly after it has renewed a lease.
+func (s *leaderSite) cutAfterRenewal() {
+	renewals := s.link.renewals.Load()
+	eventually("a lease is renewed", func() bool { return s.link.renewals.Load() > renewals })
+	s.link.cut.Store(true)
+}
+
 func (s *leaderSite) announce(version int) {
 	So(s.store.Put("op/version/"+testModel, map[string]any{"Model": testModel, "Version": version}), ShouldBeNil)
 }
@@ -155,3 +168,26 @@
 		})
 	})
 }
+
+// A leader elected in a restored store that had lost the lease of the one before it counted its wait from its election, though the other one
+// went on sending orders until its lease ended by its own count.
+func TestElectedBeforeLostLeaseEnds(t *testing.T) {
+	t.Parallel()
+	Convey("a leader that is cut off while the store is restored from a copy of before its election", t, func() {
+		s := startLeaderSite(6, 2*time.Second, func(number int, cfg *settings.Hosted) {
+			// The first entry orders one engine after the other, the second all at once.
+			cfg.MaxLoads = 1 + 5*number
+		})
+		copied := s.store.Copy().Without("gypsum/lead", "gypsum/last")
+		s.announce(2)
+		eventually("the first entry orders", func() bool { return len(s.orders.all()) > 0 })
+		s.cutAfterRenewal()
+		s.store.Restore(copied)
+		s.announce(3)
+		Convey("sends its last order at least a lease time before the next leader's first", func() {
+			s.expectLeader(s.second)
+			s.expectVersion(3)
+			s.orders.expectOneHolder(s.lease)
+		})
+	})
+}
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -146,7 +146,7 @@
 			l.nextAttempt = l.nextAttempt.Add(leaderTTL)
 		}
 	}
-	if !now.Before(l.nextAttempt) {
+	if !now.Before(max(l.nextAttempt, l.node.members.lostLeaseEnd())) {
 		l.nextAttempt = now.Add(electionRetryPause)
 		previous, _ := l.node.members.lastLeader()
 		l.campaign(ctx, previous.HandOvers)
@@ -359,6 +359,11 @@
 		l.node.log.Info(event.LeaderChanged, "leadership not acquired", zap.Error(err))
 		return
 	}
+	if lease.Era != l.node.members.readEra() {
+		l.node.log.Info(event.LeaderChanged, "leadership not acquired", zap.Error(errRestored))
+		l.node.poller.wake()
+		return
+	}
 	name, err := msgpack.Marshal(leaderRecord{Name: l.node.cfg.Name, HandOvers: handOvers, Era: lease.Era})
 	if err != nil {
 		l.node.log.Warn(event.LeaderChanged, "failed to encode leader record", zap.Error(err))
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -43,9 +43,11 @@
 type members struct {
 	node *Node
 
-	mu                 sync.Mutex
-	lease              kv.Lease
-	revision           kv.Revision
+	mu       sync.Mutex
+	lease    kv.Lease
+	revision kv.Revision
+	// eraReadAt is when the store's era was first read.
+	eraReadAt          clock.Instant
 	digest             uint64
 	items              []kv.Item
 	entries            map[string]entryRecord
@@ -81,6 +83,9 @@
 		// The restored store may lack this instance's registration.
 		m.checkRegistration()
 	}
+	if m.revision == 0 || restored {
+		m.eraReadAt = clock.Now()
+	}
 	m.revision, m.digest, m.items = revision, digest, items
 	m.entries, m.currentLeader, m.lastLeaderRevision, m.secretStored = make(map[string]entryRecord), "", 0, false
 	for _, item := range items {
@@ -177,6 +182,24 @@
 	return m.lastLeaderRecord, m.lastLeaderRevision
 }
 
+// readEra returns the store's era as of the last read, or zero before the first one.
+func (m *members) readEra() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision.Era()
+}
+
+// lostLeaseEnd returns by when the lease of a leader has ended whose term the store has lost, or zero if a leader has been elected since then.
+// That a restored store names no leader, or none that still leads, doesn't show that the last one's lease has ended.
+func (m *members) lostLeaseEnd() clock.Instant {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lastLeaderRecord.Era == m.revision.Era() {
+		return 0
+	}
+	return m.eraReadAt.Add(leaderTTL)
+}
+
 // leaderCandidates returns the names of the instances with the largest processor share, which are preferred as leaders.
 func (m *members) leaderCandidates() []string {
 	m.mu.Lock()
--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -170,8 +170,8 @@
 	return joinErr
 }
 
-// errRestored is returned for a read during which the store was restored from a copy.
-var errRestored = errors.New("metadata store was restored from a copy during the read")
+// errRestored is returned when the store was restored from a copy between two calls that belong together.
+var errRestored = errors.New("metadata store was restored from a copy meanwhile")
 
 // logEra logs the store's era at the first read and whenever it has changed, with the revisions before and after.
 func (s *storePoller) logEra(revision kv.Revision) {
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -192,6 +192,16 @@
 	return c
 }
 
+// Without returns a copy without some keys, as if it had been made before they were written.
+func (c *Copy) Without(keys ...string) *Copy {
+	older := *c
+	older.items = maps.Clone(c.items)
+	for _, key := range keys {
+		delete(older.items, key)
+	}
+	return &older
+}
+
 // Restore replaces the store's state by an earlier copy, and begins a new era: all writes since the copy are lost, and their revisions and
 // leases are given out again. The leases of the copy get their full TTL.
 func (s *Store) Restore(c *Copy) {
