Let every new leader wait for the orders of earlier ones

Cause: a leader skipped the wait for its predecessor's orders if the record of the last leader named itself, or was absent. The record is written at the election, not with the first order, so that a term shorter than the wait hid the leader before it; a restored store may lack the record altogether. The flag also outlived the election: a term that regained its lease skipped the wait by it.

Change: the flag is gone. A term has the instant of its election, and orders wait from then on, whoever led before; a lease that lapses by the leader's own count and is then renewed has been held all the while, so that its term waits once. The first leader of a site waits as well, before its callers come.

Ruled out: a record written with the first order. It takes a write in the path of each rollout, and a restored store can lose it.

The planner's own test: a term that regains its lease waits once.

--- a/internal/coordination/rollout/plan.go
+++ b/internal/coordination/rollout/plan.go
@@ -49,7 +49,7 @@
 	Fence uint64
 	// Until is when the lease expires, by this process's monotonic clock.
 	Until time.Time
-	// Since is when this process acquired the lease, or earlier if it is known that no order of its predecessor is in progress.
+	// Since is when this process acquired the lease.
 	Since time.Time
 }
 
@@ -82,10 +82,11 @@
 	return &Planner{cfg: cfg, pending: make(map[string]time.Time), retries: make(map[string]retry)}
 }
 
-// SetLease records that this process holds the lease until the given time. A new fencing number starts a new term.
-func (p *Planner) SetLease(now time.Time, fence uint64, until time.Time) {
+// SetLease records that this process holds the lease until the given time, and has done so since another. A new fencing number starts a new
+// term; for the one in force, since is ignored.
+func (p *Planner) SetLease(fence uint64, since, until time.Time) {
 	if fence != p.term.Fence {
-		p.term = Term{Fence: fence, Since: now}
+		p.term = Term{Fence: fence, Since: since}
 		clear(p.pending)
 		clear(p.retries)
 	}
@@ -95,9 +96,6 @@
 // LoseLease records that another process holds the lease.
 func (p *Planner) LoseLease() { p.term = Term{} }
 
-// MarkSettled records that no order of an earlier holder is in progress from the given time on.
-func (p *Planner) MarkSettled(at time.Time) { p.term.Since = at.Add(-p.cfg.SettleTime) }
-
 // HoldsLease reports whether the lease is held and an order sent now would be sent completely before the lease expires.
 func (p *Planner) HoldsLease(now time.Time) bool {
 	return p.term.Fence != 0 && !now.Add(p.cfg.SendTime).After(p.term.Until)
--- a/internal/coordination/rollout/plan_test.go
+++ b/internal/coordination/rollout/plan_test.go
@@ -29,7 +29,7 @@
 	settled := start.Add(rollout.OrderTime)
 	Convey("a lease holder", t, func() {
 		p := rollout.NewPlanner(rollout.DefaultConfig())
-		p.SetLease(start, 7, start.Add(time.Hour))
+		p.SetLease(7, start, start.Add(time.Hour))
 		Convey("sends nothing until the orders of its predecessor have ended", func() { expectOrders(p, start, replicas(5, "v1"), 0) })
 		Convey("sends up to three orders at a time", func() { expectOrders(p, settled, replicas(5, "v1"), 3) })
 		Convey("sends nothing while three loads are in progress", func() {
@@ -79,9 +79,14 @@
 		})
 		Convey("sends nothing to replicas that run the wanted version", func() { expectOrders(p, settled, replicas(5, "v2"), 0) })
 		Convey("sends nothing that could not be sent before the lease expires", func() {
-			p.SetLease(start, 7, settled.Add(rollout.OrderTime/2))
+			p.SetLease(7, start, settled.Add(rollout.OrderTime/2))
 			expectOrders(p, settled, replicas(5, "v1"), 0)
 		})
+		Convey("doesn't wait again when it regains the lease of its term", func() {
+			p.LoseLease()
+			p.SetLease(7, start, start.Add(time.Hour))
+			expectOrders(p, settled, replicas(5, "v1"), 3)
+		})
 		Convey("sends nothing once the lease is lost", func() {
 			p.LoseLease()
 			expectOrders(p, settled, replicas(5, "v1"), 0)
@@ -98,7 +103,7 @@
 		planners := []*rollout.Planner{rollout.NewPlanner(rollout.DefaultConfig()), rollout.NewPlanner(rollout.DefaultConfig())}
 		holder, fence := 0, uint64(1)
 		leaseUntil := now.Add(ttl)
-		planners[0].SetLease(now, fence, leaseUntil)
+		planners[0].SetLease(fence, now, leaseUntil)
 		inProgress := map[string]time.Time{}
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(10, 3000).Draw(t, "ms")) * time.Millisecond)
@@ -112,13 +117,13 @@
 				// The current holder renews its lease. A paused holder doesn't, and its lease expires.
 				if now.Before(leaseUntil) {
 					leaseUntil = now.Add(ttl)
-					planners[holder].SetLease(now, fence, leaseUntil)
+					planners[holder].SetLease(fence, now, leaseUntil)
 				}
 			case 1:
 				if now.After(leaseUntil) {
 					holder, fence = 1-holder, fence+1
 					leaseUntil = now.Add(ttl)
-					planners[holder].SetLease(now, fence, leaseUntil)
+					planners[holder].SetLease(fence, now, leaseUntil)
 				}
 			default:
 				// Either process plans, including a former holder that has not noticed the loss of its lease.
--- a/internal/entry/rollout.go
+++ b/internal/entry/rollout.go
@@ -86,7 +86,7 @@
 		c.node.log.Info(event.LeaseTaken, "weight rollout lease acquired", zap.Uint64("fence", lease.Fence))
 	}
 	c.holdsLease = true
-	c.planner.SetLease(time.Now(), lease.Fence, started.Add(leaseDuration))
+	c.planner.SetLease(lease.Fence, time.Now(), started.Add(leaseDuration))
 }
 
 // sendOrders compares the versions that endpoints run with the configuration, and sends orders to load those that differ.
--- a/internal/gateway/leader_terms_test.go
+++ b/internal/gateway/leader_terms_test.go
@@ -191,3 +191,26 @@
 		})
 	})
 }
+
+// A leader that was elected twice in a row took its own record of the first time for proof that no other leader's orders were in progress, though
+// it had stopped before the wait for these was over (review/4).
+func TestLeaderElectedTwiceWaitsForEarlierOrders(t *testing.T) {
+	t.Parallel()
+	Convey("a leader that stops before its first order, starts again and is elected again", t, func() {
+		s := startLeaderSite(3, 4*time.Second, unchanged)
+		s.announce(2)
+		s.expectVersion(2)
+		s.first.stop()
+		s.expectLeader(s.second)
+		s.second.stop()
+		So(s.orders.all(), ShouldHaveLength, 3)
+		again := s.addEntryWith(func(cfg *settings.Hosted) { *cfg = *s.second.cfg })
+		again.expectReady(true)
+		s.expectLeader(again)
+		s.announce(3)
+		Convey("waits until the orders of the leader before it have ended", func() {
+			s.expectVersion(3)
+			s.orders.expectOneHolder(s.lease)
+		})
+	})
+}
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -63,8 +63,8 @@
 	lease     kv.Lease
 	fence     uint64
 	renewedAt clock.Instant
-	// uncontested is true if no other instance can have acted as leader directly before this one.
-	uncontested bool
+	// electedAt is when this instance last became the leader.
+	electedAt clock.Instant
 	// successor is the instance to which the lease is to be handed over, or empty.
 	successor string
 	// invitedUntil is when the invitation of a leader that has handed over lapses, and handOvers the number of hand-overs that it named.
@@ -86,11 +86,11 @@
 	return !l.lease.IsZero()
 }
 
-// term returns the fencing number, the end of the lease, and whether no other instance can have led directly before.
-func (l *leadership) term() (fence uint64, until clock.Instant, uncontested bool) {
+// term returns the fencing number, when this instance became the leader, and the end of the lease. No other instance leads in between.
+func (l *leadership) term() (fence uint64, since, until clock.Instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fence, l.renewedAt.Add(leaderTTL), l.uncontested
+	return l.fence, l.electedAt, l.renewedAt.Add(leaderTTL)
 }
 
 func (l *leadership) run(ctx context.Context) {
@@ -381,9 +381,7 @@
 		return
 	}
 	l.mu.Lock()
-	l.lease, l.fence, l.renewedAt = lease, uint64(fence), sent
-	// A record of an earlier era may be older than the last leader.
-	l.uncontested = previous.Name == "" || previous.Name == l.node.cfg.Name && previous.Era == lease.Era
+	l.lease, l.fence, l.renewedAt, l.electedAt = lease, uint64(fence), sent, clock.Now()
 	l.successor = ""
 	l.mu.Unlock()
 	l.node.handOver.beginTerm(sent, handOvers)
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -55,7 +55,6 @@
 
 	mu      sync.Mutex
 	planner *rollout.Planner
-	fence   uint64
 	// reported holds versions from engines' own reports, which are newer than their registrations.
 	reported map[registration.Incarnation]map[string]int
 }
@@ -113,13 +112,12 @@
 	if !w.node.leadership.holdsLease(now) {
 		w.mu.Lock()
 		w.planner.LoseLease()
-		w.fence = 0
 		w.mu.Unlock()
 		return
 	}
 	// The term begins now, even if no engine is outdated yet, so that a target version set later need not wait for the previous leader's
 	// orders to end.
-	w.updateTerm(now)
+	w.updateTerm()
 	replicas, outdated, engines := w.compareVersions()
 	if len(outdated) == 0 {
 		return
@@ -135,15 +133,11 @@
 }
 
 // updateTerm passes the leader lease to the planner.
-func (w *weightRollout) updateTerm(now clock.Instant) {
-	fence, until, uncontested := w.node.leadership.term()
+func (w *weightRollout) updateTerm() {
+	fence, since, until := w.node.leadership.term()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.planner.SetLease(toTime(now), fence, toTime(until))
-	if uncontested && w.fence != fence {
-		w.planner.MarkSettled(toTime(now))
-	}
-	w.fence = fence
+	w.planner.SetLease(fence, toTime(since), toTime(until))
 }
 
 // toTime converts an instant of the boot clock for the planner, which only compares times.
@@ -294,7 +288,7 @@
 // canSendOrder checks immediately before sending that the lease outlasts the sending.
 func (w *weightRollout) canSendOrder() bool {
 	now := clock.Now()
-	fence, until, _ := w.node.leadership.term()
+	fence, _, until := w.node.leadership.term()
 	return w.node.leadership.holdsLease(now) && now.Add(orderSendTimeout).Before(until) && fence != 0
 }
 
