Don't send an order of an ended term

Cause: an order is planned, waits until its engine has finished the prefills that it has taken (0.8 s, and longer where the process is paused), and the engine's state is read. Directly before it is sent, a lease that lasts long enough was taken for proof that the order may go. The lease may be that of a later term: the term in which the order was planned has ended, another instance may have led, and the new term's wait isn't over.

Change: the order's fencing number must be the one of the term that holds the lease.

The planner's count of orders in progress is exported for the test.

--- a/internal/coordination/rollout/plan.go
+++ b/internal/coordination/rollout/plan.go
@@ -113,7 +113,7 @@
 	if now.Sub(p.term.Since) < p.cfg.SettleTime || !p.HoldsLease(now) {
 		return nil
 	}
-	places := p.cfg.MaxLoads - p.inProgress(now, replicas)
+	places := p.cfg.MaxLoads - p.InProgress(now, replicas)
 	orders := p.planOrders(now, replicas, false, places)
 	return append(orders, p.planOrders(now, replicas, true, places-len(orders))...)
 }
@@ -136,8 +136,8 @@
 	return orders
 }
 
-// inProgress counts the loads that were ordered by this process and those that are observed on replicas.
-func (p *Planner) inProgress(now time.Time, replicas []Replica) int {
+// InProgress counts the loads that were ordered by this process and those that are observed on replicas.
+func (p *Planner) InProgress(now time.Time, replicas []Replica) int {
 	for name, deadline := range p.pending {
 		if now.After(deadline) {
 			delete(p.pending, name)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -1,7 +1,16 @@
 package gateway
 
+import "gypsumvale/internal/state/clock"
+
 // HoldPlacement keeps a node's placement from running until the returned function is called.
 func HoldPlacement(n *Node) (release func()) {
 	n.placer.mu.Lock()
 	return n.placer.mu.Unlock
 }
+
+// OrdersInProgress returns the number of a node's weight orders that have been planned and have not ended.
+func OrdersInProgress(n *Node) int {
+	n.rollout.mu.Lock()
+	defer n.rollout.mu.Unlock()
+	return n.rollout.planner.InProgress(toTime(clock.Now()), nil)
+}
--- a/internal/gateway/leader_terms_test.go
+++ b/internal/gateway/leader_terms_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"gypsumvale/internal/gateway"
 	"gypsumvale/internal/settings"
 	"gypsumvale/internal/standin/hosted"
 )
@@ -214,3 +215,32 @@
 		})
 	})
 }
+
+// An order that waited for its engine to finish prefills was sent with the fencing number of the term in which it had been planned, though that
+// term had ended and the leader had been elected again.
+func TestOrderOfEndedTerm(t *testing.T) {
+	t.Parallel()
+	Convey("a leader that is elected again while it drains an engine for an order", t, func() {
+		s := startLeaderSite(1, 3*time.Second, unchanged)
+		time.Sleep(s.lease)
+		copied := s.store.Copy().Without("gypsum/lead", "gypsum/last")
+		s.second.stop()
+		s.eachEndpoint(hosted.EndpointFault{StartDelay: 5 * time.Second})
+		waiting := make(chan response, 1)
+		go func() { waiting <- s.send(s.first, http.MethodPost, "/redraft/", "waits") }()
+		Reset(func() { <-waiting })
+		// By then the leader has sent the request to the engine.
+		time.Sleep(300 * time.Millisecond)
+		s.announce(2)
+		eventually("an order is planned", func() bool { return gateway.OrdersInProgress(s.first.node) > 0 })
+		release := gateway.HoldPlacement(s.first.node)
+		s.store.Restore(copied)
+		eventually("the leader is elected again", func() bool { return s.leaderName() == s.first.cfg.Name })
+		elected := time.Now()
+		release()
+		Convey("doesn't send the order before the new term's wait is over", func() {
+			time.Sleep(time.Until(elected.Add(s.lease - 500*time.Millisecond)))
+			So(s.orders.all(), ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -211,7 +211,7 @@
 	case w.node.notices.permit(e.Incarnation()) != nil:
 		w.failOrder(e, "barred", nil)
 		return
-	case !w.canSendOrder():
+	case !w.canSendOrder(o):
 		w.finishOrder(ctx, e, "lease_lapsing")
 		return
 	}
@@ -285,11 +285,11 @@
 	}
 }
 
-// canSendOrder checks immediately before sending that the lease outlasts the sending.
-func (w *weightRollout) canSendOrder() bool {
+// canSendOrder checks immediately before sending that the term in which an order was planned goes on, and that its lease outlasts the sending.
+func (w *weightRollout) canSendOrder(o *rollout.Order) bool {
 	now := clock.Now()
 	fence, _, until := w.node.leadership.term()
-	return w.node.leadership.holdsLease(now) && now.Add(orderSendTimeout).Before(until) && fence != 0
+	return w.node.leadership.holdsLease(now) && now.Add(orderSendTimeout).Before(until) && fence == o.Fence
 }
 
 // awaitLoaded waits until an engine that executes an order runs the target version. The engine gets no new requests meanwhile.
