Don't lead on under a lease that an unanswered call may still end

What callers can see: engines get orders of two leaders in turn within LeaseMs (ONE), around a hand-over whose call to the store isn't answered.

Cause: a leader that hands over ends its lease. Without an answer it renewed the lease, and took the renewal for proof that it could go on until the lease time was over. A call without an answer may be carried out seconds later: it then ends the lease that the leader still counts on.

Ruled out: the same for a renewal or a grant that is carried out late, which only makes a lease last longer than its holder counts.

Change: without an answer the leader steps down, and the lease expires or is ended. If the store rejects the call, nothing was done, and the next renewal decides as before.

--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -204,8 +204,9 @@
 	return l.handOvers, invited
 }
 
-// handOver ends the lease in favor of a successor. Nothing is done in the lease's name from before its end on. If the store doesn't answer,
-// the lease may still be valid, and the next renewal decides whether this instance goes on leading.
+// handOver ends the lease in favor of a successor. Nothing is done in the lease's name from before its end on. If the store rejects that, the
+// lease may still be valid, and the next renewal decides whether this instance goes on leading. If the store doesn't answer, it may end the
+// lease at any later time, whatever is renewed until then, so that this instance doesn't lead under it any more.
 func (l *leadership) handOver(ctx context.Context, lease kv.Lease, successor string) {
 	l.mu.Lock()
 	l.renewedAt = clock.Now().Add(-leaderTTL)
@@ -215,6 +216,10 @@
 	defer cancel()
 	err := l.node.deps.Store.End(ctx, lease)
 	l.node.countStoreCall("end_lead", err)
+	if errors.Is(err, kv.ErrUnavailable) {
+		l.stepDown(err)
+		return
+	}
 	if err != nil {
 		l.setUncertain(true, err)
 		l.nextRenewal = 0
