Send no free order that outlasts the leader's lease

What callers can see: a request takes memory from a part of a cache store that is freed meanwhile (MIXED).

Cause: a lease that is valid when a free order is made was taken for proof that the order is the only one's. A store may execute it up to 0.7 s later. By then the lease may have ended, and a new leader, which lists the store at once, may have granted a fetch of the part.

Ruled out: saves and frees of a new leader, which wait 3 s and 8.5 s; grants of an earlier leader's fetches, which these waits cover.

Change: Free gets the end of the lease, and returns no orders that a store could execute after it. A leader renews its lease every 0.4 s for 1.5 s, so that this rarely delays an order.

Before: TestCacheStores, "orders nothing that a store may execute when another owner grants fetches", got an order until 0.7 s later with 0.5 s of the lease left. After: the tests of placement pass.

--- a/internal/coordination/placement/pool_test.go
+++ b/internal/coordination/placement/pool_test.go
@@ -410,7 +410,7 @@
 		list := placement.StoreListing{Epoch: 7, ClockMillis: 1000}
 		p.ApplyStoreListing(start, "d", &list)
 		updateAll(p, start)
-		ready := start.Add(10 * time.Second)
+		ready, leaseEnd := start.Add(10*time.Second), start.Add(time.Hour)
 		Convey("saves nothing until the saves of a previous owner have begun", func() {
 			So(place(p, start.Add(time.Second), newRequest("c", 8000)).SaveTo, ShouldBeNil)
 		})
@@ -469,16 +469,28 @@
 		})
 		Convey("frees contexts of weights that no endpoint runs", func() {
 			updateAll(p, ready, placement.CacheEvent{Added: true, Space: c.CacheSpace, Part: "c", Tokens: 8000})
-			So(p.Free(ready), ShouldBeEmpty)
+			So(p.Free(ready, leaseEnd), ShouldBeEmpty)
 			for _, e := range endpoints(2) {
 				p.WeightsLoaded(e.ID, model, 2)
 			}
 			updateAll(p, ready.Add(time.Second))
-			orders := p.Free(ready.Add(time.Second))
+			orders := p.Free(ready.Add(time.Second), leaseEnd)
 			So(orders, ShouldHaveLength, 1)
 			So(orders[0].Epoch, ShouldEqual, 7)
 			So(orders[0].Parts, ShouldHaveLength, 1)
 		})
+		Convey("orders nothing that a store may execute when another owner grants fetches", func() {
+			updateAll(p, ready, placement.CacheEvent{Added: true, Space: c.CacheSpace, Part: "c", Tokens: 8000})
+			for _, e := range endpoints(2) {
+				p.WeightsLoaded(e.ID, model, 2)
+			}
+			now := ready.Add(time.Second)
+			updateAll(p, now)
+			So(p.Free(now, now.Add(500*time.Millisecond)), ShouldBeEmpty)
+			orders := p.Free(now, now.Add(time.Second))
+			So(orders, ShouldHaveLength, 1)
+			So(orders[0].UntilMillis, ShouldBeLessThanOrEqualTo, 1000+time.Second.Milliseconds())
+		})
 		Convey("frees nothing that a granted fetch may still read", func() {
 			updateAll(p, ready, placement.CacheEvent{Added: true, Space: c.CacheSpace, Part: "c", Tokens: 8000})
 			p.SetEndpoints(nil)
@@ -489,14 +501,14 @@
 				p.WeightsLoaded(e.ID, model, 2)
 			}
 			updateAll(p, ready.Add(time.Second))
-			So(p.Free(ready.Add(time.Second)), ShouldBeEmpty)
+			So(p.Free(ready.Add(time.Second), leaseEnd), ShouldBeEmpty)
 			updateAll(p, ready.Add(10*time.Second))
-			So(p.Free(ready.Add(10*time.Second)), ShouldHaveLength, 1)
+			So(p.Free(ready.Add(10*time.Second), leaseEnd), ShouldHaveLength, 1)
 		})
 		Convey("neither saves nor frees after losing ownership", func() {
 			p.SetOwner(ready, false)
 			So(place(p, ready, withLaterDeadline(newRequest("z", 8000))).SaveTo, ShouldBeNil)
-			So(p.Free(ready), ShouldBeNil)
+			So(p.Free(ready, leaseEnd), ShouldBeNil)
 		})
 	})
 }
--- a/internal/coordination/placement/retention.go
+++ b/internal/coordination/placement/retention.go
@@ -80,9 +80,10 @@
 }
 
 // Free returns orders for the parts that may be freed now: those computed with weights that are no longer in use and, where a store is
-// nearly full, the least recently used ones. The parts are removed from the pool's state first, so that no fetch of them is granted.
-func (p *Pool) Free(now clock.Instant) []FreeOrder {
-	if !p.isOwner {
+// nearly full, the least recently used ones. The parts are removed from the pool's state first, so that no fetch of them is granted. After the
+// end of the owner's lease another one may grant such fetches, so that no order is returned that a store could still execute then.
+func (p *Pool) Free(now, leaseEnd clock.Instant) []FreeOrder {
+	if !p.isOwner || now.Add(freeOrderTimeout) > leaseEnd {
 		return nil
 	}
 	live := p.liveSpaces(now)
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -187,10 +187,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Now()
+	_, _, leaseEnd := p.node.leadership.term()
 	var orders []placement.FreeOrder
 	for _, pool := range p.pools {
 		pool.SetOwner(now, p.node.leadership.holdsLease(now))
-		orders = append(orders, pool.Free(now)...)
+		orders = append(orders, pool.Free(now, leaseEnd)...)
 	}
 	return orders
 }
