Correct two comments on when a leader's term begins

A term begins with its election, whenever the rollout first asks for it; the comments still told of the first comparison after it. No behavior changes.

--- a/internal/coordination/rollout/plan.go
+++ b/internal/coordination/rollout/plan.go
@@ -82,8 +82,8 @@
 	return &Planner{cfg: cfg, pending: make(map[string]time.Time), retries: make(map[string]retry)}
 }
 
-// SetLease records that this process holds the lease until the given time, and has done so since another. A new fencing number starts a new
-// term; for the one in force, since is ignored.
+// SetLease records since when this process has held the lease, and until when it does. A new fencing number starts a new term; since is
+// ignored for the term in force.
 func (p *Planner) SetLease(fence uint64, since, until time.Time) {
 	if fence != p.term.Fence {
 		p.term = Term{Fence: fence, Since: since}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -115,8 +115,6 @@
 		w.mu.Unlock()
 		return
 	}
-	// The term begins now, even if no engine is outdated yet, so that a target version set later need not wait for the previous leader's
-	// orders to end.
 	w.updateTerm()
 	replicas, outdated, engines := w.compareVersions()
 	if len(outdated) == 0 {
