Ask an engine for a placement only once its order is unanswered

TestStartedEntryLimitsWaitByLeadersBound announces a version as soon as a leader is elected, and asks 1.5 s later for a placement on the older weights. It took for granted that a first leader sends orders at once.

The test now waits for the lease time before it announces; what it checks is unchanged.

--- a/internal/gateway/replaced_weights_test.go
+++ b/internal/gateway/replaced_weights_test.go
@@ -124,6 +124,8 @@
 		p := s.startPeer()
 		So(p.requestPlacement(1).TargetVersions, ShouldBeEmpty)
 		s.eachEndpoint(hosted.EndpointFault{OrderDelay: time.Hour})
+		// By then the leader no longer waits for orders of an earlier one, and the engine has left its order unanswered when it is asked for.
+		time.Sleep(s.entries[0].cfg.Lease)
 		So(s.store.Put("op/version/"+testModel, map[string]any{"Model": testModel, "Version": 2}), ShouldBeNil)
 		announced := time.Now()
 		expectAge := func(request func(uint64) peer.PlaceReply) {
