Keep the order of candidates after a lost lease

What callers can see: on a site with a few large instances, a small one leads after a start or a restored store, and places prompts slowly.

Change: the stagger begins when the wait is over, and again if another restoration begins it anew.

--- a/internal/gateway/leader_terms_test.go
+++ b/internal/gateway/leader_terms_test.go
@@ -304,3 +304,17 @@
 		})
 	})
 }
+
+// Candidates that waited for a lost lease stood all at once after it, so that the first to have read the store was elected, with whatever
+// processor share.
+func TestSmallInstanceElectedAfterLostLease(t *testing.T) {
+	t.Parallel()
+	Convey("a site with a preferred leader elects that one whenever a restored store has lost its term", t, func() {
+		s := startLeaderSite(1, time.Second, func(number int, cfg *settings.Hosted) { cfg.CPUCores = float64(2 - number) })
+		for range 4 {
+			s.store.Restore(s.store.Copy().Without("gypsum/lead", "gypsum/last"))
+			eventually("a leader is elected", func() bool { return s.leaderName() != "" })
+			So(s.leaderName(), ShouldEqual, s.first.cfg.Name)
+		}
+	})
+}
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -51,6 +51,7 @@
 type leadership struct {
 	node *Node
 
+	// vacantSince is since when no leader's lease can be valid, as far as known here, or zero. It may be in the future.
 	vacantSince clock.Instant
 	nextAttempt clock.Instant
 	// misnamedSince is since when the store names this instance as the leader though it doesn't lead.
@@ -139,14 +140,14 @@
 		}
 		return
 	}
-	if l.vacantSince == 0 {
-		l.vacantSince = now
-		l.nextAttempt = now.Add(time.Duration(l.candidateRank()) * candidateStep)
+	if lostUntil := l.node.members.lostLeaseEnd(); l.vacantSince == 0 || l.vacantSince < lostUntil {
+		l.vacantSince = max(now, lostUntil)
+		l.nextAttempt = l.vacantSince.Add(time.Duration(l.candidateRank()) * candidateStep)
 		if l.node.handOver.standsBack(now) {
 			l.nextAttempt = l.nextAttempt.Add(leaderTTL)
 		}
 	}
-	if !now.Before(max(l.nextAttempt, l.node.members.lostLeaseEnd())) {
+	if !now.Before(l.nextAttempt) {
 		l.nextAttempt = now.Add(electionRetryPause)
 		previous, _ := l.node.members.lastLeader()
 		l.campaign(ctx, previous.HandOvers)
