Begin a new term in a restored store instead of an election

Logged: renewed_ms 1518, where the lease lasts 1500. In most of these cases nobody else has led, but nobody can tell.

Change: the leader whose name and lease the copy has begins a new term in one write, with a new fencing number and on the condition that the record is still the copy's. It is the only leader once leases that the store has lost have ended (soleFrom), and its orders wait from then on as any new leader's do. The record of the last leader stays as it is, so that candidates outwait lost leases as well.

Ruled out: more frequent renewals, which help only for outages up to the lease time.

Before: TestLeaseOfRestoredStore, "keeps its leader in a new term if the store was away for longer than the lease time", had no leader. After: passes in 3 of 3, as does TestReplacedLeaderOrdersInRestoredStore (2 of 2).

--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -64,8 +64,8 @@
 	lease     kv.Lease
 	fence     uint64
 	renewedAt clock.Instant
-	// electedAt is when this instance last became the leader.
-	electedAt clock.Instant
+	// soleFrom is from when on no leader of an earlier term can act.
+	soleFrom clock.Instant
 	// successor is the instance to which the lease is to be handed over, or empty.
 	successor string
 	// invitedUntil is when the invitation of a leader that has handed over lapses, and handOvers the number of hand-overs that it named.
@@ -73,11 +73,12 @@
 	handOvers    int
 }
 
-// holdsLease reports whether this instance holds a valid lease, counted from when its last renewal was sent.
+// holdsLease reports whether this instance is the only leader: it holds a valid lease, counted from when its last renewal was sent, and no
+// earlier lease can be valid.
 func (l *leadership) holdsLease(now clock.Instant) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.lease.IsZero() && now.Sub(l.renewedAt) < leaderTTL
+	return !l.lease.IsZero() && now.Sub(l.renewedAt) < leaderTTL && !now.Before(l.soleFrom)
 }
 
 // mayStillLead reports whether this instance became the leader and is not known to have been replaced, though its lease may have expired.
@@ -87,11 +88,11 @@
 	return !l.lease.IsZero()
 }
 
-// term returns the fencing number, when this instance became the leader, and the end of the lease. No other instance leads in between.
+// term returns the fencing number, from when on this instance is the only leader, and the end of the lease.
 func (l *leadership) term() (fence uint64, since, until clock.Instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fence, l.electedAt, l.renewedAt.Add(leaderTTL)
+	return l.fence, l.soleFrom, l.renewedAt.Add(leaderTTL)
 }
 
 func (l *leadership) run(ctx context.Context) {
@@ -272,21 +273,20 @@
 	}
 }
 
-// keepAfterRestoration keeps leading if the store was restored from a copy that has this instance as the leader, under the same lease, and the
-// lease had not ended before: then no other instance has led since the copy was made. The next step renews the lease.
+// keepAfterRestoration keeps leading if the store was restored from a copy that has this instance as the leader, under the same lease. The
+// next step renews the lease.
 //
-// The copy alone is no proof. Once the lease has ended, another instance may have led, and the store has lost its term.
+// If the lease had not ended before, no other instance has led since the copy was made, and the term goes on. The copy alone is no proof of
+// that: once the lease has ended, another instance may have led, and the store has lost its term. Then a new term begins.
 func (l *leadership) keepAfterRestoration(ctx context.Context, lease kv.Lease) bool {
 	item, err := l.node.deps.Store.Get(ctx, leaderKey)
 	l.node.countStoreCall("read_lead", err)
-	if err != nil || item.Lease.Number != lease.Number || item.Lease.Era != lease.Era+1 ||
+	if err != nil || item.Lease.Number != lease.Number || item.Lease.Era <= lease.Era ||
 		l.node.members.leaderOf(item).Name != l.node.cfg.Name {
 		return false
 	}
-	if !l.holdsLease(clock.Now()) {
-		// Another leader can be elected at once instead of when the copy's lease expires.
-		l.endLease(ctx, item.Lease)
-		return false
+	if item.Lease.Era != lease.Era+1 || !l.holdsLease(clock.Now()) {
+		return l.renewTerm(ctx, item)
 	}
 	l.mu.Lock()
 	l.lease = item.Lease
@@ -298,12 +298,34 @@
 	return true
 }
 
-// endLease ends a lease of the leader's key; if that fails, the lease expires.
-func (l *leadership) endLease(ctx context.Context, lease kv.Lease) {
-	err := l.node.deps.Store.End(ctx, lease)
-	l.node.countStoreCall("end_lead", err)
-	l.node.log.Info(event.LeaderChanged, "lease of an earlier term ended", zap.Uint64("era", lease.Era), zap.Error(err))
+// renewTerm begins a new term in a restored store whose copy has this instance as the leader, instead of an election, after which another
+// instance would have to rebuild what this one knows. Leases that the store has lost end first. The record of the last leader stays that of
+// an earlier era, so that candidates outwait these leases as well.
+func (l *leadership) renewTerm(ctx context.Context, item kv.Item) bool {
+	sent := clock.Now()
+	lease, err := l.node.deps.Store.Grant(ctx, leaderTTL)
+	l.node.countStoreCall("grant_lead", err)
+	if err != nil || lease.Era != item.Lease.Era {
+		return false
+	}
+	fence, err := l.node.deps.Store.Commit(ctx, kv.Transaction{
+		Conditions: []kv.Condition{{Key: leaderKey, Revision: item.Revision}},
+		Writes:     []kv.Write{{Key: leaderKey, Data: item.Data, Lease: lease}},
+	})
+	l.node.countStoreCall("take_lead", err)
+	if err != nil {
+		return false
+	}
+	renewed := l.renewedField()
+	l.mu.Lock()
+	l.lease, l.fence, l.renewedAt, l.soleFrom = lease, uint64(fence), sent, clock.Now().Add(leaderTTL)
+	l.successor = ""
+	l.mu.Unlock()
+	l.uncertain = false
+	l.node.log.Warn(event.LeaderChanged, "leadership renewed in the restored store", zap.Uint64("fence", uint64(fence)),
+		zap.Uint64("era", lease.Era), renewed)
 	l.node.poller.wake()
+	return true
 }
 
 // setUncertain records whether the lease may have expired, and logs a change.
@@ -387,7 +409,7 @@
 		return
 	}
 	l.mu.Lock()
-	l.lease, l.fence, l.renewedAt, l.electedAt = lease, uint64(fence), sent, clock.Now()
+	l.lease, l.fence, l.renewedAt, l.soleFrom = lease, uint64(fence), sent, clock.Now()
 	l.successor = ""
 	l.mu.Unlock()
 	l.node.handOver.beginTerm(sent, handOvers)
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -98,6 +98,19 @@
 				So(s.store.ModRevision("gypsum/last"), ShouldEqual, elected)
 			}
 		})
+		Convey("keeps its leader in a new term if the store was away for longer than the lease time", func() {
+			copied := s.store.Copy()
+			written, elected := s.store.ModRevision("gypsum/lead"), s.store.ModRevision("gypsum/last")
+			s.store.SetFault(hosted.StoreFault{Down: true})
+			time.Sleep(2 * time.Second)
+			s.store.Restore(copied)
+			s.store.SetFault(hosted.StoreFault{})
+			for until := time.Now().Add(2500 * time.Millisecond); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+				So(s.leaderName(), ShouldEqual, first)
+				So(s.store.ModRevision("gypsum/last"), ShouldEqual, elected)
+			}
+			So(s.store.ModRevision("gypsum/lead"), ShouldBeGreaterThan, written)
+		})
 		Convey("elects a leader if the copy lacks the leader's lease", func() {
 			copied := s.store.Copy()
 			for _, e := range s.entries {
