Tell a new leader which requests are running

Cause: a new leader knew nothing of the requests that earlier leaders, or entries without one, had placed.

Change: entries track their running prompts and report them to a leader that hasn't placed them; the leader asks for it where it has lost them.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -75,6 +75,7 @@
 	RequestRejected         Number = 812
 	PlacementOwnerChanged   Number = 813
 	PlacementStalled        Number = 814
+	RunningReported         Number = 815
 	RelayChanged            Number = 613
 	StoreUsageReported      Number = 614
 	CacheStreamChanged      Number = 610
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -43,6 +43,8 @@
 		return record(body, (*Node)(h).recordReportedCrash)
 	case peer.KindPartsCleared:
 		return record(body, func(m *peer.PartsCleared) { h.suspects.recordAnswer(m.Service, m.Parts, clock.Now().Add(-m.Age)) })
+	case peer.KindRunning:
+		return answer(body, func(m *peer.RunningReport) any { return h.adoptRunning(from, m) })
 	case peer.KindHandOver:
 		return record(body, func(m *peer.HandOver) { h.leadership.invite(from.Name, m.Count) })
 	case peer.KindEndpointNotice:
@@ -96,7 +98,17 @@
 		req.TargetDeadline = now.Add(msg.TargetTimeout)
 	}
 	choice, err := h.placer.placeLocally(&req)
-	return h.placeReply(&req, choice, err)
+	reply := h.placeReply(&req, choice, err)
+	reply.ReportRunning = !h.placer.hasReported(from.Incarnation)
+	return reply
+}
+
+// adoptRunning counts a peer's running requests as load.
+func (h *handler) adoptRunning(from peer.Hello, msg *peer.RunningReport) peer.RunningReply {
+	adopted := h.placer.AdoptRunning(from.Incarnation, msg.Runs)
+	h.log.Info(event.RunningReported, "running requests adopted", zap.String("entry", from.Name), zap.Int("running", len(msg.Runs)),
+		zap.Int("adopted", adopted))
+	return peer.RunningReply{Adopted: adopted}
 }
 
 // placeReply returns the reply to a placement request. With older weights it carries what is known here of the announcement of newer ones,
@@ -195,6 +207,9 @@
 	if err != nil {
 		return placement.Choice{}, err
 	}
+	if placed.ReportRunning {
+		n.wg.Go(func() { n.running.Report(n.background, name, true) })
+	}
 	switch placed.Verdict {
 	case peer.VerdictPlaced:
 		if len(placed.TargetVersions) > 0 {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -117,12 +117,17 @@
 func (m *members) connectLeader(ctx context.Context) {
 	name := m.owner()
 	network, address, ok := m.peer(name)
+	if name == m.node.cfg.Name && name != "" {
+		m.node.running.Report(ctx, name, false)
+	}
 	if !ok || name == m.node.cfg.Name {
 		return
 	}
 	if err := network.Connect(ctx, name, address); err != nil {
 		m.node.log.Info(event.PlacementOwnerChanged, "failed to connect to the new leader", zap.String("leader", name), zap.Error(err))
+		return
 	}
+	m.node.running.Report(ctx, name, false)
 }
 
 // digestItems returns a digest of the keys and revisions of a set of items.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -12,6 +12,7 @@
 	"gypsumvale/internal/coordination/freshness"
 	"gypsumvale/internal/duty"
 	"gypsumvale/internal/event"
+	"gypsumvale/internal/loadsync"
 	"gypsumvale/internal/metric"
 	"gypsumvale/internal/settings"
 	"gypsumvale/internal/state/clock"
@@ -37,6 +38,7 @@
 	confirmation freshness.Confirmation
 	upstreams    *upstream.Pool
 	placer       *placer
+	running      *loadsync.Reporter
 	suspects     *suspects
 	notices      *notices
 	blocks       *blocks
@@ -70,6 +72,7 @@
 	n.metrics.SetSettings(cfg.Name, cfg.Digest, bounds.Digest())
 	n.upstreams = upstream.NewPool(n.metrics.Dials.Inc)
 	n.placer = newPlacer(n)
+	n.running = loadsync.New(cfg.Name, n.incarnation, log, n, n.placer)
 	n.suspects = newSuspects()
 	n.notices = newNotices(n)
 	deps.Engines.Observe(n.notices.recordCall)
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -34,6 +34,8 @@
 	targets      map[string][]placement.TargetVersion
 	// waiters holds, by queued request, the channel that receives its grant.
 	waiters map[placement.AssignmentID]chan placement.Grant
+	// reported holds the leader's term, by the fencing number, in which each entry has reported its running requests.
+	reported map[string]uint64
 	// storeService is the service whose pool manages the cache stores.
 	storeService string
 }
@@ -41,7 +43,7 @@
 func newPlacer(n *Node) *placer {
 	return &placer{
 		node: n, reachability: placement.NewReachability(), pools: make(map[string]*placement.Pool),
-		targets: make(map[string][]placement.TargetVersion), waiters: make(map[placement.AssignmentID]chan placement.Grant),
+		targets: make(map[string][]placement.TargetVersion), waiters: make(map[placement.AssignmentID]chan placement.Grant), reported: make(map[string]uint64),
 	}
 }
 
@@ -301,13 +303,16 @@
 	return choice, nil
 }
 
-// reportFirstEvent reports a request's first event to the instance that placed it; an empty owner is this instance.
+// reportFirstEvent reports a request's first event to the instance that placed it, where an empty owner is this instance, and to leaders that
+// have been told of the request since.
 func (p *placer) reportFirstEvent(req *placement.Request, owner string) {
-	if owner != "" {
-		p.node.notify(owner, peer.KindAssignmentUpdate, peer.AssignmentUpdate{Service: req.Service, Number: req.ID.Number})
-		return
+	for _, name := range append(p.node.running.FirstEvent(req.ID.Number, owner), owner) {
+		if name == "" {
+			p.recordFirstEvent(req)
+			continue
+		}
+		p.node.notify(name, peer.KindAssignmentUpdate, peer.AssignmentUpdate{Service: req.Service, Number: req.ID.Number})
 	}
-	p.recordFirstEvent(req)
 }
 
 // assignmentEnd is how an assignment ended.
@@ -319,15 +324,18 @@
 	crash *peer.CrashReport
 }
 
-// reportEnd reports the end of an assignment to the instance that placed it; an empty owner is this instance.
+// reportEnd reports the end of an assignment to the instance that placed it, where an empty owner is this instance, and to leaders that have
+// been told of the request since.
 func (p *placer) reportEnd(req *placement.Request, owner string, end assignmentEnd) {
-	if owner != "" {
-		p.node.notify(owner, peer.KindAssignmentUpdate, peer.AssignmentUpdate{
+	for _, name := range append(p.node.running.End(req.ID.Number, owner), owner) {
+		if name == "" {
+			p.recordEnd(req, end)
+			continue
+		}
+		p.node.notify(name, peer.KindAssignmentUpdate, peer.AssignmentUpdate{
 			Service: req.Service, Number: req.ID.Number, Outcome: end.outcome, Version: end.version, Crash: end.crash,
 		})
-		return
 	}
-	p.recordEnd(req, end)
 }
 
 const (
@@ -442,6 +450,7 @@
 func (p *placer) dropEntry(incarnation string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.reported, incarnation)
 	for _, pool := range p.pools {
 		pool.DropEntry(incarnation)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -239,6 +239,7 @@
 			return
 		}
 		j.choice, j.owner, j.placedAt = choice, owner, clock.Now()
+		n.running.Placed(&j.placementReq, &choice, owner)
 		if refused := j.authorize(clock.Now()); refused != nil {
 			n.placer.reportEnd(&j.placementReq, owner, assignmentEnd{outcome: placement.OutcomeWithdrawn})
 			j.fail(ctx, refused)
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -69,6 +69,28 @@
 	TargetVersions []TargetVersion `msgpack:",omitempty"`
 	// Paused is true if the request was rejected since all endpoints want none of the requesting instance for a while.
 	Paused bool `msgpack:",omitempty"`
+	// ReportRunning is true if the replying instance doesn't know the running requests that others have placed for the requesting one.
+	ReportRunning bool `msgpack:",omitempty"`
+}
+
+// RunningReport tells a leader of the sender's running requests that other instances have placed.
+type RunningReport struct {
+	Runs []RunningRequest
+}
+
+// RunningRequest is a request that runs at an endpoint. Deadline is the time that remains.
+type RunningRequest struct {
+	Request placement.Request
+	Choice  placement.Choice
+	// Begun is true once the first event of the answer has arrived.
+	Begun    bool `msgpack:",omitempty"`
+	Deadline time.Duration
+}
+
+// RunningReply is the reply to a report of running requests.
+type RunningReply struct {
+	// Adopted is the number of requests that the replying instance didn't know.
+	Adopted int
 }
 
 // AssignmentUpdate reports the first event of an assignment to the owner of the placement, or its end.
