Send no requests to endpoints in zones that the operator evacuates

The operator had no way to keep requests out of a zone: nothing read op/evacuate/ZONE. The set of evacuated zones is now read with each poll of the store and sent whole to the other entries, in sync and catch-up replies, with the revision and age of the read. Placement excludes the zones on all paths; the sender checks again directly before the bytes go out, and a placement withdrawn for that is no attempt. Without endpoints in other zones the reason is zones_evacuated, with a Retry-After.

The keys are kept out of the operator's items that peers exchange: a removed key would never be noticed there, and a relay that starts after the removal would never reach the newest revision of the others. A relay of an earlier release still passes new keys on as items; while a zone is evacuated an entry behind such a relay reads the store itself, since the removal doesn't show there.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -83,6 +83,9 @@
 		return Choice{}, errAllBusy
 	}
 	if best.endpoint == nil {
+		if p.allEvacuated() {
+			return Choice{}, ErrZonesEvacuated
+		}
 		if until := p.pausedUntil(now, req); until != 0 {
 			return Choice{}, pauseError(now, until, req)
 		}
@@ -191,7 +194,7 @@
 	for _, s := range p.endpointList {
 		p.checks++
 		switch {
-		case s.version[req.Model] < oldest || contains(req.Avoid, s.ID):
+		case s.version[req.Model] < oldest || contains(req.Avoid, s.ID) || p.evacuated(s.Zone):
 		case p.barred(now, s, req):
 			busy = busy || q != nil && !p.leaves(now, s)
 		case p.available(now, s, req):
@@ -213,15 +216,16 @@
 	fetch    fetch
 }
 
-// available reports whether an endpoint is usable, takes requests of the entry, and is not in a zone that seems unreachable from the caller's.
+// available reports whether an endpoint is usable, takes requests of the entry, and is not in a zone that is evacuated or seems unreachable from
+// the caller's.
 func (p *Pool) available(now clock.Instant, s *endpointState, req *Request) bool {
-	return s.usable(now) && !p.barred(now, s, req) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone)
+	return s.usable(now) && !p.evacuated(s.Zone) && !p.barred(now, s, req) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone)
 }
 
 // evaluate estimates the time to the first event on one endpoint, and the cost by which endpoints are compared.
 func (p *Pool) evaluate(now clock.Instant, s *endpointState, req *Request, home string, known int, meanErrorRate float64) candidate {
 	p.evaluations++
-	c := Choice{Endpoint: s.ID, Address: s.Address, StartMilli: s.StartMilli}
+	c := Choice{Endpoint: s.ID, Address: s.Address, Zone: s.Zone, StartMilli: s.StartMilli}
 	if p.engine == nil || req.Model == "" {
 		return p.evaluatePlain(now, s, req, c, meanErrorRate)
 	}
@@ -313,10 +317,10 @@
 
 // homeEndpoint returns the endpoint to which entries that don't coordinate all send a context.
 func (p *Pool) homeEndpoint(req *Request) string {
-	if !req.Uncoordinated || req.Model == "" || len(req.Parts) < 2 || len(p.endpointIDs) == 0 {
+	if !req.Uncoordinated || req.Model == "" || len(req.Parts) < 2 {
 		return ""
 	}
-	return rank.First(req.Parts[len(req.Parts)-2].ID, p.endpointIDs)
+	return rank.First(req.Parts[len(req.Parts)-2].ID, p.homeCandidates())
 }
 
 func (p *Pool) meanErrorRate() float64 {
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -163,7 +163,7 @@
 	slots := 0
 	p.checks += uint64(len(p.endpointList))
 	for _, s := range p.endpointList {
-		if s.usable(now) && !p.leaves(now, s) {
+		if s.usable(now) && !p.takesNone(now, s) {
 			slots += s.Slots
 		}
 	}
@@ -199,7 +199,7 @@
 	oldest := p.oldestUsableVersion(now, req.Model)
 	p.checks += uint64(len(p.endpointList))
 	for _, s := range p.endpointList {
-		if s.usable(now) && s.version[req.Model] >= oldest && !p.leaves(now, s) {
+		if s.usable(now) && s.version[req.Model] >= oldest && !p.takesNone(now, s) {
 			tokens += s.prefillTokens
 			rate += p.cfg.PrefillRate * prefillRateShare
 		}
@@ -370,7 +370,7 @@
 	room := enginesWithRoom{complete: len(engines) == len(p.endpointList), noneUsable: len(engines) == len(p.endpointList)}
 	p.checks += uint64(len(engines))
 	for _, s := range engines {
-		if !s.usable(now) || p.leaves(now, s) {
+		if !s.usable(now) || p.takesNone(now, s) {
 			continue
 		}
 		room.noneUsable = false
--- a/internal/coordination/placement/retention.go
+++ b/internal/coordination/placement/retention.go
@@ -46,7 +46,7 @@
 // storedAnywhere reports whether any store has a part, has reserved space for it or holds an incomplete copy.
 func (p *Pool) storedAnywhere(key cacheKey) bool { return len(p.storeIndex[key]) > 0 }
 
-// emptiestStore returns the store with the largest share of free space, preferring stores in the zone.
+// emptiestStore returns the store with the largest share of free space, preferring stores in the zone. Stores in evacuated zones get no saves.
 func (p *Pool) emptiestStore(now clock.Instant, zone string, tokens int) *storeState {
 	var best *storeState
 	bestScore := 0.0
@@ -54,7 +54,7 @@
 		p.checks++
 		s := p.stores[name]
 		free := s.Capacity - s.usedTokens - roundToBlocks(tokens)
-		if free < 0 || !s.usable(now) || now.Before(s.noSaveUntil) {
+		if free < 0 || !s.usable(now) || now.Before(s.noSaveUntil) || p.evacuated(s.Zone) {
 			continue
 		}
 		score := float64(free) / float64(s.Capacity)
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -66,6 +66,8 @@
 type Choice struct {
 	Endpoint string
 	Address  string
+	// Zone is the endpoint's zone; empty if the instance that chose doesn't tell.
+	Zone string `msgpack:",omitempty"`
 	// StartMilli identifies the endpoint's incarnation; zero if the instance that chose doesn't tell.
 	StartMilli int64 `msgpack:",omitempty"`
 	// Version is the weight version that the endpoint is believed to run; zero for plain services.
@@ -147,6 +149,8 @@
 	Suspicions Suspicions
 	// Notices is nil if endpoints say nothing of themselves.
 	Notices Notices
+	// Evacuations is nil if no zones are evacuated.
+	Evacuations Evacuations
 }
 
 // CacheUpdate is an update from a cache: its changes after a given event number.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -60,6 +60,7 @@
 	StoreReachable          Number = 313
 	TableUnconfirmed        Number = 314
 	StoreRestored           Number = 315
+	ZoneEvacuationChanged   Number = 316
 	RegistrationChanged     Number = 410
 	RegistrationInvalid     Number = 411
 	EndpointUnresponsive    Number = 412
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,9 +46,10 @@
 	j.headReceived, j.begun, j.sentAt, j.namedVersion, j.crash = false, false, clock.Now(), 0, nil
 	j.barred, j.paused = nil, false
 	endpoint := j.node.incarnationOf(choice)
+	defer j.node.evacuations.begin(choice)()
 	resp, err := j.send(watchedCtx, choice, endpoint)
-	if barred := (*barredError)(nil); errors.As(err, &barred) {
-		j.barred = barred
+	if reason := withheld(err); reason != nil {
+		j.barred = reason
 		return retry.NotSent, placement.OutcomeWithdrawn
 	}
 	if err != nil && errors.Is(context.Cause(watchedCtx), errNotStarted) {
@@ -90,7 +91,12 @@
 // send sends the request with the dispatch headers; time-dependent values are computed at the time of sending.
 func (j *job) send(ctx context.Context, choice *placement.Choice, endpoint registration.Incarnation) (*upstream.Response, error) {
 	headers, notices := j.node.deps.Headers, j.node.notices
-	permit := func() error { return notices.permit(endpoint) }
+	permit := func() error {
+		if err := j.node.evacuations.permit(choice); err != nil {
+			return err
+		}
+		return notices.permit(endpoint)
+	}
 	if err := permit(); err != nil {
 		return nil, fmt.Errorf("attempt: %w", err)
 	}
--- a/internal/gateway/catch_up.go
+++ b/internal/gateway/catch_up.go
@@ -117,6 +117,7 @@
 	if err := network.Call(ctx, name, address, peer.KindCatchUp, request, &reply); err != nil {
 		return false
 	}
+	c.node.evacuations.applyPeer(sent, reply.Evacuated)
 	if reply.Configuration != nil {
 		c.node.configuration.apply(fromPeerItems([]peer.Item{*reply.Configuration}))
 	}
@@ -126,7 +127,9 @@
 
 // serveCatchUp answers a peer that has started.
 func (n *Node) serveCatchUp(request *peer.CatchUpRequest) peer.CatchUpReply {
+	now := clock.Now()
 	return peer.CatchUpReply{
-		TargetVersions: n.placer.sharedTargets(clock.Now(), false), Configuration: n.configuration.newerThan(request.TableVersion),
+		TargetVersions: n.placer.sharedTargets(now, false), Configuration: n.configuration.newerThan(request.TableVersion),
+		Evacuated: n.evacuations.forPeer(now),
 	}
 }
--- a/internal/gateway/dependencies.go
+++ b/internal/gateway/dependencies.go
@@ -31,6 +31,7 @@
 	RegistrationPrefix() string
 	IsConfiguration(key string) bool
 	IsTargetVersion(key string) bool
+	EvacuatedZone(key string) (zone string, ok bool)
 	Configuration(item kv.Item) (*route.Table, error)
 	TargetVersion(item kv.Item) (model string, version int, err error)
 	Registration(item kv.Item) (*registration.Registration, error)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -122,7 +122,7 @@
 			Verdict: peer.VerdictOverloaded, RetryAfter: overload.RetryAt.Sub(clock.Now()), Expected: overload.Expected, Paused: overload.Paused,
 		}
 	case errors.Is(err, placement.ErrNoEndpoint):
-		return peer.PlaceReply{Verdict: peer.VerdictNoEndpoint}
+		return peer.PlaceReply{Verdict: peer.VerdictNoEndpoint, ZonesEvacuated: errors.Is(err, placement.ErrZonesEvacuated)}
 	case errors.Is(err, placement.ErrBlocked):
 		return peer.PlaceReply{Verdict: peer.VerdictBlocked}
 	}
@@ -202,6 +202,9 @@
 		}
 		return placed.Choice, nil
 	case peer.VerdictNoEndpoint:
+		if placed.ZonesEvacuated {
+			return placement.Choice{}, placement.ErrZonesEvacuated
+		}
 		return placement.Choice{}, placement.ErrNoEndpoint
 	case peer.VerdictBlocked:
 		return placement.Choice{}, placement.ErrBlocked
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -39,6 +39,7 @@
 	placer       *placer
 	suspects     *suspects
 	notices      *notices
+	evacuations  *evacuations
 	blocks       *blocks
 	retryBudgets *retryBudgets
 
@@ -72,6 +73,7 @@
 	n.placer = newPlacer(n)
 	n.suspects = newSuspects()
 	n.notices = newNotices(n)
+	n.evacuations = newEvacuations(n)
 	deps.Engines.Observe(n.notices.recordCall)
 	deps.Caches.Observe(n.notices.recordCall)
 	n.blocks = newBlocks(n)
@@ -185,6 +187,7 @@
 		n.upstreams.Sweep(now, func(address string) bool { return inUse[address] })
 		n.placer.removeExpired(now)
 		n.notices.sweep(now)
+		n.evacuations.sweep(now)
 		n.metrics.InFlight.Set(float64(n.inFlight.Load()))
 	})
 }
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -59,7 +59,7 @@
 	if pool == nil {
 		pool = placement.NewPool(placement.Config{
 			PrefillRate: float64(p.node.cfg.PrefillRate), OldWeightsGrace: p.node.bounds.Load().OldWeightsGrace - oldWeightsMargin,
-			Reachability: p.reachability, Suspicions: p.node.suspects, Notices: p.node.notices,
+			Reachability: p.reachability, Suspicions: p.node.suspects, Notices: p.node.notices, Evacuations: p.node.evacuations,
 		})
 		for model, list := range p.targets {
 			for _, target := range list {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -195,6 +195,9 @@
 		// The relay has just started and is reading the store.
 		return syncDone
 	}
+	// The reported ages hold as of this time, or an earlier one if the answer was delayed.
+	asOf := sent.Add(update.Delay)
+	n.evacuations.applyRelayed(asOf, &update)
 	if kv.Revision(update.RegistrationsRevision).Era() < n.discovery.revision().Era() {
 		// The relay has not read the store since it was restored from a copy.
 		return syncFailed
@@ -206,8 +209,6 @@
 		}
 		return syncFailed
 	}
-	// The reported ages hold as of this time, or an earlier one if the answer was delayed.
-	asOf := sent.Add(update.Delay)
 	n.configuration.applyRelayed(asOf, &update)
 	n.learnTargetVersions(asOf, name, update.TargetVersions)
 	n.discovery.applyRelayed(asOf, &update)
@@ -259,6 +260,7 @@
 	update := peer.SyncReply{
 		Ready: n.table.Load() != nil && n.discovery.loaded.Load(), Run: n.incarnation, Seen: seen,
 		Delay: now.Sub(receivedAt), ConfirmAge: n.confirmation.Age(now), TargetVersions: n.placer.sharedTargets(now, true),
+		Evacuated: n.evacuations.forPeer(now),
 	}
 	after := kv.Revision(query.OperatorRevision)
 	if !query.Eras {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -74,7 +74,7 @@
 	// crash is the crash of the endpoint that ended the current attempt, or nil if parts of the prompt aren't charged with one.
 	crash *peer.CrashReport
 	// barred is why nothing was sent in the current attempt, or nil; withdrawals counts the placements that were given up for it.
-	barred      *barredError
+	barred      error
 	withdrawals int
 	// paused is true if the endpoint of the last attempt rejected the request and wants none for a while. It may be used again afterwards.
 	paused bool
@@ -290,24 +290,31 @@
 	// maxGrantsWithdrawn is how many of the leader's grants of a request are withdrawn before this entry places the request alone: a leader of an
 	// earlier release ignores what it is told of endpoints.
 	maxGrantsWithdrawn = 1
-	// maxWithdrawals limits how often a request is placed again since its endpoint has said meanwhile that it wants no requests.
+	// maxWithdrawals limits how often a request is placed again since its endpoint has said meanwhile that it wants no requests, or its zone is
+	// evacuated.
 	maxWithdrawals = 8
 )
 
-// withdraw prepares a request for another placement after its endpoint has turned out to want no requests. That is no attempt, since nothing
+// withdraw prepares a request for another placement after its endpoint has turned out to want no requests, or to be in an evacuated zone. That is no attempt, since nothing
 // was sent.
 func (j *job) withdraw(ctx context.Context, choice *placement.Choice) *refusal {
 	n := j.node
 	n.log.Info(event.AttemptFailed, "placement withdrawn", zap.String("request", j.head.ID), zap.String("endpoint", choice.Endpoint),
 		zap.Error(j.barred))
 	j.withdrawals++
+	evacuated := errors.As(j.barred, new(*evacuatedError))
+	if evacuated {
+		n.metrics.EvacuationWithdrawals.Inc()
+	}
 	switch {
 	case ctx.Err() != nil:
 		return unavailable("deadline", clock.Now().Add(shortRetryDelay))
 	case j.withdrawals > maxWithdrawals:
 		return unavailable("no_endpoint", clock.Now().Add(shortRetryDelay))
 	}
-	n.notices.reportAgain()
+	if !evacuated {
+		n.notices.reportAgain()
+	}
 	return nil
 }
 
@@ -326,6 +333,8 @@
 		return unavailable("endpoints_paused", overload.RetryAt)
 	case errors.As(err, &overload):
 		return unavailable("overload", overload.RetryAt)
+	case errors.Is(err, placement.ErrZonesEvacuated):
+		return unavailable("zones_evacuated", clock.Now().Add(evacuationRetryDelay))
 	case errors.Is(err, placement.ErrBlocked):
 		return refusalOfBlockedParts()
 	case errors.Is(err, placement.ErrSuspected):
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -117,7 +117,9 @@
 }
 
 func (s *site) addEndpoint(cfg hosted.EndpointConfig) *hosted.Endpoint {
-	cfg.Zone = "plateau"
+	if cfg.Zone == "" {
+		cfg.Zone = "plateau"
+	}
 	if cfg.Slots == 0 {
 		cfg.Slots = 16
 	}
--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -69,7 +69,7 @@
 	forced := true
 	for {
 		wait := pollRetryPause
-		if forced || !s.node.relay.suffices(clock.Now()) {
+		if forced || !s.node.relay.suffices(clock.Now()) || s.node.evacuations.readsAlone() {
 			started := clock.Now()
 			err := s.poll(ctx)
 			s.logReachability(err)
@@ -221,7 +221,9 @@
 func (s *storePoller) applyFront(ctx context.Context, sent clock.Instant, revision kv.Revision, items *storeItems) error {
 	n := s.node
 	n.configuration.recordEra(clock.Now(), revision.Era())
-	changed := n.configuration.apply(items.operator)
+	// Evacuations come first: with a configuration that is in force, requests are sent.
+	changed := n.evacuations.applyListing(sent, revision, items.operator)
+	changed = n.configuration.apply(items.operator) || changed
 	s.confirmConfiguration(ctx, sent, items.operator)
 	if n.members.apply(revision, items.own) || changed {
 		n.relay.publish()
--- a/internal/metric/hosted.go
+++ b/internal/metric/hosted.go
@@ -24,6 +24,10 @@
 	DispatchDelay prometheus.Gauge
 	Settings      *prometheus.GaugeVec
 	Reloads       *prometheus.CounterVec
+
+	Evacuated             *prometheus.GaugeVec
+	EvacuatedRunning      *prometheus.GaugeVec
+	EvacuationWithdrawals prometheus.Counter
 }
 
 // SetSettings records the digests of the settings file in force on an instance and of its bounds.
@@ -55,8 +59,14 @@
 		Settings: prometheus.NewGaugeVec(gaugeOpts("settings_info", "One for the settings file in force, by its digest and that of its bounds."),
 			[]string{"instance", "digest", "bounds"}),
 		Reloads: newCounterVec("settings_reloads_total", "Changed settings files by result: applied, invalid, needs_restart.", "result"),
+
+		Evacuated:        prometheus.NewGaugeVec(gaugeOpts("zone_evacuated_seconds", "Time since a zone is known to be evacuated."), []string{"zone"}),
+		EvacuatedRunning: prometheus.NewGaugeVec(gaugeOpts("zone_running_requests", "Requests of this instance at endpoints of evacuated zones."), []string{"zone"}),
+		EvacuationWithdrawals: prometheus.NewCounter(
+			counterOpts("evacuation_withdrawals_total", "Placements given up before the request was sent, since the endpoint's zone is evacuated.")),
 	}
 	s.Registry.MustRegister(s.Requests, s.Latency, s.FirstEvent, s.Attempts, s.PromptTokens, s.Placements, s.StoreCalls, s.Orders, s.Dials,
-		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.Settings, s.Reloads)
+		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.Settings, s.Reloads,
+		s.Evacuated, s.EvacuatedRunning, s.EvacuationWithdrawals)
 	return s
 }
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -69,6 +69,8 @@
 	TargetVersions []TargetVersion `msgpack:",omitempty"`
 	// Paused is true if the request was rejected since all endpoints want none of the requesting instance for a while.
 	Paused bool `msgpack:",omitempty"`
+	// ZonesEvacuated is true if there is no endpoint since the zones of all are evacuated.
+	ZonesEvacuated bool `msgpack:",omitempty"`
 }
 
 // AssignmentUpdate reports the first event of an assignment to the owner of the placement, or its end.
@@ -146,6 +148,27 @@
 	SystemKeys []Item `msgpack:"Own"`
 	// TargetVersions holds the target versions of models for which older weights may still be used.
 	TargetVersions []TargetVersion
+	// Evacuated is nil if the replying instance doesn't know the set, or is of an earlier release.
+	Evacuated *EvacuatedZones `msgpack:",omitempty"`
+}
+
+// EvacuatedZones is the set of evacuated zones that is in force at the sender. It is sent whole, since a removed key leaves no trace in a
+// listing of the store. Ages hold as of the reply.
+type EvacuatedZones struct {
+	// Revision is the store's revision at which the set was read, and Age is the time since that read was sent.
+	Revision uint64
+	Age      time.Duration
+	Zones    []EvacuatedZone `msgpack:",omitempty"`
+}
+
+// EvacuatedZone is one evacuated zone.
+type EvacuatedZone struct {
+	Name string
+	// Age is for how long the zone has been known to be evacuated.
+	Age time.Duration
+	// Remaining is for how much longer the zone stays evacuated though the store, which was restored from a copy, doesn't list it; zero if
+	// the store lists it.
+	Remaining time.Duration `msgpack:",omitempty"`
 }
 
 // TargetVersion is a weight version that a model should run.
@@ -169,6 +192,8 @@
 	// Configuration is the replying instance's configuration if it is newer than the requesting instance's, which a store that was restored
 	// from a copy may have lost.
 	Configuration *Item `msgpack:"Config"`
+	// Evacuated is nil if the replying instance doesn't know the set, or is of an earlier release.
+	Evacuated *EvacuatedZones `msgpack:",omitempty"`
 }
 
 // SuccessorQuery asks whether the receiving instance would take over the lease of the sender, which leads.
