Show evacuated zones with gypsumctl, and describe them

Whether all entries have noticed an evacuation, and what still runs in the zone, was only in each entry's metrics. gypsumctl evacuations asks the metrics pages of the given entries, as gypsumctl settings does, and prints zone, since when, and what runs there.

Reading the lines of a metrics page is shared with gypsumctl settings, which now names the status if a page isn't served.

--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -40,6 +40,7 @@
 		Commands: []*cli.Command{
 			a.ticketCommand(), a.auditCommand(), a.stateCommand(), a.objectsCommand(), a.instancesCommand(),
 			a.endpointsCommand(), a.storesCommand(), a.checkCommand(), a.digestCommand(), a.settingsCommand(),
+			a.evacuationsCommand(),
 		},
 	}
 }
--- a/internal/operator/command_test.go
+++ b/internal/operator/command_test.go
@@ -65,6 +65,22 @@
 			_, err = run("settings")
 			expectExit(err, operator.ExitUsage)
 		})
+		Convey("shows which zones instances hold to be evacuated", func() {
+			page := "gypsum_settings_info{bounds=\"7f\",digest=\"ab12\",instance=\"e0\"} 1\n"
+			none := instance(t, map[string]string{"/metrics": page}, http.StatusOK)
+			address := instance(t, map[string]string{
+				"/metrics": page + "gypsum_zone_evacuated_seconds{zone=\"quay \\\"2\\\"\"} 61.5\ngypsum_zone_running_requests{zone=\"quay \\\"2\\\"\"} 4\n",
+			}, http.StatusOK)
+			table, err := run("evacuations", address, none)
+			So(err, ShouldBeNil)
+			lines := strings.Split(table, "\n")
+			So(lines[1], ShouldContainSubstring, `quay "2"`)
+			So(strings.Fields(lines[1])[1], ShouldEqual, "e0")
+			So(strings.Fields(lines[1])[5], ShouldEqual, "4")
+			So(strings.Fields(lines[2]), ShouldResemble, []string{none, "e0", "0"})
+			_, err = run("evacuations", "127.0.0.1:1")
+			expectExit(err, operator.ExitUnavailable)
+		})
 		Convey("validates settings files of both edges", func() {
 			for _, name := range []string{"hosted.ini", "le-goff.ini"} {
 				_, err := run("check", "../../examples/"+name)
--- a/internal/operator/settings.go
+++ b/internal/operator/settings.go
@@ -64,30 +64,48 @@
 // querySettings reads the settings' digest from an instance's metrics.
 func querySettings(ctx context.Context, address string) heldSettings {
 	h := heldSettings{Address: address}
+	err := readMetrics(ctx, address, func(line string) bool {
+		m := settingsMetric.FindStringSubmatch(line)
+		if m == nil {
+			return true
+		}
+		h.Bounds, h.Digest, h.Instance = m[1], m[2], m[3]
+		return false
+	})
+	switch {
+	case err != nil:
+		h.Error = err.Error()
+	case h.Digest == "":
+		h.Error = "no settings among the metrics"
+	}
+	return h
+}
+
+// readMetrics calls a function for each line of an instance's metrics until it returns false.
+func readMetrics(ctx context.Context, address string, next func(line string) bool) error {
 	ctx, cancel := context.WithTimeout(ctx, settingsTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", http.NoBody)
 	if err != nil {
-		h.Error = err.Error()
-		return h
+		return fmt.Errorf("query metrics: %w", err)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		h.Error = err.Error()
-		return h
+		return fmt.Errorf("query metrics: %w", err)
 	}
 	// Only the body's lines are of interest; an error of Close changes nothing.
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("query metrics: status %d", resp.StatusCode)
+	}
 	lines := bufio.NewScanner(resp.Body)
 	for lines.Scan() {
-		if m := settingsMetric.FindStringSubmatch(lines.Text()); m != nil {
-			h.Bounds, h.Digest, h.Instance = m[1], m[2], m[3]
-			return h
+		if !next(lines.Text()) {
+			return nil
 		}
 	}
-	h.Error = "no settings among the metrics"
 	if err := lines.Err(); err != nil {
-		h.Error = err.Error()
+		return fmt.Errorf("read metrics: %w", err)
 	}
-	return h
+	return nil
 }
