Keep requests in the regions that their route and workspace allow

AllowedRegions of routes and workspaces were not read. Where one of them has a list, or both in common, placement now excludes endpoints, sources and save targets in other regions; a zone's region comes from the settings section [zones], and a zone without one is in no allowed region. The list goes to the leader with the request for a placement. The sender checks the endpoint's zone and the addresses of transfers again, since a leader of an earlier release ignores the list. The request is refused with no_allowed_region if route and workspace have no region in common. The template deploy/entry.ini doesn't fill in [zones] yet: the form of the platform's table isn't known.

The test double slowLeader can name a source of a fetch, and the stand-in's configuration has the new fields.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -83,7 +83,7 @@
 		return Choice{}, errAllBusy
 	}
 	if best.endpoint == nil {
-		if p.allEvacuated() {
+		if p.allEvacuated(req) {
 			return Choice{}, ErrZonesEvacuated
 		}
 		if until := p.pausedUntil(now, req); until != 0 {
@@ -194,7 +194,7 @@
 	for _, s := range p.endpointList {
 		p.checks++
 		switch {
-		case s.version[req.Model] < oldest || contains(req.Avoid, s.ID) || p.evacuated(s.Zone):
+		case s.version[req.Model] < oldest || contains(req.Avoid, s.ID) || p.excluded(s.Zone, req):
 		case p.barred(now, s, req):
 			busy = busy || q != nil && !p.leaves(now, s)
 		case p.available(now, s, req):
@@ -216,10 +216,10 @@
 	fetch    fetch
 }
 
-// available reports whether an endpoint is usable, takes requests of the entry, and is not in a zone that is evacuated or seems unreachable from
-// the caller's.
+// available reports whether an endpoint is usable, takes requests of the entry, and is not in a zone that is evacuated, in no allowed region or
+// seems unreachable from the caller's.
 func (p *Pool) available(now clock.Instant, s *endpointState, req *Request) bool {
-	return s.usable(now) && !p.evacuated(s.Zone) && !p.barred(now, s, req) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone)
+	return s.usable(now) && !p.excluded(s.Zone, req) && !p.barred(now, s, req) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone)
 }
 
 // evaluate estimates the time to the first event on one endpoint, and the cost by which endpoints are compared.
@@ -320,7 +320,7 @@
 	if !req.Uncoordinated || req.Model == "" || len(req.Parts) < 2 {
 		return ""
 	}
-	return rank.First(req.Parts[len(req.Parts)-2].ID, p.homeCandidates())
+	return rank.First(req.Parts[len(req.Parts)-2].ID, p.homeCandidates(req))
 }
 
 func (p *Pool) meanErrorRate() float64 {
--- a/internal/coordination/placement/evacuation.go
+++ b/internal/coordination/placement/evacuation.go
@@ -28,27 +28,32 @@
 	return p.evacuated(s.Zone) || p.leaves(now, s)
 }
 
-// allEvacuated reports whether there are endpoints, and the zones of all of them are evacuated.
-func (p *Pool) allEvacuated() bool {
-	if p.cfg.Evacuations == nil || p.cfg.Evacuations.Empty() || len(p.endpointList) == 0 {
+// allEvacuated reports whether there are endpoints in the regions that a request may use, and the zones of all of them are evacuated.
+func (p *Pool) allEvacuated(req *Request) bool {
+	if p.cfg.Evacuations == nil || p.cfg.Evacuations.Empty() {
 		return false
 	}
+	found := false
 	for _, s := range p.endpointList {
+		if !p.allowed(s.Zone, req) {
+			continue
+		}
 		if !p.evacuated(s.Zone) {
 			return false
 		}
+		found = true
 	}
-	return true
+	return found
 }
 
-// homeCandidates returns the identifiers of the endpoints of which one is a context's home.
-func (p *Pool) homeCandidates() []string {
-	if p.cfg.Evacuations == nil || p.cfg.Evacuations.Empty() {
+// homeCandidates returns the identifiers of the endpoints of which one is the home of a request's context.
+func (p *Pool) homeCandidates(req *Request) []string {
+	if len(req.AllowedRegions) == 0 && (p.cfg.Evacuations == nil || p.cfg.Evacuations.Empty()) {
 		return p.endpointIDs
 	}
 	var ids []string
 	for _, s := range p.endpointList {
-		if !p.evacuated(s.Zone) {
+		if !p.excluded(s.Zone, req) {
 			ids = append(ids, s.ID)
 		}
 	}
--- a/internal/coordination/placement/fetch.go
+++ b/internal/coordination/placement/fetch.go
@@ -70,7 +70,8 @@
 	var best transfer
 	for _, source := range p.index.holders[key] {
 		part := source.cache.find(now, key)
-		if source == s || part == nil || !part.ready || source.failures > 0 || p.cfg.Reachability.unreachable(now, s.Zone, source.Zone) {
+		if source == s || part == nil || !part.ready || source.failures > 0 || !p.allowed(source.Zone, req) ||
+			p.cfg.Reachability.unreachable(now, s.Zone, source.Zone) {
 			continue
 		}
 		duration := transferTime(part.tokens, p.engine.TokenSeconds, source.Zone != s.Zone)
@@ -84,7 +85,7 @@
 		}
 	}
 	if p.isOwner && s.clockOffset != 0 {
-		if t, ok := p.storeTransfer(now, key, s.Zone); ok && (best.endpoint == nil || t.total() < best.total()) {
+		if t, ok := p.storeTransfer(now, req, key, s.Zone); ok && (best.endpoint == nil || t.total() < best.total()) {
 			best = t
 		}
 	}
--- a/internal/coordination/placement/retention.go
+++ b/internal/coordination/placement/retention.go
@@ -19,7 +19,7 @@
 		if part.Tokens < minSaveTokens || p.stored(now, key) {
 			continue
 		}
-		store := p.emptiestStore(now, s.Zone, part.Tokens)
+		store := p.emptiestStore(now, req, s.Zone, part.Tokens)
 		if store == nil {
 			continue
 		}
@@ -46,15 +46,16 @@
 // storedAnywhere reports whether any store has a part, has reserved space for it or holds an incomplete copy.
 func (p *Pool) storedAnywhere(key cacheKey) bool { return len(p.storeIndex[key]) > 0 }
 
-// emptiestStore returns the store with the largest share of free space, preferring stores in the zone. Stores in evacuated zones get no saves.
-func (p *Pool) emptiestStore(now clock.Instant, zone string, tokens int) *storeState {
+// emptiestStore returns the store with the largest share of free space, preferring stores in the zone. Stores in evacuated
+// zones get no saves, and those outside the regions that the request may use none of its parts.
+func (p *Pool) emptiestStore(now clock.Instant, req *Request, zone string, tokens int) *storeState {
 	var best *storeState
 	bestScore := 0.0
 	for _, name := range p.storeOrder {
 		p.checks++
 		s := p.stores[name]
 		free := s.Capacity - s.usedTokens - roundToBlocks(tokens)
-		if free < 0 || !s.usable(now) || now.Before(s.noSaveUntil) || p.evacuated(s.Zone) {
+		if free < 0 || !s.usable(now) || now.Before(s.noSaveUntil) || p.excluded(s.Zone, req) {
 			continue
 		}
 		score := float64(free) / float64(s.Capacity)
--- a/internal/coordination/placement/store.go
+++ b/internal/coordination/placement/store.go
@@ -247,13 +247,13 @@
 	return update.Missed
 }
 
-// storeTransfer returns the fastest transfer of a part from a store to an endpoint in a zone.
-func (p *Pool) storeTransfer(now clock.Instant, key cacheKey, zone string) (transfer, bool) {
+// storeTransfer returns the fastest transfer of a part for a request, from a store to an endpoint in a zone.
+func (p *Pool) storeTransfer(now clock.Instant, req *Request, key cacheKey, zone string) (transfer, bool) {
 	var best transfer
 	for _, s := range p.storeIndex[key] {
 		p.checks++
 		part := s.parts[key]
-		if !part.complete || !s.usable(now) {
+		if !part.complete || !s.usable(now) || !p.allowed(s.Zone, req) {
 			continue
 		}
 		duration := transferTime(part.tokens, s.TokenSeconds, s.Zone != zone) + s.FirstByte
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -33,6 +33,8 @@
 	IsolationKey string `msgpack:"Wall"`
 	// Priority orders requests; lower is more urgent.
 	Priority int
+	// AllowedRegions lists the regions whose endpoints, caches and cache stores the request may use; if it is empty, all.
+	AllowedRegions []string `msgpack:",omitempty"`
 	// Avoid lists endpoints on which the request has failed.
 	Avoid []string
 	// FirstEventDeadline is the deadline for the first event, after which the caller gives up.
@@ -151,6 +153,8 @@
 	Notices Notices
 	// Evacuations is nil if no zones are evacuated.
 	Evacuations Evacuations
+	// Regions maps zones to their regions; a zone that it lacks is in no region.
+	Regions map[string]string
 }
 
 // CacheUpdate is an update from a cache: its changes after a given event number.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -92,7 +92,7 @@
 func (j *job) send(ctx context.Context, choice *placement.Choice, endpoint registration.Incarnation) (*upstream.Response, error) {
 	headers, notices := j.node.deps.Headers, j.node.notices
 	permit := func() error {
-		if err := j.node.evacuations.permit(choice); err != nil {
+		if err := j.permitZone(choice); err != nil {
 			return err
 		}
 		return notices.permit(endpoint)
@@ -105,6 +105,7 @@
 		// By now the sources may have been freed, and the space reserved for a save given to another request.
 		choice.FetchFrom, choice.SaveTo = nil, nil
 	}
+	j.restrictTransfers(choice)
 	dispatch := exchange.Dispatch{
 		Endpoint: choice.Endpoint, Deadline: j.deadline, Priority: -1, Version: choice.Version, CacheSpace: choice.CacheSpace,
 		FetchFrom: choice.FetchFrom, FetchUntil: choice.FetchUntil, SaveTo: choice.SaveTo, LastEvent: j.lastEvent,
--- a/internal/gateway/evacuations.go
+++ b/internal/gateway/evacuations.go
@@ -96,7 +96,8 @@
 	return "", false
 }
 
-// withheld returns the reason why nothing was sent in an attempt: a *barredError or an *evacuatedError. It is nil if there is none.
+// withheld returns the reason why nothing was sent in an attempt: a *barredError, an *evacuatedError or a *regionError. It is nil if there is
+// none.
 func withheld(err error) error {
 	if barred := (*barredError)(nil); errors.As(err, &barred) {
 		return barred
@@ -104,6 +105,9 @@
 	if evacuated := (*evacuatedError)(nil); errors.As(err, &evacuated) {
 		return evacuated
 	}
+	if outside := (*regionError)(nil); errors.As(err, &outside) {
+		return outside
+	}
 	return nil
 }
 
--- a/internal/gateway/placement_peers_test.go
+++ b/internal/gateway/placement_peers_test.go
@@ -156,6 +156,8 @@
 	stop     func()
 	// announcedAt is when version 2 of the weights was announced, or zero if it wasn't.
 	announcedAt time.Time
+	// fetchFrom is the address from which each request is to fetch its first part, or empty.
+	fetchFrom string
 
 	mu        sync.Mutex
 	placed    []uint64
@@ -178,6 +180,9 @@
 		reply := peer.PlaceReply{Verdict: peer.VerdictPlaced, Choice: placement.Choice{
 			Endpoint: "llm-0", Address: l.endpoint.Address(), Version: 1, CacheSpace: "v1", Expected: time.Millisecond,
 		}}
+		if l.fetchFrom != "" {
+			reply.Choice.FetchFrom = []string{l.fetchFrom, "", ""}
+		}
 		if !l.announcedAt.IsZero() {
 			reply.TargetVersions = []peer.TargetVersion{{Model: testModel, Version: 2, MaxAge: time.Since(l.announcedAt)}}
 		}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -60,6 +60,7 @@
 		pool = placement.NewPool(placement.Config{
 			PrefillRate: float64(p.node.cfg.PrefillRate), OldWeightsGrace: p.node.bounds.Load().OldWeightsGrace - oldWeightsMargin,
 			Reachability: p.reachability, Suspicions: p.node.suspects, Notices: p.node.notices, Evacuations: p.node.evacuations,
+			Regions: p.node.cfg.Regions,
 		})
 		for model, list := range p.targets {
 			for _, target := range list {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -206,6 +206,11 @@
 		Priority: route.RequestPriority(j.route, j.workspace),
 		Deadline: j.deadline,
 	}
+	regions, possible := route.AllowedRegions(j.route, j.workspace)
+	if !possible {
+		return unavailable("no_allowed_region", j.arrived.Add(shortRetryDelay))
+	}
+	j.placementReq.AllowedRegions = regions
 	if s := j.table.Services[j.service]; s != nil && s.Engine != nil && j.route.HasPrompt {
 		j.placementReq.Model = j.head.Model
 		j.placementReq.Parts = j.head.Parts
@@ -291,19 +296,19 @@
 	// earlier release ignores what it is told of endpoints.
 	maxGrantsWithdrawn = 1
 	// maxWithdrawals limits how often a request is placed again since its endpoint has said meanwhile that it wants no requests, or its zone is
-	// evacuated.
+	// evacuated or outside the allowed regions.
 	maxWithdrawals = 8
 )
 
-// withdraw prepares a request for another placement after its endpoint has turned out to want no requests, or to be in an evacuated zone. That is no attempt, since nothing
+// withdraw prepares a request for another placement after its endpoint has turned out to want no requests, or its zone is
+// evacuated or outside the allowed regions. That is no attempt, since nothing
 // was sent.
 func (j *job) withdraw(ctx context.Context, choice *placement.Choice) *refusal {
 	n := j.node
 	n.log.Info(event.AttemptFailed, "placement withdrawn", zap.String("request", j.head.ID), zap.String("endpoint", choice.Endpoint),
 		zap.Error(j.barred))
 	j.withdrawals++
-	evacuated := errors.As(j.barred, new(*evacuatedError))
-	if evacuated {
+	if errors.As(j.barred, new(*evacuatedError)) {
 		n.metrics.EvacuationWithdrawals.Inc()
 	}
 	switch {
@@ -312,7 +317,7 @@
 	case j.withdrawals > maxWithdrawals:
 		return unavailable("no_endpoint", clock.Now().Add(shortRetryDelay))
 	}
-	if !evacuated {
+	if errors.As(j.barred, new(*barredError)) {
 		n.notices.reportAgain()
 	}
 	return nil
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -48,6 +48,8 @@
 	// LinkMbps is the bandwidth of this instance's network link, in Mbit/s. In each zone the instance with the highest value reads the
 	// store and relays the updates to the others.
 	LinkMbps float64
+	// Regions maps zones to their regions.
+	Regions map[string]string
 
 	LogLevel  string
 	LogFormat string
@@ -95,7 +97,7 @@
 		{"[platform] store", h.Store, next.Store}, {"[engine] prefill_tokens_per_second", h.PrefillRate, next.PrefillRate},
 		{"[process] memory", h.MemoryMB, next.MemoryMB}, {"[process] threads", h.Threads, next.Threads},
 		{"[process] processor", h.CPUCores, next.CPUCores}, {"[process] link", h.LinkMbps, next.LinkMbps},
-		{"[log] level", h.LogLevel, next.LogLevel}, {"[log] format", h.LogFormat, next.LogFormat},
+		{"[log] level", h.LogLevel, next.LogLevel}, {"[log] format", h.LogFormat, next.LogFormat}, {"[zones]", fmt.Sprint(h.Regions), fmt.Sprint(next.Regions)},
 	} {
 		if fixed.old != fixed.value {
 			keys = append(keys, fixed.key)
@@ -160,6 +162,7 @@
 		Threads:     r.integer("process", "threads", 1, 1024, 1),
 		CPUCores:    r.float("process", "processor", 0.001, 1024, 1),
 		LinkMbps:    r.float("process", "link", 0.001, 1e6, 1000),
+		Regions:     r.names("zones"),
 		LogLevel:    r.choice("log", "level", "info", "debug", "warn", "error"),
 		LogFormat:   r.choice("log", "format", "json", "console"),
 		Digest:      r.digest,
@@ -177,6 +180,22 @@
 	return r.address(section, key)
 }
 
+// names reads a section whose keys and values are names.
+func (r *reader) names(section string) map[string]string {
+	s, err := r.file.GetSection(section)
+	if err != nil {
+		return nil
+	}
+	values := make(map[string]string)
+	for _, key := range s.KeyStrings() {
+		values[key] = r.name(section, key)
+		if !namePattern.MatchString(key) {
+			r.addFault(section, key, values[key], "must have a key of 1 to 64 characters of a-z, 0-9, . and -")
+		}
+	}
+	return values
+}
+
 func (r *reader) float(section, key string, minValue, maxValue, defaultValue float64) float64 {
 	v, ok := r.lookup(section, key)
 	if !ok {
--- a/internal/settings/hosted_test.go
+++ b/internal/settings/hosted_test.go
@@ -40,6 +40,18 @@
 			So(cfg.Advertise, ShouldEqual, cfg.Peers)
 			expectHostedFault("peers = 127.0.0.1:7260", "peers = 127.0.0.1:7260\nadvertise = gate:7260", "instance", "advertise")
 		})
+		Convey("name the regions of zones, which need a restart to change", func() {
+			data, err := os.ReadFile("../../examples/hosted.ini")
+			So(err, ShouldBeNil)
+			cfg, err := settings.ParseHosted("f", append(data, []byte("\n[zones]\nrennes = west\nbrest = west\n")...))
+			So(err, ShouldBeNil)
+			So(cfg.Regions, ShouldResemble, map[string]string{"rennes": "west", "brest": "west"})
+			without, err := settings.ParseHosted("f", data)
+			So(err, ShouldBeNil)
+			So(without.CheckReload(cfg), ShouldWrap, settings.ErrNeedsRestart)
+			So(cfg.CheckReload(cfg), ShouldBeNil)
+			expectHostedFault("[log]", "[zones]\nrennes = West Coast\n[log]", "zones", "rennes")
+		})
 		Convey("default to the native edge", func() {
 			edge, err := settings.ReadEdge("../../examples/le-goff.ini")
 			So(err, ShouldBeNil)
--- a/internal/standin/hosted/configuration.go
+++ b/internal/standin/hosted/configuration.go
@@ -6,6 +6,7 @@
 	TimeoutMs, TargetLatencyMs, Priority, GapAimMs int
 	MaxAttempts                                    int
 	Public, Sticky, Resumable                      bool
+	AllowedRegions                                 []string
 }
 
 // Configuration is the site configuration that an operator stores under op/config.
@@ -22,6 +23,8 @@
 	Name     string
 	APIKeys  []string `json:"ApiKeys"`
 	Priority int
+
+	AllowedRegions []string
 }
 
 // DefaultLimits returns request limits that a well-behaved caller never reaches.
--- a/internal/state/route/types.go
+++ b/internal/state/route/types.go
@@ -57,6 +57,8 @@
 	HasPrompt bool
 	// Resumable streams may continue after their last event at another endpoint.
 	Resumable bool
+	// AllowedRegions lists the regions whose endpoints and cache stores the requests may use; if it is empty, all.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request of this route may run more than once.
@@ -129,6 +131,8 @@
 	// Isolated workspaces share no cached context with other workspaces.
 	Isolated bool
 	Keys     []string
+	// AllowedRegions lists the regions whose endpoints and cache stores the workspace's requests may use; if it is empty, all.
+	AllowedRegions []string
 }
 
 // Limits are the limits on the size of callers' requests and on the time that callers may take to send them.
