Tell a peer that its removed key is not newer than what a relay has

An entry of an earlier release keeps op/evacuate/ZONE among the operator's items. Once the key is removed, a relay of this release, or one that has started since, never tells its revision, so that the entry takes its configuration for unconfirmed until the operator's next write, and is not ready. A relay now answers with the peer's own revision if it has read the store at that revision or later, in the same era, and has nothing newer. This replaces the revision that was kept for this in the configuration, which a restarted relay lost.

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -30,9 +30,6 @@
 	// items holds the operator's newest items by key, and newest is the highest of their revisions.
 	items  map[string]kv.Item
 	newest kv.Revision
-	// evacuatedAt is the highest revision of the keys that mark zones as evacuated. They are kept elsewhere: here, a removed key would never be
-	// noticed, and a relay that starts after the removal would never reach the newest revision of the others.
-	evacuatedAt kv.Revision
 	// readable is the newest configuration that could be decoded and readableVersion its version; versions tracks which versions around
 	// undecodable ones are known.
 	readable        kv.Item
@@ -111,7 +108,8 @@
 	changed := false
 	for _, item := range items {
 		if _, ok := schema.EvacuatedZone(item.Key); ok {
-			c.recordEvacuation(item.Revision)
+			// Kept elsewhere: here, a removed key would never be noticed, and a relay that starts after the removal would never reach the newest
+			// revision of the others.
 			continue
 		}
 		if !c.record(item) && !c.fillsGap(item) && !c.precedesRestoration(item) {
@@ -141,14 +139,6 @@
 	return true
 }
 
-// recordEvacuation records the revision of a key that marks a zone as evacuated. Peers of an earlier release have it among the operator's
-// items, and compare it with the revision that a relay tells.
-func (c *configuration) recordEvacuation(revision kv.Revision) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.evacuatedAt = max(c.evacuatedAt, revision)
-}
-
 // fillsGap reports whether an item is a configuration that was missed and precedes one that can't be decoded.
 func (c *configuration) fillsGap(item kv.Item) bool {
 	if !c.node.deps.Schema.IsConfiguration(item.Key) {
@@ -377,5 +367,5 @@
 		items = append(items, c.readable)
 	}
 	_, _, uncertain := c.versions.Gap()
-	return uint64(max(c.newest, c.evacuatedAt)), toPeerItems(items), uncertain
+	return uint64(c.newest), toPeerItems(items), uncertain
 }
--- a/internal/gateway/evacuations.go
+++ b/internal/gateway/evacuations.go
@@ -235,6 +235,14 @@
 	return held
 }
 
+// readRevision returns the revision of the store as of the newest reading, or zero if there is none.
+func (e *evacuations) readRevision() kv.Revision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	last, _ := e.set.Last()
+	return last.Revision
+}
+
 // record puts changes into effect and logs them, and reports whether there are any; the caller holds the lock.
 func (e *evacuations) record(changes []evacuation.Change) bool {
 	if len(changes) == 0 {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -268,6 +268,11 @@
 		after, _ = kv.NewRevision(n.configuration.knownEra(), query.OperatorRevision)
 	}
 	update.OperatorRevision, update.OperatorItems, update.Uncertain = n.configuration.itemsSince(after)
+	if read := n.evacuations.readRevision(); after > kv.Revision(update.OperatorRevision) && after <= read && after.Era() == read.Era() {
+		// The peer's newest item has been removed since. One of an earlier release has the keys of evacuations among its items, and would wait
+		// for this revision until the operator's next write.
+		update.OperatorRevision = uint64(after)
+	}
 	var listAge time.Duration
 	update.RegistrationsRevision, update.Changes, listAge = n.discovery.changesSince(now, query, n.incarnation)
 	update.Age = max(listAge, update.ConfirmAge)
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -77,3 +77,28 @@
 		})
 	})
 }
+
+// Guards against an entry of an earlier release that takes its configuration for unconfirmed, since its relay has started after the last key
+// that the entry has seen was removed.
+func TestRemovedKeyOfEarlierRelease(t *testing.T) {
+	Convey("a relay tells an entry that has a removed key that nothing is newer, as far as the store has been read", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		s.addEndpoint(hosted.EndpointConfig{ID: "cal-0", Service: "calendar", Work: time.Millisecond})
+		s.evacuate("quay")
+		removed := s.store.ModRevision("op/evacuate/quay")
+		s.store.Delete("op/evacuate/quay")
+		s.addEntry()
+		p := s.startPeer()
+		revisionFor := func(held uint64) uint64 {
+			ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+			defer cancel()
+			var reply peer.SyncReply
+			query := peer.SyncRequest{OperatorRevision: held}
+			So(p.network.Call(ctx, p.leader.cfg.Name, p.leader.cfg.Peers, peer.KindSync, query, &reply), ShouldBeNil)
+			return reply.OperatorRevision
+		}
+		So(revisionFor(removed), ShouldEqual, removed)
+		So(revisionFor(1<<30), ShouldEqual, s.store.ModRevision("op/config"))
+	})
+}
