Test what peers retain and tell of evacuations

Set.Retain and the set in catch-up replies had no test. The new cases fail with the call in queryPeer taken out: 21 requests arrive in a zone that a peer knows to be evacuated.

--- a/internal/coordination/evacuation/set_test.go
+++ b/internal/coordination/evacuation/set_test.go
@@ -83,6 +83,17 @@
 			So(s.Zones()[0].Since, ShouldEqual, start.Add(-time.Minute))
 		})
 	})
+	Convey("a set keeps what a peer retains for as long as the peer does", t, func() {
+		s := evacuation.NewSet()
+		s.Merge(start, at(2, 5, 0))
+		until := start.Add(time.Second)
+		So(s.Retain(start, "a", start.Add(-time.Minute), until), ShouldResemble, []evacuation.Change{{Kind: evacuation.Began, Zone: "a"}})
+		So(s.Zones(), ShouldResemble, []evacuation.Zone{{Name: "a", Since: start.Add(-time.Minute), RetainedUntil: until}})
+		So(s.Retain(start, "a", 0, start), ShouldBeEmpty)
+		So(s.Advance(until-1), ShouldBeEmpty)
+		So(s.Advance(until), ShouldResemble, []evacuation.Change{{Kind: evacuation.Ended, Zone: "a"}})
+		So(s.Retain(until, "a", 0, until), ShouldBeEmpty)
+	})
 	Convey("a set that has first seen a restored store takes what a peer held before, for as long as the operator may need", t, func() {
 		s := evacuation.NewSet()
 		s.Merge(start, at(2, 5, 0))
--- a/internal/gateway/evacuations_test.go
+++ b/internal/gateway/evacuations_test.go
@@ -183,6 +183,19 @@
 	})
 }
 
+// startStub registers a peer in a zone with a handler of its messages. It has a wider link than all entries, which makes it the zone's relay.
+func (s *site) startStub(h peers.Handler, zone string) {
+	secret := []byte("a secret of thirty-two bytes, yes")
+	network := peers.New(peers.Config{Name: "stub", Incarnation: peers.NewIncarnation("stub"), Address: freeAddress(), Secret: secret}, h)
+	address, err := network.Listen()
+	So(err, ShouldBeNil)
+	runNetwork(network)
+	s.store.PutRaw("gypsum/secret", secret)
+	record, err := msgpack.Marshal(map[string]any{"addr": address, "zone": zone, "run": "stub#1", "cpu": 1.0, "link": 1000.0})
+	So(err, ShouldBeNil)
+	s.store.PutRaw("gypsum/entries/stub", record)
+}
+
 // earlierRelay relays what an operator has written as an earlier release does, which doesn't know of evacuations.
 type earlierRelay struct {
 	stubPeerHandler
@@ -210,18 +223,7 @@
 	t.Parallel()
 	Convey("an entry whose relay is of an earlier release follows evacuations nonetheless", t, func() {
 		s := startZonedSite(0)
-		relay := &earlierRelay{store: s.store}
-		secret := []byte("a secret of thirty-two bytes, yes")
-		network := peers.New(peers.Config{
-			Name: "relay", Incarnation: peers.NewIncarnation("relay"), Address: freeAddress(), Secret: secret,
-		}, relay)
-		address, err := network.Listen()
-		So(err, ShouldBeNil)
-		runNetwork(network)
-		s.store.PutRaw("gypsum/secret", secret)
-		record, err := msgpack.Marshal(map[string]any{"addr": address, "zone": "plateau", "run": "relay#1", "cpu": 1.0, "link": 1000.0})
-		So(err, ShouldBeNil)
-		s.store.PutRaw("gypsum/entries/relay", record)
+		s.startStub(&earlierRelay{store: s.store}, "plateau")
 		s.addEntry().expectReady(true)
 		time.Sleep(time.Second)
 		reads := s.store.Calls("GET /-/kv-range")
@@ -234,3 +236,24 @@
 		s.expectSomeIn("plateau")
 	})
 }
+
+// knowingPeer answers a peer that has started with a set that was read later than anything that the store has given out.
+type knowingPeer struct{ stubPeerHandler }
+
+func (knowingPeer) Serve(_ context.Context, _ peer.Hello, kind peer.Kind, _ []byte) (any, error) {
+	if kind != peer.KindCatchUp {
+		return peer.Empty{}, nil
+	}
+	latest, err := kv.NewRevision(1, 1<<30)
+	return peer.CatchUpReply{Evacuated: &peer.EvacuatedZones{Revision: uint64(latest), Zones: []peer.EvacuatedZone{{Name: "plateau"}}}}, err
+}
+
+func TestStartedEntryLearnsEvacuations(t *testing.T) {
+	t.Parallel()
+	Convey("an entry that starts sends nothing to a zone that a peer knows to be evacuated, although the store as it reads it doesn't list it", t, func() {
+		s := startZonedSite(0)
+		s.startStub(knowingPeer{}, "quay")
+		s.addEntry().expectReady(true)
+		s.expectNoneIn("plateau")
+	})
+}
