--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -33,6 +33,8 @@
 	IsolationKey string `msgpack:"Wall"`
 	// Priority orders requests; lower is more urgent.
 	Priority int
+	// AllowedRegions lists the regions whose endpoints, caches and cache stores the request may use; if it is empty, all.
+	AllowedRegions []string `msgpack:",omitempty"`
 	// Avoid lists endpoints on which the request has failed.
 	Avoid []string
 	// FirstEventDeadline is the deadline for the first event, after which the caller gives up.
@@ -66,6 +68,8 @@
 type Choice struct {
 	Endpoint string
 	Address  string
+	// Zone is the endpoint's zone; empty if the instance that chose doesn't tell.
+	Zone string `msgpack:",omitempty"`
 	// StartMilli identifies the endpoint's incarnation; zero if the instance that chose doesn't tell.
 	StartMilli int64 `msgpack:",omitempty"`
 	// Version is the weight version that the endpoint is believed to run; zero for plain services.
@@ -147,6 +151,10 @@
 	Suspicions Suspicions
 	// Notices is nil if endpoints say nothing of themselves.
 	Notices Notices
+	// Evacuations is nil if no zones are evacuated.
+	Evacuations Evacuations
+	// Regions maps zones to their regions; a zone that it lacks is in no region.
+	Regions map[string]string
 }
 
 // CacheUpdate is an update from a cache: its changes after a given event number.
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -107,6 +107,11 @@
 	announcedAfter := c.announcedAfter(clock.Now())
 	changed := false
 	for _, item := range items {
+		if _, ok := schema.EvacuatedZone(item.Key); ok {
+			// Kept elsewhere: here, a removed key would never be noticed, and a relay that starts after the removal would never reach the newest
+			// revision of the others.
+			continue
+		}
 		if !c.record(item) && !c.fillsGap(item) && !c.precedesRestoration(item) {
 			continue
 		}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -41,6 +41,7 @@
 	running      *loadsync.Reporter
 	suspects     *suspects
 	notices      *notices
+	evacuations  *evacuations
 	blocks       *blocks
 	retryBudgets *retryBudgets
 
@@ -75,6 +76,7 @@
 	n.running = loadsync.New(cfg.Name, n.incarnation, log, n, n.placer)
 	n.suspects = newSuspects()
 	n.notices = newNotices(n)
+	n.evacuations = newEvacuations(n)
 	deps.Engines.Observe(n.notices.recordCall)
 	deps.Caches.Observe(n.notices.recordCall)
 	n.blocks = newBlocks(n)
@@ -188,6 +190,7 @@
 		n.upstreams.Sweep(now, func(address string) bool { return inUse[address] })
 		n.placer.removeExpired(now)
 		n.notices.sweep(now)
+		n.evacuations.sweep(now)
 		n.metrics.InFlight.Set(float64(n.inFlight.Load()))
 	})
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -195,6 +195,9 @@
 		// The relay has just started and is reading the store.
 		return syncDone
 	}
+	// The reported ages hold as of this time, or an earlier one if the answer was delayed.
+	asOf := sent.Add(update.Delay)
+	n.evacuations.applyRelayed(asOf, &update)
 	if kv.Revision(update.RegistrationsRevision).Era() < n.discovery.revision().Era() {
 		// The relay has not read the store since it was restored from a copy.
 		return syncFailed
@@ -206,8 +209,6 @@
 		}
 		return syncFailed
 	}
-	// The reported ages hold as of this time, or an earlier one if the answer was delayed.
-	asOf := sent.Add(update.Delay)
 	n.configuration.applyRelayed(asOf, &update)
 	n.learnTargetVersions(asOf, name, update.TargetVersions)
 	n.discovery.applyRelayed(asOf, &update)
@@ -259,6 +260,7 @@
 	update := peer.SyncReply{
 		Ready: n.table.Load() != nil && n.discovery.loaded.Load(), Run: n.incarnation, Seen: seen,
 		Delay: now.Sub(receivedAt), ConfirmAge: n.confirmation.Age(now), TargetVersions: n.placer.sharedTargets(now, true),
+		Evacuated: n.evacuations.forPeer(now),
 	}
 	after := kv.Revision(query.OperatorRevision)
 	if !query.Eras {
@@ -266,6 +268,11 @@
 		after, _ = kv.NewRevision(n.configuration.knownEra(), query.OperatorRevision)
 	}
 	update.OperatorRevision, update.OperatorItems, update.Uncertain = n.configuration.itemsSince(after)
+	if read := n.evacuations.readRevision(); after > kv.Revision(update.OperatorRevision) && after <= read && after.Era() == read.Era() {
+		// The peer's newest item has been removed since. One of an earlier release has the keys of evacuations among its items, and would wait
+		// for this revision until the operator's next write.
+		update.OperatorRevision = uint64(after)
+	}
 	var listAge time.Duration
 	update.RegistrationsRevision, update.Changes, listAge = n.discovery.changesSince(now, query, n.incarnation)
 	update.Age = max(listAge, update.ConfirmAge)
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -77,3 +77,25 @@
 		})
 	})
 }
+
+// Guards against an entry of an earlier release that takes its configuration for unconfirmed, since its relay has started after the last key
+// that the entry has seen was removed.
+func TestRemovedKeyOfEarlierRelease(t *testing.T) {
+	Convey("a relay tells an entry that has a removed key that nothing is newer, as far as the store has been read", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		s.addEndpoint(hosted.EndpointConfig{ID: "cal-0", Service: "calendar", Work: time.Millisecond})
+		s.evacuate("quay")
+		removed := s.store.ModRevision("op/evacuate/quay")
+		s.store.Delete("op/evacuate/quay")
+		s.addEntry()
+		p := s.startPeer()
+		for held, want := range map[uint64]uint64{removed: removed, 1 << 30: s.store.ModRevision("op/config")} {
+			ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+			defer cancel()
+			var reply peer.SyncReply
+			So(p.network.Call(ctx, p.leader.cfg.Name, p.leader.cfg.Peers, peer.KindSync, peer.SyncRequest{OperatorRevision: held}, &reply), ShouldBeNil)
+			So(reply.OperatorRevision, ShouldEqual, want)
+		}
+	})
+}
--- a/internal/state/route/table_test.go
+++ b/internal/state/route/table_test.go
@@ -72,3 +72,19 @@
 		So((&route.Route{Kind: route.AtMostOnce, Resumable: true}).Repeatable(), ShouldBeFalse)
 	})
 }
+
+func TestAllowedRegions(t *testing.T) {
+	Convey("a request may use the regions that its route and its workspace both allow", t, func() {
+		expect := func(ofRoute, ofWorkspace, want []string, possible bool) {
+			regions, ok := route.AllowedRegions(&route.Route{AllowedRegions: ofRoute}, &route.Workspace{AllowedRegions: ofWorkspace})
+			So(regions, ShouldResemble, want)
+			So(ok, ShouldEqual, possible)
+		}
+		both := []string{"a", "b"}
+		expect(nil, nil, nil, true)
+		expect(both, nil, both, true)
+		expect(nil, both, both, true)
+		expect(both, []string{"c", "b"}, []string{"b"}, true)
+		expect(both, []string{"c"}, nil, false)
+	})
+}
