Limit the requests that the leader admits to cold endpoints

Cause: the time left of a cold endpoint was decoded but not read, so that cold endpoints got as many requests as warm ones and crashed.

Change: services have ColdS and ColdPerS, the settings bounds.warmup_excess and bounds.warmup_tolerance. internal/coordination/warmup holds an endpoint's state (announced, in doubt after a refused connection, new incarnation) and a sliding window of 1.25 s over its admissions. Placement admits requests to cold endpoints only under the leader's lease, from 1.25 s after its election; other entries use none, and plain services only a share of each entry if no endpoint is warm. A grant for a cold endpoint lapses after 200 ms, counted from when the entry sent its call and the time for which the leader held it. The digest of registrations tells cold from warm; peers of the release before are still answered with the digest that they know.

Result: warmup.TestBoundInRandomHistories, 300 histories of 30 s: at most 14 arrivals in a second (bound 26). With no limits set, placement.TestColdEndpoints and TestColdPlainEndpoints fail in 13 places.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -55,6 +55,7 @@
 
 // choose places a request. A request that may wait (q is not nil) goes only to an endpoint that has capacity for it.
 func (p *Pool) choose(now clock.Instant, req *Request, q *queuedRequest) (Choice, error) {
+	p.warmups.refused = false
 	eligible, busy := p.eligibleEndpoints(now, req, q)
 	return p.chooseFrom(now, req, eligible, busy, q != nil)
 }
@@ -86,6 +87,9 @@
 		if until := p.pausedUntil(now, req); until != 0 {
 			return Choice{}, pauseError(now, until, req)
 		}
+		if at := p.warmAt(now, req); at != 0 {
+			return Choice{}, &OverloadError{RetryAt: at, Expected: at.Sub(now)}
+		}
 		return Choice{}, ErrNoEndpoint
 	}
 	if late := now.Add(best.choice.Expected); req.FirstEventDeadline != 0 && req.FirstEventDeadline.Before(late) &&
@@ -94,6 +98,7 @@
 		return Choice{}, &OverloadError{RetryAt: now.Add(wait), Expected: best.choice.Expected}
 	}
 	p.reserveFetch(now, req, &best)
+	p.admit(now, &best)
 	best.choice.SaveTo = p.saveTargets(now, best.endpoint, req, &best.choice)
 	p.assign(now, req, &best)
 	p.cfg.Reachability.recordSend(now, req.Zone, best.endpoint)
@@ -194,6 +199,11 @@
 		case s.version[req.Model] < oldest || contains(req.Avoid, s.ID):
 		case p.barred(now, s, req):
 			busy = busy || q != nil && !p.leaves(now, s)
+		case p.refusesCold(now, s, req):
+			busy = busy || q != nil
+			if q == nil && p.permitsShare(now, s) {
+				eligible = append(eligible, s)
+			}
 		case p.available(now, s, req):
 			return nil, true
 		case now.Before(s.loadingUntil):
@@ -213,9 +223,11 @@
 	fetch    fetch
 }
 
-// available reports whether an endpoint is usable, takes requests of the entry, and is not in a zone that seems unreachable from the caller's.
+// available reports whether an endpoint is usable, takes requests of the entry, is not in a zone that seems unreachable from the caller's, and
+// is warm or admits another request.
 func (p *Pool) available(now clock.Instant, s *endpointState, req *Request) bool {
-	return s.usable(now) && !p.barred(now, s, req) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone)
+	return s.usable(now) && !p.barred(now, s, req) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone) &&
+		!p.refusesCold(now, s, req)
 }
 
 // evaluate estimates the time to the first event on one endpoint, and the cost by which endpoints are compared.
@@ -240,7 +252,7 @@
 	queueSeconds := s.prefillBefore(req) / p.cfg.PrefillRate
 	c.Expected = baseLatency + time.Duration(s.slowdown.current(now)*(prefillSeconds+queueSeconds)*float64(time.Second)) + fetchTime
 	c.Expected += time.Duration(len(s.assignments)) * runningPenalty
-	cost := p.comparisonCost(s, req, c.Expected, meanErrorRate) + p.saturationCost(s, req)
+	cost := p.comparisonCost(s, req, c.Expected, meanErrorRate) + p.saturationCost(s, req) + p.coldCost(now, s, prefillSeconds)
 	if recomputed := known - c.Cached - c.Fetched; recomputed > 0 {
 		cost += time.Duration(recomputeFactor * float64(recomputed) / p.cfg.PrefillRate * float64(time.Second))
 	}
--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -68,6 +68,8 @@
 
 	slowdown  slowdown
 	errorRate float64
+	// warmup is nil until the registration was observed.
+	warmup *endpointWarmup
 }
 
 func newEndpointState(r *registration.Registration, x *index) *endpointState {
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -56,6 +56,8 @@
 	storeOrder []string
 	storeIndex storeIndex
 
+	warmups warmups
+
 	// sampleNext is the index into endpointList from which a large fleet is sampled next.
 	sampleNext  int
 	evaluations uint64
@@ -233,6 +235,7 @@
 		s.observeError(true)
 	case OutcomeUnreachable:
 		s.backOff(now)
+		s.doubt(now, refusedDoubt)
 		p.cfg.Reachability.recordFailure(now, a.req.Zone, s, a.sentAt)
 	case OutcomeRejected:
 		s.recordResponse(now)
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -72,6 +72,7 @@
 		return Choice{}, ErrWithdrawn
 	}
 	p.forget(now, req.ID)
+	defer p.countDeferred()
 	if req.Uncoordinated || req.Model == "" || p.engine == nil {
 		return p.PlaceNow(now, req)
 	}
@@ -309,6 +310,7 @@
 func (p *Pool) grantQueued(now clock.Instant) []Grant {
 	full := now.Sub(p.lastFullScan) >= fullScanPeriod
 	if full {
+		p.warmups.refused = false
 		p.lastFullScan = now
 	}
 	changed, all := p.enginesWithRoom(now, p.changed), enginesWithRoom{}
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -84,6 +84,11 @@
 	Fetched int
 	// Expected is the estimated time to the first event.
 	Expected time.Duration
+	// Cold is true if the endpoint is cold or may be. The placement may then be used only for warmup.GrantTimeout.
+	Cold bool `msgpack:",omitempty"`
+	// GrantedAt is no later than when the endpoint was chosen, if its service limits the requests to cold endpoints, or else zero. It isn't sent,
+	// since instances have no common clock.
+	GrantedAt clock.Instant `msgpack:"-"`
 }
 
 // ErrNoEndpoint is returned when no endpoint of a service takes new requests.
@@ -147,6 +152,8 @@
 	Suspicions Suspicions
 	// Notices is nil if endpoints say nothing of themselves.
 	Notices Notices
+	// ColdAdmission is nil if this process may admit nothing to cold endpoints.
+	ColdAdmission ColdAdmission
 }
 
 // CacheUpdate is an update from a cache: its changes after a given event number.
--- a/internal/coordination/registry/catalog.go
+++ b/internal/coordination/registry/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"gypsumvale/internal/state/registration"
 )
@@ -17,8 +18,10 @@
 //	a new instance, or one that has missed too many changes   the complete list is sent
 type Catalog struct {
 	entries map[string]*entry
-	// sum combines the digests of all registrations; it doesn't depend on their order.
-	sum uint64
+	// sum combines the digests of all registrations without their warm-up, as instances of earlier releases know it, and warmupSum combines
+	// their whole digests. Neither depends on their order.
+	sum       uint64
+	warmupSum uint64
 	// number is the number of the last change, and droppedUpTo that of the newest removal that is no longer remembered.
 	number      uint64
 	droppedUpTo uint64
@@ -27,8 +30,12 @@
 
 type entry struct {
 	registration *registration.Registration
-	digest       uint64
-	number       uint64
+	// baseDigest is the digest without the warm-up.
+	digest     uint64
+	baseDigest uint64
+	number     uint64
+	// warmupTime is the time left as last read.
+	warmupTime time.Duration
 }
 
 type removal struct {
@@ -45,14 +52,19 @@
 	// Number and Sum are the change number and the digest of the newer state.
 	Number uint64
 	Sum    uint64
+	// WarmupSum is the digest of the newer state with its warm-up, or zero if the instance that made the changes doesn't tell.
+	WarmupSum uint64 `msgpack:",omitempty"`
 }
 
 // NewCatalog returns an empty catalog.
 func NewCatalog() *Catalog { return &Catalog{entries: make(map[string]*entry)} }
 
-// Sum returns a digest of all registrations.
+// Sum returns a digest of all registrations without their warm-up.
 func (c *Catalog) Sum() uint64 { return c.sum }
 
+// WarmupSum returns a digest of all registrations with their warm-up.
+func (c *Catalog) WarmupSum() uint64 { return c.warmupSum }
+
 // Number returns the number of the last change.
 func (c *Catalog) Number() uint64 { return c.number }
 
@@ -66,8 +78,29 @@
 	return list
 }
 
-// Replace replaces all registrations by a complete list, and reports whether anything changed.
+// Replace replaces all registrations by a complete list that was read from the store, and reports whether anything changed.
 func (c *Catalog) Replace(list []*registration.Registration) bool {
+	for _, r := range list {
+		c.countWarmups(r)
+	}
+	return c.replace(list)
+}
+
+// countWarmups counts how many times a registration's endpoint has become cold while it was cold: the time left has grown. Without the count
+// the registration's digest would not change, and the others would take the endpoint for warm after the first time.
+func (c *Catalog) countWarmups(r *registration.Registration) {
+	held := c.entries[r.ID]
+	if held == nil || held.registration.Incarnation() != r.Incarnation() {
+		return
+	}
+	r.Warmups = held.registration.Warmups
+	if held.warmupTime > 0 && r.WarmupTime > held.warmupTime {
+		r.Warmups++
+	}
+	held.warmupTime = r.WarmupTime
+}
+
+func (c *Catalog) replace(list []*registration.Registration) bool {
 	before := c.number
 	listed := make(map[string]bool, len(list))
 	for _, r := range list {
@@ -89,8 +122,8 @@
 		list[i] = &changes.Changed[i]
 	}
 	if changes.Complete {
-		c.Replace(list)
-		return c.sum == changes.Sum
+		c.replace(list)
+		return c.hasSums(changes)
 	}
 	for _, r := range list {
 		c.set(r)
@@ -98,12 +131,16 @@
 	for _, id := range changes.Removed {
 		c.remove(id)
 	}
-	return c.sum == changes.Sum
+	return c.hasSums(changes)
+}
+
+func (c *Catalog) hasSums(changes *Changes) bool {
+	return c.sum == changes.Sum && (changes.WarmupSum == 0 || c.warmupSum == changes.WarmupSum)
 }
 
 // Since returns the changes after a change number. It returns the complete list if the number is 0, unknown or too old.
 func (c *Catalog) Since(number uint64) Changes {
-	changes := Changes{Complete: number < c.droppedUpTo || number == 0 || number > c.number, Number: c.number, Sum: c.sum}
+	changes := Changes{Complete: number < c.droppedUpTo || number == 0 || number > c.number, Number: c.number, Sum: c.sum, WarmupSum: c.warmupSum}
 	for _, e := range c.entries {
 		if changes.Complete || e.number > number {
 			changes.Changed = append(changes.Changed, *e.registration)
@@ -127,11 +164,14 @@
 		if held.digest == digest {
 			return
 		}
-		c.sum ^= held.digest
+		c.sum ^= held.baseDigest
+		c.warmupSum ^= held.digest
 	}
+	base := r.BaseDigest()
 	c.number++
-	c.sum ^= digest
-	c.entries[r.ID] = &entry{r, digest, c.number}
+	c.sum ^= base
+	c.warmupSum ^= digest
+	c.entries[r.ID] = &entry{r, digest, base, c.number, r.WarmupTime}
 }
 
 func (c *Catalog) remove(id string) {
@@ -140,7 +180,8 @@
 		return
 	}
 	c.number++
-	c.sum ^= held.digest
+	c.sum ^= held.baseDigest
+	c.warmupSum ^= held.digest
 	delete(c.entries, id)
 	c.removals = append(c.removals, removal{id, c.number})
 	if excess := len(c.removals) - maxRemovals; excess > 0 {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -67,6 +67,7 @@
 	EndpointLeaves          Number = 414
 	EndpointPaused          Number = 415
 	EndpointPauseInvalid    Number = 416
+	EndpointWarmupChanged   Number = 418
 	WeightsAnnounced        Number = 710
 	LeaderChanged           Number = 711
 	OrderEnded              Number = 712
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,13 +44,17 @@
 	watchedCtx, wd := j.startWatchdog(ctx)
 	defer wd.stop()
 	j.headReceived, j.begun, j.sentAt, j.namedVersion, j.crash = false, false, clock.Now(), 0, nil
-	j.barred, j.paused = nil, false
+	j.barred, j.paused, j.lapsed = nil, false, false
 	endpoint := j.node.incarnationOf(choice)
 	resp, err := j.send(watchedCtx, choice, endpoint)
 	if barred := (*barredError)(nil); errors.As(err, &barred) {
 		j.barred = barred
 		return retry.NotSent, placement.OutcomeWithdrawn
 	}
+	if errors.Is(err, errGrantLapsed) {
+		j.lapsed = true
+		return retry.NotSent, placement.OutcomeWithdrawn
+	}
 	if err != nil && errors.Is(context.Cause(watchedCtx), errNotStarted) {
 		return j.withdrawn(choice, err)
 	}
@@ -90,7 +94,12 @@
 // send sends the request with the dispatch headers; time-dependent values are computed at the time of sending.
 func (j *job) send(ctx context.Context, choice *placement.Choice, endpoint registration.Incarnation) (*upstream.Response, error) {
 	headers, notices := j.node.deps.Headers, j.node.notices
-	permit := func() error { return notices.permit(endpoint) }
+	permit := func() error {
+		if err := notices.permit(endpoint); err != nil {
+			return err
+		}
+		return checkGrant(clock.Now(), choice)
+	}
 	if err := permit(); err != nil {
 		return nil, fmt.Errorf("attempt: %w", err)
 	}
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -61,13 +61,13 @@
 		list = nil
 	}
 	d.mu.Unlock()
-	changed := d.activate(revision, list)
+	changed := d.activate(sent, revision, list)
 	d.confirm(sent)
 	return changed
 }
 
-// activate puts a list into effect, and reports whether the set of usable endpoints changed; a nil list is one without changes.
-func (d *discovery) activate(revision kv.Revision, list []*registration.Registration) bool {
+// activate puts a list into effect that was current at the instant readAt, and reports whether the set of usable endpoints changed; a nil list is one without changes.
+func (d *discovery) activate(readAt clock.Instant, revision kv.Revision, list []*registration.Registration) bool {
 	n := d.node
 	d.mu.Lock()
 	d.heldRevision = max(d.heldRevision, revision)
@@ -88,7 +88,7 @@
 		}
 	}
 	d.loaded.Store(true)
-	n.placer.setEndpoints(snapshot)
+	n.placer.setEndpoints(readAt, snapshot)
 	return len(changes) > 0
 }
 
@@ -98,13 +98,15 @@
 	d.mu.Lock()
 	d.readAt = max(d.readAt, sent)
 	d.view.Confirm(sent)
+	readAt := d.readAt
 	if !d.view.HasMissing() {
 		d.mu.Unlock()
+		d.node.placer.confirmRegistrations(readAt)
 		return
 	}
 	list, revision := d.catalog.List(), d.heldRevision
 	d.mu.Unlock()
-	d.activate(revision, list)
+	d.activate(readAt, revision, list)
 }
 
 func (d *discovery) revision() kv.Revision {
@@ -136,6 +138,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	query.RegistrationsDigest, query.Source, query.Number = d.catalog.Sum(), d.changeSource, d.changeNumber
+	query.WarmupDigest = d.catalog.WarmupSum()
 }
 
 // applyRelayed applies what a relay knows of the registrations; its ages hold as of the given instant or later. The store's revision
@@ -160,7 +163,7 @@
 		list = d.catalog.List()
 	}
 	d.mu.Unlock()
-	d.activate(revision, list)
+	d.activate(readAt, revision, list)
 	d.confirm(readAt)
 }
 
@@ -171,7 +174,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	age := now.Sub(d.readAt)
-	if query.RegistrationsDigest == d.catalog.Sum() {
+	if query.RegistrationsDigest == d.catalog.Sum() && (query.WarmupDigest == 0 || query.WarmupDigest == d.catalog.WarmupSum()) {
 		return uint64(d.heldRevision), nil, age
 	}
 	number := uint64(0)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -28,8 +28,9 @@
 		return answer(body, func(m *peer.PlaceRequest) any { return h.place(from, m) })
 	case peer.KindAwaitPlacement:
 		return answer(body, func(m *peer.AwaitPlacement) any {
+			received := clock.Now()
 			g, err := h.placer.awaitGrant(ctx, placement.AssignmentID{Entry: from.Incarnation, Number: m.Number}, awaitTimeout)
-			return h.placeReply(g.Request, g.Choice, err)
+			return h.placeReply(received, g.Request, g.Choice, err)
 		})
 	case peer.KindSync:
 		return answer(body, func(m *peer.SyncRequest) any { return h.relay.serveSync(ctx, m) })
@@ -96,14 +97,15 @@
 		req.TargetDeadline = now.Add(msg.TargetTimeout)
 	}
 	choice, err := h.placer.placeLocally(&req)
-	return h.placeReply(&req, choice, err)
+	return h.placeReply(now, &req, choice, err)
 }
 
-// placeReply returns the reply to a placement request. With older weights it carries what is known here of the announcement of newer ones,
+// placeReply returns the reply to a placement request that was received at an instant. With older weights it carries what is known here of the announcement of newer ones,
 // which may be more than the requesting instance knows.
-func (h *handler) placeReply(req *placement.Request, choice placement.Choice, err error) peer.PlaceReply {
+func (h *handler) placeReply(received clock.Instant, req *placement.Request, choice placement.Choice, err error) peer.PlaceReply {
 	reply := toPlaceReply(choice, err)
 	if reply.Verdict == peer.VerdictPlaced {
+		reply.Held = heldTime(received, &choice)
 		reply.TargetVersions = h.placer.targetsBeyond(clock.Now(), req.Model, choice.Version)
 	}
 	return reply
@@ -200,6 +202,7 @@
 		if len(placed.TargetVersions) > 0 {
 			n.learnTargetVersions(sent, name, placed.TargetVersions)
 		}
+		recordGranted(&placed.Choice, sent, placed.Held)
 		return placed.Choice, nil
 	case peer.VerdictNoEndpoint:
 		return placement.Choice{}, placement.ErrNoEndpoint
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -68,7 +68,7 @@
 
 // record records what an answer says of the endpoint that sent it, which is the expected one unless the answer names another.
 func (t *notices) record(expected registration.Incarnation, reply *exchange.Reply) {
-	if !reply.Leaving && reply.Pause == 0 && reply.InvalidPause == "" {
+	if !reply.Leaving && reply.Pause == 0 && reply.InvalidPause == "" && reply.WarmupTime == nil {
 		return
 	}
 	n := t.node
@@ -76,6 +76,9 @@
 	if reply.Endpoint != "" && reply.Endpoint != expected.ID {
 		endpoint = n.discovery.incarnation(reply.Endpoint)
 	}
+	if reply.WarmupTime != nil {
+		n.placer.recordWarmup(endpoint, *reply.WarmupTime)
+	}
 	if reply.InvalidPause != "" {
 		n.log.Warn(event.EndpointPauseInvalid, "endpoint asked for an invalid pause", zap.String("endpoint", endpoint.ID),
 			zap.String("value", truncate(reply.InvalidPause, maxLoggedValue)), zap.Int64("pause_ms", reply.Pause.Milliseconds()))
@@ -133,7 +136,7 @@
 
 // recordCall records what the answer to a call says, unless the address is that of no endpoint in use.
 func (t *notices) recordCall(id, address string, reply *exchange.Reply) {
-	if !reply.Leaving && reply.Pause == 0 && reply.InvalidPause == "" {
+	if !reply.Leaving && reply.Pause == 0 && reply.InvalidPause == "" && reply.WarmupTime == nil {
 		return
 	}
 	if id != "" {
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -60,6 +60,7 @@
 		pool = placement.NewPool(placement.Config{
 			PrefillRate: float64(p.node.cfg.PrefillRate), OldWeightsGrace: p.node.bounds.Load().OldWeightsGrace - oldWeightsMargin,
 			Reachability: p.reachability, Suspicions: p.node.suspects, Notices: p.node.notices,
+			ColdAdmission: coldAdmission{p.node},
 		})
 		for model, list := range p.targets {
 			for _, target := range list {
@@ -99,6 +100,7 @@
 		p.pool(name).SetEngine(e)
 	}
 	p.setStores(t)
+	p.setWarmupLimits(t)
 }
 
 // setStores assigns all cache stores to the service with engines whose name sorts first: a store managed by two pools would be
@@ -220,7 +222,8 @@
 	return p.pool(req.Service).Replaced(clock.Now(), req.Model, choice.Version)
 }
 
-func (p *placer) setEndpoints(byService map[string][]*registration.Registration) {
+// setEndpoints sets the endpoints as registered at the instant readAt.
+func (p *placer) setEndpoints(readAt clock.Instant, byService map[string][]*registration.Registration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for service := range byService {
@@ -228,6 +231,7 @@
 	}
 	for service, pool := range p.pools {
 		pool.SetEndpoints(byService[service])
+		pool.ObserveRegistrations(clock.Now(), readAt)
 		p.node.metrics.Endpoints.WithLabelValues(service).Set(float64(pool.Endpoints()))
 	}
 }
@@ -391,6 +395,7 @@
 					zap.String("endpoint", change.Endpoint), zap.Bool("silent", change.Unresponsive), zap.Int64("span_ms", change.Inactive.Milliseconds()),
 					zap.Int("pending", change.Pending))
 			}
+			p.logWarmups(service, pool, now)
 			p.grantWaiting(pool, now)
 		}
 		for _, c := range p.reachability.TakeChanges() {
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -64,6 +64,7 @@
 	n.bounds.Store(&bounds)
 	n.retryBudgets.setLimits(bounds.RetryShare, bounds.RetryReserve)
 	n.placer.setOldWeightsGrace(bounds.OldWeightsGrace)
+	n.placer.reloadWarmupLimits()
 	n.rollout.setSettleTime(bounds.Lease)
 	n.metrics.SetSettings(n.cfg.Name, next.Digest, bounds.Digest())
 	return nil
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -76,6 +76,9 @@
 	// barred is why nothing was sent in the current attempt, or nil; withdrawals counts the placements that were given up for it.
 	barred      *barredError
 	withdrawals int
+	// lapsed is true if nothing was sent in the current attempt since the placement was for a cold endpoint and too old; lapses counts these.
+	lapsed bool
+	lapses int
 	// paused is true if the endpoint of the last attempt rejected the request and wants none for a while. It may be used again afterwards.
 	paused bool
 }
@@ -251,7 +254,17 @@
 			return
 		}
 		outcome, placementOutcome := j.attempt(ctx, &choice)
+		if placementOutcome == placement.OutcomeUnreachable {
+			n.placer.doubtEndpoint(choice.Endpoint)
+		}
 		n.placer.reportEnd(&j.placementReq, owner, assignmentEnd{placementOutcome, j.namedVersion, j.crash})
+		if j.lapsed {
+			if refused := j.replace(ctx, &choice); refused != nil {
+				j.fail(ctx, refused)
+				return
+			}
+			continue
+		}
 		if j.barred != nil {
 			if refused := j.withdraw(ctx, &choice); refused != nil {
 				j.fail(ctx, refused)
--- a/internal/metric/hosted.go
+++ b/internal/metric/hosted.go
@@ -19,6 +19,8 @@
 	TableAge      prometheus.GaugeFunc
 	Endpoints     *prometheus.GaugeVec
 	Barred        *prometheus.GaugeVec
+	Cold          *prometheus.GaugeVec
+	ColdDeferred  *prometheus.CounterVec
 	InFlight      prometheus.Gauge
 	PlacementAge  prometheus.Gauge
 	DispatchDelay prometheus.Gauge
@@ -49,6 +51,8 @@
 		TableAge:      prometheus.NewGaugeFunc(gaugeOpts("table_age_seconds", "Time since the configuration was confirmed."), age),
 		Endpoints:     prometheus.NewGaugeVec(gaugeOpts("endpoints", "Endpoints that may get new requests, by service."), []string{"service"}),
 		Barred:        prometheus.NewGaugeVec(gaugeOpts("endpoints_barred", "Endpoints that get no requests, by what they said: leaving, paused."), []string{"reason"}),
+		Cold:          prometheus.NewGaugeVec(gaugeOpts("endpoints_cold", "Endpoints that are cold or may be, by service."), []string{"service"}),
+		ColdDeferred:  newCounterVec("cold_deferred_requests_total", "Requests that were queued or placed elsewhere since a cold endpoint was left out.", "service"),
 		InFlight:      prometheus.NewGauge(gaugeOpts("requests_in_flight", "Requests that this instance holds.")),
 		PlacementAge:  prometheus.NewGauge(gaugeOpts("placement_age_seconds", "Time since this instance last processed its queue of requests to place.")),
 		DispatchDelay: prometheus.NewGauge(gaugeOpts("dispatch_delay_seconds", "Mean time that arrived data waits until this process reads it.")),
@@ -57,6 +61,6 @@
 		Reloads: newCounterVec("settings_reloads_total", "Changed settings files by result: applied, invalid, needs_restart.", "result"),
 	}
 	s.Registry.MustRegister(s.Requests, s.Latency, s.FirstEvent, s.Attempts, s.PromptTokens, s.Placements, s.StoreCalls, s.Orders, s.Dials,
-		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.Settings, s.Reloads)
+		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.Cold, s.ColdDeferred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.Settings, s.Reloads)
 	return s
 }
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -86,4 +86,6 @@
 	Pause time.Duration
 	// InvalidPause is the text in which the endpoint stated a pause that can't be read, or that is longer than allowed; empty if it is valid.
 	InvalidPause string
+	// WarmupTime is for how long the endpoint is still cold, zero if it is warm, or nil if the answer doesn't tell.
+	WarmupTime *time.Duration
 }
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -69,6 +69,9 @@
 	TargetVersions []TargetVersion `msgpack:",omitempty"`
 	// Paused is true if the request was rejected since all endpoints want none of the requesting instance for a while.
 	Paused bool `msgpack:",omitempty"`
+	// Held is the time from when the call arrived until the endpoint was chosen, if the placement of cold endpoints lapses. It is negative if
+	// the endpoint was chosen before the call arrived.
+	Held time.Duration `msgpack:",omitempty"`
 }
 
 // AssignmentUpdate reports the first event of an assignment to the owner of the placement, or its end.
@@ -99,6 +102,8 @@
 	OperatorRevision uint64 `msgpack:"Operator"`
 	// RegistrationsDigest is the digest of the sender's registrations.
 	RegistrationsDigest uint64 `msgpack:"Sum"`
+	// WarmupDigest is the digest of the sender's registrations with whether their endpoints are cold, or zero if the sender doesn't tell.
+	WarmupDigest uint64 `msgpack:",omitempty"`
 	// SystemKeysDigest is the digest of the sender's copy of the system's own keys.
 	SystemKeysDigest uint64 `msgpack:"Own"`
 	// Source is the run of the instance whose numbered registration changes the sender has applied, and Number is the last one.
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -74,6 +74,10 @@
 	RetryReserve float64
 	// MaxLoads limits the weight orders in progress at the same time in a small service. In a large one the limit is a share of its engines.
 	MaxLoads int
+	// WarmupExcess and WarmupTolerance bound the requests that a cold endpoint may get in any second: WarmupExcess times the rate that the
+	// operator configures for its service, and WarmupTolerance on top.
+	WarmupExcess    float64
+	WarmupTolerance float64
 }
 
 // Digest identifies the values of the bounds. It is the same on all instances that hold the same bounds.
@@ -154,6 +158,8 @@
 			RetryShare:         r.float("bounds", "retry_share", 0, 1, 0.2),
 			RetryReserve:       r.float("bounds", "retry_slack", 0, 1000000, 100),
 			MaxLoads:           r.integer("engine", "loads", 1, 1000, 3),
+			WarmupExcess:       r.float("bounds", "warmup_excess", 0, 1000, 1),
+			WarmupTolerance:    r.float("bounds", "warmup_tolerance", 0, 1000000, 0),
 		},
 		PrefillRate: r.integer("engine", "prefill_tokens_per_second", 1, 100000000, 20000),
 		MemoryMB:    r.float("process", "memory", 16, 1<<20, 128),
--- a/internal/state/registration/registration.go
+++ b/internal/state/registration/registration.go
@@ -20,10 +20,15 @@
 	Versions map[string]int
 	// StartMilli is the time of the endpoint's start, in Unix milliseconds. A new value means that the endpoint has lost all earlier state.
 	StartMilli int64 `msgpack:"Born"`
-	// WarmupTime is the time, from when the registration was written, until the endpoint is expected to reach its full speed.
+	// WarmupTime is the time, from when the registration was written, until the endpoint is expected to reach its full speed, or WarmupUnknown.
 	WarmupTime time.Duration `msgpack:"Cold"`
+	// Warmups counts how many times the endpoint has become cold while it was cold, as seen by the instance that read the registration.
+	Warmups int `msgpack:",omitempty"`
 }
 
+// WarmupUnknown is the WarmupTime of a registration that doesn't name it.
+const WarmupUnknown time.Duration = -1
+
 // Incarnation identifies one run of an endpoint.
 type Incarnation struct {
 	ID         string
@@ -35,12 +40,23 @@
 	return Incarnation{ID: r.ID, StartMilli: r.StartMilli}
 }
 
-// Digest returns a digest of the fields that matter for placement, which are all but WarmupTime.
+// Digest returns a digest of the fields that matter for placement. Of WarmupTime it is only whether the endpoint is cold, since the time
+// changes with each heartbeat.
 func (r *Registration) Digest() uint64 {
-	var h xxhash.Digest
-	h.Reset()
+	h := r.hash()
+	if r.WarmupTime > 0 {
+		writeInt(h, int64(r.Warmups)+1)
+	}
+	return h.Sum64()
+}
+
+// BaseDigest returns the digest of all fields but those that tell whether the endpoint is cold.
+func (r *Registration) BaseDigest() uint64 { return r.hash().Sum64() }
+
+func (r *Registration) hash() *xxhash.Digest {
+	h := xxhash.New()
 	writeString := func(s string) {
-		writeInt(&h, int64(len(s)))
+		writeInt(h, int64(len(s)))
 		// Write on a hash never returns an error.
 		_, _ = h.WriteString(s)
 	}
@@ -48,18 +64,18 @@
 	writeString(r.Service)
 	writeString(r.Address)
 	writeString(r.Zone)
-	writeInt(&h, int64(r.Slots))
-	writeInt(&h, r.StartMilli)
+	writeInt(h, int64(r.Slots))
+	writeInt(h, r.StartMilli)
 	if r.Leaving {
-		writeInt(&h, 1)
+		writeInt(h, 1)
 	}
 	versions := uint64(0)
 	for model, v := range r.Versions {
 		// The hashes are summed, so that the result doesn't depend on the map's order.
 		versions += xxhash.Sum64String(model) * uint64(v)
 	}
-	writeInt(&h, int64(versions))
-	return h.Sum64()
+	writeInt(h, int64(versions))
+	return h
 }
 
 func writeInt(h *xxhash.Digest, n int64) {
--- a/internal/state/route/types.go
+++ b/internal/state/route/types.go
@@ -104,6 +104,10 @@
 	Name string
 	// MaxConnections is the number of connections that an endpoint accepts from all callers together.
 	MaxConnections int
+	// WarmupTime is how long an endpoint is cold after its start under traffic.
+	WarmupTime time.Duration
+	// WarmupRate is the number of requests per second that a cold endpoint bears; zero sets no limit.
+	WarmupRate float64
 	// Engine is nil for plain services.
 	Engine *Engine
 }
