Return lapsed placements on cold endpoints, and tell the leader what answers say

Cause: an entry that is slow or was frozen uses its placements late, together with those that the leader has admitted since. The leader doesn't see what an endpoint says in its answers to other entries, or the connections that they found refused before it was elected.

Change: after two lapsed placements a request asks for warm endpoints only. What an answer says of the time left (Cold-Ms) goes to the leader, and all entries take an endpoint as in doubt that a crash report names. While cold endpoints only wait for their window, queued requests no longer go to endpoints in backoff.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -98,7 +98,7 @@
 		return Choice{}, &OverloadError{RetryAt: now.Add(wait), Expected: best.choice.Expected}
 	}
 	p.reserveFetch(now, req, &best)
-	p.admit(now, &best)
+	p.admit(now, req, &best)
 	best.choice.SaveTo = p.saveTargets(now, best.endpoint, req, &best.choice)
 	p.assign(now, req, &best)
 	p.cfg.Reachability.recordSend(now, req.Zone, best.endpoint)
@@ -200,6 +200,9 @@
 		case p.barred(now, s, req):
 			busy = busy || q != nil && !p.leaves(now, s)
 		case p.refusesCold(now, s, req):
+			if q != nil && s.usable(now) {
+				return nil, true
+			}
 			busy = busy || q != nil
 			if q == nil && p.permitsShare(now, s) {
 				eligible = append(eligible, s)
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -43,6 +43,8 @@
 	Deadline clock.Instant
 	// Uncoordinated is true if this pool sees only part of the load, so that entries have to make consistent choices without coordination.
 	Uncoordinated bool `msgpack:"Alone"`
+	// WarmOnly is true if the request must not be placed on a cold endpoint, since its entry is too slow to use such placements in time.
+	WarmOnly bool `msgpack:",omitempty"`
 }
 
 // SharedTokens returns the number of prompt tokens that may be shared with other requests.
--- a/internal/coordination/placement/warmup.go
+++ b/internal/coordination/placement/warmup.go
@@ -101,11 +101,16 @@
 	e.Announce(now, readAt, left)
 }
 
-// WarmupStated applies the time left that an endpoint's incarnation has named in an answer.
-func (p *Pool) WarmupStated(now clock.Instant, endpoint registration.Incarnation, left time.Duration) {
-	if s := p.endpoints[endpoint.ID]; s != nil && s.warmup != nil && s.Incarnation() == endpoint {
-		s.warmup.State(now, left)
+// WarmupStated applies the time left that an endpoint's incarnation has named in an answer, and reports whether the endpoint was taken for warm
+// and isn't.
+func (p *Pool) WarmupStated(now clock.Instant, endpoint registration.Incarnation, left time.Duration) bool {
+	s := p.endpoints[endpoint.ID]
+	if s == nil || s.warmup == nil || s.Incarnation() != endpoint {
+		return false
 	}
+	wasCold := p.isCold(now, s)
+	s.warmup.State(now, left)
+	return p.isCold(now, s) && !wasCold
 }
 
 // EndpointsInDoubt treats the endpoints of a zone as cold until registrations show that they aren't, for example after its evacuation.
@@ -138,7 +143,10 @@
 
 // refusesCold reports whether an endpoint gets no request now because it is cold.
 func (p *Pool) refusesCold(now clock.Instant, s *endpointState, req *Request) bool {
-	if !p.isCold(now, s) || p.warmups.limits.Permits(now, &s.warmup.Endpoint, p.coldAuthority(now, req)) {
+	if !p.isCold(now, s) {
+		return false
+	}
+	if !req.WarmOnly && p.warmups.limits.Permits(now, &s.warmup.Endpoint, p.coldAuthority(now, req)) {
 		return false
 	}
 	p.warmups.refused = true
@@ -165,12 +173,14 @@
 	return w.limits.Permits(now, &s.warmup.Endpoint, warmup.Authority{Share: share})
 }
 
-// admit records that a request is sent to an endpoint, and marks the choice if the endpoint is cold.
-func (p *Pool) admit(now clock.Instant, best *candidate) {
+// admit records that a request is sent to an endpoint, and marks the choice if the endpoint is cold. A choice by a process that may admit
+// nothing is not marked: it has taken an endpoint in doubt for warm.
+func (p *Pool) admit(now clock.Instant, req *Request, best *candidate) {
 	if !p.warmups.limits.Enabled() || best.endpoint.warmup == nil {
 		return
 	}
-	best.choice.Cold, best.choice.GrantedAt = p.isCold(now, best.endpoint), now
+	best.choice.GrantedAt = now
+	best.choice.Cold = p.isCold(now, best.endpoint) && (p.engine == nil || p.coldAuthority(now, req).SoleSince != 0)
 	best.endpoint.warmup.Admit(now, &p.warmups.limits)
 }
 
--- a/internal/coordination/warmup/endpoint.go
+++ b/internal/coordination/warmup/endpoint.go
@@ -53,7 +53,12 @@
 }
 
 // State applies what an endpoint says of itself in an answer read now.
-func (e *Endpoint) State(now clock.Instant, left time.Duration) { e.state(now, now, left) }
+func (e *Endpoint) State(now clock.Instant, left time.Duration) {
+	e.state(now, now, left)
+	if left == 0 && !now.Before(e.doubtUntil) {
+		e.doubtUntil = 0
+	}
+}
 
 func (e *Endpoint) state(now, readAt clock.Instant, left time.Duration) {
 	until := clock.Instant(0)
--- a/internal/coordination/warmup/warmup_test.go
+++ b/internal/coordination/warmup/warmup_test.go
@@ -63,6 +63,13 @@
 			e.Announce(after(6*time.Second), after(5*time.Second), 0)
 			expect(6*time.Second, warmup.Warm)
 		})
+		Convey("in doubt is warm by an answer that says so after the time set", func() {
+			e.Doubt(start, 3*time.Second)
+			e.State(after(2*time.Second), 0)
+			expect(2*time.Second, warmup.InDoubt)
+			e.State(after(3*time.Second), 0)
+			expect(3*time.Second, warmup.Warm)
+		})
 		Convey("in doubt is used after the time set by a process that may admit nothing, even if no registration is read", func() {
 			e.Doubt(start, 3*time.Second)
 			So(limits().Permits(after(2*time.Second), &e, warmup.Authority{}), ShouldBeFalse)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -41,7 +41,10 @@
 	case peer.KindAssignmentUpdate:
 		return record(body, func(m *peer.AssignmentUpdate) { h.recordAssignmentUpdate(from, m) })
 	case peer.KindCrashReport:
-		return record(body, (*Node)(h).recordReportedCrash)
+		return record(body, func(m *peer.CrashReport) {
+			h.placer.doubtEndpoint(m.Endpoint)
+			(*Node)(h).recordReportedCrash(m)
+		})
 	case peer.KindPartsCleared:
 		return record(body, func(m *peer.PartsCleared) { h.suspects.recordAnswer(m.Service, m.Parts, clock.Now().Add(-m.Age)) })
 	case peer.KindHandOver:
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -76,8 +76,9 @@
 	if reply.Endpoint != "" && reply.Endpoint != expected.ID {
 		endpoint = n.discovery.incarnation(reply.Endpoint)
 	}
-	if reply.WarmupTime != nil {
-		n.placer.recordWarmup(endpoint, *reply.WarmupTime)
+	left := time.Duration(0)
+	if reply.WarmupTime != nil && n.placer.recordWarmup(endpoint, *reply.WarmupTime) {
+		left = *reply.WarmupTime
 	}
 	if reply.InvalidPause != "" {
 		n.log.Warn(event.EndpointPauseInvalid, "endpoint asked for an invalid pause", zap.String("endpoint", endpoint.ID),
@@ -85,9 +86,10 @@
 	}
 	news := reply.Leaving && t.recordLeaving(endpoint)
 	news = t.recordPause(n.incarnation, endpoint.ID, reply.Pause) || news
+	news = news || left > 0
 	if leader := n.members.owner(); news && leader != "" && leader != n.cfg.Name {
 		n.notify(leader, peer.KindEndpointNotice, peer.EndpointNotice{
-			Endpoint: endpoint.ID, StartMilli: endpoint.StartMilli, Leaving: reply.Leaving, Pause: reply.Pause,
+			Endpoint: endpoint.ID, StartMilli: endpoint.StartMilli, Leaving: reply.Leaving, Pause: reply.Pause, WarmupTime: left,
 		})
 	}
 }
@@ -97,6 +99,9 @@
 	if m.Leaving {
 		t.recordLeaving(registration.Incarnation{ID: m.Endpoint, StartMilli: m.StartMilli})
 	}
+	if m.WarmupTime > 0 {
+		t.node.placer.recordWarmup(registration.Incarnation{ID: m.Endpoint, StartMilli: m.StartMilli}, m.WarmupTime)
+	}
 	t.recordPause(entry, m.Endpoint, m.Pause)
 }
 
--- a/internal/gateway/placement_peers_test.go
+++ b/internal/gateway/placement_peers_test.go
@@ -156,6 +156,8 @@
 	stop     func()
 	// announcedAt is when version 2 of the weights was announced, or zero if it wasn't.
 	announcedAt time.Time
+	// change changes the answer to the placement with an index, unless it is nil.
+	change func(i int, reply *peer.PlaceReply)
 
 	mu        sync.Mutex
 	placed    []uint64
@@ -181,6 +183,9 @@
 		if !l.announcedAt.IsZero() {
 			reply.TargetVersions = []peer.TargetVersion{{Model: testModel, Version: 2, MaxAge: time.Since(l.announcedAt)}}
 		}
+		if l.change != nil {
+			l.change(len(l.placed)-1, &reply)
+		}
 		return reply, nil
 	case peer.KindAssignmentUpdate:
 		var m peer.AssignmentUpdate
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -78,14 +78,16 @@
 	}
 }
 
-// recordWarmup records for how long an endpoint has said that it is still cold.
-func (p *placer) recordWarmup(endpoint registration.Incarnation, left time.Duration) {
+// recordWarmup records for how long an endpoint has said that it is still cold, and reports whether it was taken for warm.
+func (p *placer) recordWarmup(endpoint registration.Incarnation, left time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Now()
+	turned := false
 	for _, pool := range p.pools {
-		pool.WarmupStated(now, endpoint, left)
+		turned = pool.WarmupStated(now, endpoint, left) || turned
 	}
+	return turned
 }
 
 // doubtEndpoint records that a connection to an endpoint was refused or reset. The instance that placed the request may not be the next one to
@@ -143,14 +145,20 @@
 	return nil
 }
 
-// maxLapses limits how often a request is placed again since its placement on a cold endpoint has lapsed.
-const maxLapses = 8
+const (
+	// maxColdLapses is how many placements of a request on cold endpoints may lapse before it asks for warm ones only: each of them takes the
+	// place of another request.
+	maxColdLapses = 2
+	// maxLapses limits how often a request is placed again since its placement has lapsed.
+	maxLapses = 8
+)
 
 // replace prepares a request for another placement after the last one has lapsed. That is no attempt, since nothing was sent.
 func (j *job) replace(ctx context.Context, choice *placement.Choice) *refusal {
 	j.node.log.Info(event.AttemptFailed, "placement withdrawn", zap.String("request", j.head.ID), zap.String("endpoint", choice.Endpoint),
 		zap.Error(errGrantLapsed))
 	j.lapses++
+	j.placementReq.WarmOnly = j.lapses >= maxColdLapses
 	switch {
 	case ctx.Err() != nil:
 		return unavailable("deadline", clock.Now().Add(shortRetryDelay))
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -30,6 +30,8 @@
 	Leaving bool
 	// Pause is for how much longer the endpoint wants no requests from the sender, or zero.
 	Pause time.Duration
+	// WarmupTime is for how much longer the endpoint is cold although the sender took it for warm, or zero.
+	WarmupTime time.Duration `msgpack:",omitempty"`
 }
 
 // PlaceVerdict is the result of a placement request.
--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -42,6 +42,8 @@
 	// Journal receives a line of JSON for each start, request and order, and for the departure. A request is recorded before it runs.
 	// Nil disables the journal.
 	Journal io.Writer
+	// WarmupTime is for how long the endpoint registers as cold after each start.
+	WarmupTime time.Duration
 }
 
 // JournalEntry is one line of an endpoint's journal. Exactly one of Run, Rejected, Order, Started and Leaving is set.
@@ -226,6 +228,7 @@
 	}
 	startedMilli := e.startedMilli
 	e.mu.Unlock()
+	warmAt := time.UnixMilli(startedMilli).Add(e.cfg.WarmupTime)
 	return e.registrar.Put("servers/"+e.cfg.ID, struct {
 		Backend, Address, Zone, Version string
 		Capacity                        int
@@ -233,7 +236,7 @@
 		ColdLeftMs, Sequence            int
 		Models                          []model
 		Born                            int64 `json:"born"`
-	}{e.cfg.Service, e.Address(), e.cfg.Zone, "v1", e.cfg.Slots, state, 0, 1, models, startedMilli})
+	}{e.cfg.Service, e.Address(), e.cfg.Zone, "v1", e.cfg.Slots, state, int(max(0, time.Until(warmAt)).Milliseconds()), 1, models, startedMilli})
 }
 
 // Leave makes the endpoint state in its answers that it leaves, and registers it as leaving. It continues to serve requests.
