--- a/internal/coordination/registry/catalog_test.go
+++ b/internal/coordination/registry/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
@@ -56,6 +57,38 @@
 			So(small.Since(since).Complete, ShouldBeTrue)
 		})
 	})
+	Convey("a catalog whose endpoint becomes cold", t, func() {
+		read := func(left time.Duration) *registration.Registration {
+			r := endpoint(0, 8)
+			r.WarmupTime = left
+			return r
+		}
+		c, held := catalogOf(read(0)), catalogOf(read(0))
+		sum, warmupSum := c.Sum(), c.WarmupSum()
+		Convey("changes when it does and when it is warm again, but not with each heartbeat", func() {
+			So(c.Replace([]*registration.Registration{read(3 * time.Second)}), ShouldBeTrue)
+			So(c.WarmupSum(), ShouldNotEqual, warmupSum)
+			So(c.Replace([]*registration.Registration{read(1800 * time.Millisecond)}), ShouldBeFalse)
+			So(c.Replace([]*registration.Registration{read(0)}), ShouldBeTrue)
+			So(c.WarmupSum(), ShouldEqual, warmupSum)
+		})
+		Convey("changes when it becomes cold again before it was warm, and a holder is told", func() {
+			c.Replace([]*registration.Registration{read(3 * time.Second)})
+			c.Replace([]*registration.Registration{read(time.Second)})
+			So(c.Replace([]*registration.Registration{read(2900 * time.Millisecond)}), ShouldBeTrue)
+			changes := c.Since(1)
+			So(held.Apply(&changes), ShouldBeTrue)
+			So(held.WarmupSum(), ShouldEqual, c.WarmupSum())
+			So(held.List()[0].WarmupTime, ShouldEqual, 2900*time.Millisecond)
+		})
+		Convey("keeps the sum that the release before knows, and accepts changes of that release, which has no other", func() {
+			c.Replace([]*registration.Registration{read(3 * time.Second)})
+			So(c.Sum(), ShouldEqual, sum)
+			changes := c.Since(0)
+			changes.WarmupSum, changes.Changed[0].WarmupTime = 0, 0
+			So(held.Apply(&changes), ShouldBeTrue)
+		})
+	})
 	Convey("applying the changes since any older state leads to the same state", t, func() {
 		rapid.Check(t, func(t *rapid.T) {
 			from, to := registry.NewCatalog(), registry.NewCatalog()
