End the doubt about an endpoint when its incarnation answers the leader

Cause: entries of a zone that is cut off report refused and reset connections to endpoints everywhere, so that the leader would limit all of them for three seconds and more though none has restarted.

Change: the answers to calls for cache events name the engine's start time. If it is the registered one, in the answer to a call sent after the connection was refused, the endpoint has not restarted and the doubt ends. A later start time is a reason for doubt. The doubt after an evacuation isn't ended by it.

--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -169,6 +169,8 @@
 	Events []CacheEvent
 	// ClockMillis is the time on the cache's clock, or zero if it isn't reported.
 	ClockMillis int64
+	// StartMilli identifies the incarnation of the engine, or is zero if it isn't reported.
+	StartMilli int64
 }
 
 // StoreListing is a full listing of a store.
--- a/internal/coordination/placement/warmup.go
+++ b/internal/coordination/placement/warmup.go
@@ -118,6 +118,9 @@
 	for _, s := range p.endpointList {
 		if s.Zone == zone {
 			s.doubt(now, zoneDoubt)
+			if s.warmup != nil {
+				s.warmup.KeepDoubt()
+			}
 		}
 	}
 }
@@ -129,6 +132,19 @@
 	}
 }
 
+// IncarnationSeen records which incarnation of an endpoint has answered a call that was sent at an instant. The one that is registered has not
+// been restarted, whatever connections were refused or reset before. A later one may be cold, and registers soon.
+func (p *Pool) IncarnationSeen(now clock.Instant, endpoint registration.Incarnation, sentAt clock.Instant) {
+	s := p.endpoints[endpoint.ID]
+	switch {
+	case s == nil || s.warmup == nil || s.StartMilli == 0:
+	case s.StartMilli == endpoint.StartMilli:
+		s.warmup.Continues(sentAt)
+	case s.StartMilli < endpoint.StartMilli:
+		s.doubt(now, refusedDoubt)
+	}
+}
+
 // doubt treats the endpoint as cold until a registration that is read a given time later shows that it isn't.
 func (s *endpointState) doubt(now clock.Instant, after time.Duration) {
 	if s.warmup != nil {
--- a/internal/coordination/placement/warmup_test.go
+++ b/internal/coordination/placement/warmup_test.go
@@ -122,6 +122,21 @@
 			f.confirm(7 * time.Second)
 			So(f.run(7*time.Second, 8*time.Second, false)["e00"], ShouldBeGreaterThanOrEqualTo, 200)
 		})
+		Convey("ends the doubt when the incarnation answers a later call, but not that after an evacuation, nor for another incarnation", func() {
+			seen := func(startMilli int64, sentAt time.Duration) int {
+				f := newColdFleet(0, 0)
+				f.EndpointInDoubt("e00", start.Add(time.Second))
+				f.IncarnationSeen(start.Add(2*time.Second), registration.Incarnation{ID: "e00", StartMilli: startMilli}, start.Add(sentAt))
+				return f.ColdEndpoints(start.Add(2 * time.Second))
+			}
+			So(seen(1, 900*time.Millisecond), ShouldEqual, 1)
+			So(seen(1, time.Second), ShouldEqual, 0)
+			So(seen(2, time.Second), ShouldEqual, 1)
+			f := newColdFleet(0)
+			f.EndpointsInDoubt("a", start)
+			f.IncarnationSeen(start, registration.Incarnation{ID: "e00", StartMilli: 1}, start)
+			So(f.ColdEndpoints(start), ShouldEqual, 1)
+		})
 		Convey("uses one in doubt again after the stated time where it places alone, though no registration is read", func() {
 			f := newColdFleet(0)
 			f.EndpointInDoubt("e00", start)
--- a/internal/coordination/warmup/endpoint.go
+++ b/internal/coordination/warmup/endpoint.go
@@ -28,14 +28,18 @@
 //	event                                              response
 //	a registration or an answer names a time left      cold until that time has passed, or a newer statement names none
 //	a new incarnation that names no time               cold for Limits.Time
-//	a connection was refused or reset, or similar      in doubt until a registration that was read after a given time names none
+//	a connection was refused or reset, or similar      in doubt until a registration that was read after a given time names none, or the
+//	                                                   incarnation answers a call that was sent later
 type Endpoint struct {
 	coldUntil clock.Instant
 	// statedAt is when the newest statement was read, and announced is true if the last registration names a time left.
 	statedAt  clock.Instant
 	announced bool
-	// doubtUntil is from when on a registration ends the doubt; zero is no doubt.
+	// doubtUntil is from when on a registration ends the doubt; zero is no doubt. doubtedAt is when the reason for it was last seen, and lasting is
+	// true if the endpoint may be cold though it wasn't restarted.
 	doubtUntil clock.Instant
+	doubtedAt  clock.Instant
+	lasting    bool
 	// admitted holds the instants of the last admissions, of Limits.Admissions at most.
 	admitted []clock.Instant
 }
@@ -56,7 +60,7 @@
 func (e *Endpoint) State(now clock.Instant, left time.Duration) {
 	e.state(now, now, left)
 	if left == 0 && !now.Before(e.doubtUntil) {
-		e.doubtUntil = 0
+		e.doubtUntil, e.lasting = 0, false
 	}
 }
 
@@ -75,13 +79,24 @@
 // Confirm records that the last registration was still the newest at an instant.
 func (e *Endpoint) Confirm(readAt clock.Instant) {
 	if !e.announced && !readAt.Before(e.doubtUntil) {
-		e.doubtUntil = 0
+		e.doubtUntil, e.lasting = 0, false
 	}
 }
 
 // Doubt records that the endpoint may have become cold, until a registration that is read a given time later shows that it isn't.
 func (e *Endpoint) Doubt(now clock.Instant, after time.Duration) {
-	e.doubtUntil = max(e.doubtUntil, now.Add(after))
+	e.doubtUntil, e.doubtedAt = max(e.doubtUntil, now.Add(after)), now
+}
+
+// KeepDoubt records that the endpoint may be cold though it wasn't restarted.
+func (e *Endpoint) KeepDoubt() { e.lasting = true }
+
+// Continues records that the incarnation registered last answered a call that was sent at an instant. Restarts were a reason for doubt only if
+// they came before.
+func (e *Endpoint) Continues(sentAt clock.Instant) {
+	if !e.lasting && !sentAt.Before(e.doubtedAt) {
+		e.doubtUntil = 0
+	}
 }
 
 // Status returns whether the endpoint is cold.
--- a/internal/gateway/placement_peers_test.go
+++ b/internal/gateway/placement_peers_test.go
@@ -157,7 +157,7 @@
 	// announcedAt is when version 2 of the weights was announced, or zero if it wasn't.
 	announcedAt time.Time
 	// change changes the answer to the placement with an index, unless it is nil.
-	change func(i int, reply *peer.PlaceReply)
+	change func(i int, m *peer.PlaceRequest, reply *peer.PlaceReply)
 
 	mu        sync.Mutex
 	placed    []uint64
@@ -184,7 +184,7 @@
 			reply.TargetVersions = []peer.TargetVersion{{Model: testModel, Version: 2, MaxAge: time.Since(l.announcedAt)}}
 		}
 		if l.change != nil {
-			l.change(len(l.placed)-1, &reply)
+			l.change(len(l.placed)-1, &m, &reply)
 		}
 		return reply, nil
 	case peer.KindAssignmentUpdate:
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -101,6 +101,16 @@
 	}
 }
 
+// confirmIncarnation records which incarnation of an endpoint has answered a call that was sent at an instant.
+func (p *placer) confirmIncarnation(endpoint registration.Incarnation, sentAt clock.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := clock.Now()
+	for _, pool := range p.pools {
+		pool.IncarnationSeen(now, endpoint, sentAt)
+	}
+}
+
 // logWarmups logs and counts which endpoints of a service have become cold or warm; the caller holds the lock.
 func (p *placer) logWarmups(service string, pool *placement.Pool, now clock.Instant) {
 	for _, c := range pool.TakeWarmupChanges(now) {
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -89,10 +88,14 @@
 	Convey("an entry", t, func() {
 		s, leader := startSiteWithSlowLeader(0)
 		// lapse makes the first placements look as old as the given time, as if the entry had been frozen.
+		warmOnly := 0
 		lapse := func(placements int, age time.Duration, cold bool) {
 			leader.mu.Lock()
 			defer leader.mu.Unlock()
-			leader.change = func(i int, reply *peer.PlaceReply) {
+			leader.change = func(i int, m *peer.PlaceRequest, reply *peer.PlaceReply) {
+				if m.Request.WarmOnly {
+					warmOnly++
+				}
 				reply.Choice.Cold = cold
 				if i < placements {
 					reply.Held = -age
@@ -131,13 +134,16 @@
 			lapse(count+2, 300*time.Millisecond, false)
 			So(callPlaced(), ShouldHaveLength, count+2)
 		})
-		Convey("gives up after several placements that have lapsed, without an attempt", func() {
+		Convey("asks for warm endpoints only after two have lapsed, and gives up after several, without an attempt", func() {
 			lapse(count+100, time.Second, true)
 			a := s.call(s.entries[0], http.MethodPost, "/brief/", "notes")
 			So(a.status, ShouldEqual, http.StatusServiceUnavailable)
 			So(a.header.Get("Retry-After"), ShouldNotBeEmpty)
 			placed, _ := leader.lists()
-			So(fmt.Sprint(len(placed)-count), ShouldEqual, "9")
+			So(len(placed)-count, ShouldEqual, 9)
+			leader.mu.Lock()
+			defer leader.mu.Unlock()
+			So(warmOnly, ShouldEqual, 7)
 		})
 	})
 }
