--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -10,27 +10,31 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gypsumvale/internal/protocol/peer"
-	"gypsumvale/internal/settings"
 	"gypsumvale/internal/standin/hosted"
 )
 
 // coldTime is for how long the engine is cold after each start.
 const coldTime = 3 * time.Second
 
-// startColdSite starts three entries and an engine that registers as cold for 3 s after each start. Its bound is 26 requests in a second.
+// startColdSite starts three entries and an engine that registers as cold for 3 s after each start. Its bound, which the entries adopt while they
+// run, is 26 requests in a second.
 func startColdSite() (*site, *hosted.Endpoint) {
 	s := newSite()
 	spec := defaultSpec()
 	spec.Services[1]["ColdS"], spec.Services[1]["ColdPerS"] = 3.0, 14.0
 	s.putConfiguration(spec)
 	for range 3 {
-		s.addEntryWith(func(cfg *settings.Hosted) { cfg.WarmupExcess, cfg.WarmupTolerance = 1.5, 5 })
+		s.addEntry()
 	}
 	for _, e := range s.entries {
 		eventually("the entry has found its peers", func() bool { return s.store.Value("gypsum/entries/"+e.cfg.Name) != nil })
 	}
 	for _, e := range s.entries {
 		e.expectReady(true)
+		// The bound at the start is zero, with which nothing is admitted.
+		reloaded := *e.cfg
+		reloaded.WarmupExcess, reloaded.WarmupTolerance = 1.5, 5
+		So(e.node.Reload(&reloaded), ShouldBeNil)
 	}
 	eventually("a leader is elected", func() bool { return s.store.Value("gypsum/lead") != nil })
 	return s, s.addEndpoint(hosted.EndpointConfig{
