--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -45,6 +45,8 @@
 	Deadline clock.Instant
 	// Uncoordinated is true if this pool sees only part of the load, so that entries have to make consistent choices without coordination.
 	Uncoordinated bool `msgpack:"Alone"`
+	// WarmOnly is true if the request must not be placed on a cold endpoint, since its entry is too slow to use such placements in time.
+	WarmOnly bool `msgpack:",omitempty"`
 }
 
 // SharedTokens returns the number of prompt tokens that may be shared with other requests.
@@ -88,6 +90,11 @@
 	Fetched int
 	// Expected is the estimated time to the first event.
 	Expected time.Duration
+	// Cold is true if the endpoint is cold or may be. The placement may then be used only for warmup.GrantTimeout.
+	Cold bool `msgpack:",omitempty"`
+	// GrantedAt is no later than when the endpoint was chosen, if its service limits the requests to cold endpoints, or else zero. It isn't sent,
+	// since instances have no common clock.
+	GrantedAt clock.Instant `msgpack:"-"`
 }
 
 // ErrNoEndpoint is returned when no endpoint of a service takes new requests.
@@ -155,6 +162,8 @@
 	Evacuations Evacuations
 	// Regions maps zones to their regions; a zone that it lacks is in no region.
 	Regions map[string]string
+	// ColdAdmission is nil if this process may admit nothing to cold endpoints.
+	ColdAdmission ColdAdmission
 }
 
 // CacheUpdate is an update from a cache: its changes after a given event number.
@@ -168,6 +177,8 @@
 	Events []CacheEvent
 	// ClockMillis is the time on the cache's clock, or zero if it isn't reported.
 	ClockMillis int64
+	// StartMilli identifies the incarnation of the engine, or is zero if it isn't reported.
+	StartMilli int64
 }
 
 // StoreListing is a full listing of a store.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,7 +44,7 @@
 	watchedCtx, wd := j.startWatchdog(ctx)
 	defer wd.stop()
 	j.headReceived, j.begun, j.sentAt, j.namedVersion, j.crash = false, false, clock.Now(), 0, nil
-	j.barred, j.paused = nil, false
+	j.barred, j.paused, j.lapsed = nil, false, false
 	endpoint := j.node.incarnationOf(choice)
 	defer j.node.evacuations.begin(choice)()
 	resp, err := j.send(watchedCtx, choice, endpoint)
@@ -52,6 +52,10 @@
 		j.barred = reason
 		return retry.NotSent, placement.OutcomeWithdrawn
 	}
+	if errors.Is(err, errGrantLapsed) {
+		j.lapsed = true
+		return retry.NotSent, placement.OutcomeWithdrawn
+	}
 	if err != nil && errors.Is(context.Cause(watchedCtx), errNotStarted) {
 		return j.withdrawn(choice, err)
 	}
@@ -95,7 +99,10 @@
 		if err := j.permitZone(choice); err != nil {
 			return err
 		}
-		return notices.permit(endpoint)
+		if err := notices.permit(endpoint); err != nil {
+			return err
+		}
+		return checkGrant(clock.Now(), choice)
 	}
 	if err := permit(); err != nil {
 		return nil, fmt.Errorf("attempt: %w", err)
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -68,7 +68,7 @@
 
 // record records what an answer says of the endpoint that sent it, which is the expected one unless the answer names another.
 func (t *notices) record(expected registration.Incarnation, reply *exchange.Reply) {
-	if !reply.Leaving && reply.Pause == 0 && reply.InvalidPause == "" {
+	if !reply.Leaving && reply.Pause == 0 && reply.InvalidPause == "" && reply.WarmupTime == nil {
 		return
 	}
 	n := t.node
@@ -76,15 +76,20 @@
 	if reply.Endpoint != "" && reply.Endpoint != expected.ID {
 		endpoint = n.discovery.incarnation(reply.Endpoint)
 	}
+	left := time.Duration(0)
+	if reply.WarmupTime != nil && n.placer.recordWarmup(endpoint, *reply.WarmupTime) {
+		left = *reply.WarmupTime
+	}
 	if reply.InvalidPause != "" {
 		n.log.Warn(event.EndpointPauseInvalid, "endpoint asked for an invalid pause", zap.String("endpoint", endpoint.ID),
 			zap.String("value", truncate(reply.InvalidPause, maxLoggedValue)), zap.Int64("pause_ms", reply.Pause.Milliseconds()))
 	}
 	news := reply.Leaving && t.recordLeaving(endpoint)
 	news = t.recordPause(n.incarnation, endpoint.ID, reply.Pause) || news
+	news = news || left > 0
 	if leader := n.members.owner(); news && leader != "" && leader != n.cfg.Name {
 		n.notify(leader, peer.KindEndpointNotice, peer.EndpointNotice{
-			Endpoint: endpoint.ID, StartMilli: endpoint.StartMilli, Leaving: reply.Leaving, Pause: reply.Pause,
+			Endpoint: endpoint.ID, StartMilli: endpoint.StartMilli, Leaving: reply.Leaving, Pause: reply.Pause, WarmupTime: left,
 		})
 	}
 }
@@ -94,6 +99,9 @@
 	if m.Leaving {
 		t.recordLeaving(registration.Incarnation{ID: m.Endpoint, StartMilli: m.StartMilli})
 	}
+	if m.WarmupTime > 0 {
+		t.node.placer.recordWarmup(registration.Incarnation{ID: m.Endpoint, StartMilli: m.StartMilli}, m.WarmupTime)
+	}
 	t.recordPause(entry, m.Endpoint, m.Pause)
 }
 
@@ -133,7 +141,7 @@
 
 // recordCall records what the answer to a call says, unless the address is that of no endpoint in use.
 func (t *notices) recordCall(id, address string, reply *exchange.Reply) {
-	if !reply.Leaving && reply.Pause == 0 && reply.InvalidPause == "" {
+	if !reply.Leaving && reply.Pause == 0 && reply.InvalidPause == "" && reply.WarmupTime == nil {
 		return
 	}
 	if id != "" {
--- a/internal/gateway/placement_peers_test.go
+++ b/internal/gateway/placement_peers_test.go
@@ -158,6 +158,8 @@
 	announcedAt time.Time
 	// fetchFrom is the address from which each request is to fetch its first part, or empty.
 	fetchFrom string
+	// change changes the answer to the placement with an index, unless it is nil.
+	change func(i int, m *peer.PlaceRequest, reply *peer.PlaceReply)
 
 	mu        sync.Mutex
 	placed    []uint64
@@ -186,6 +188,9 @@
 		if !l.announcedAt.IsZero() {
 			reply.TargetVersions = []peer.TargetVersion{{Model: testModel, Version: 2, MaxAge: time.Since(l.announcedAt)}}
 		}
+		if l.change != nil {
+			l.change(len(l.placed)-1, &m, &reply)
+		}
 		return reply, nil
 	case peer.KindAssignmentUpdate:
 		var m peer.AssignmentUpdate
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -30,6 +30,8 @@
 	Leaving bool
 	// Pause is for how much longer the endpoint wants no requests from the sender, or zero.
 	Pause time.Duration
+	// WarmupTime is for how much longer the endpoint is cold although the sender took it for warm, or zero.
+	WarmupTime time.Duration `msgpack:",omitempty"`
 }
 
 // PlaceVerdict is the result of a placement request.
@@ -69,6 +71,9 @@
 	TargetVersions []TargetVersion `msgpack:",omitempty"`
 	// Paused is true if the request was rejected since all endpoints want none of the requesting instance for a while.
 	Paused bool `msgpack:",omitempty"`
+	// Held is the time from when the call arrived until the endpoint was chosen, if the placement of cold endpoints lapses. It is negative if
+	// the endpoint was chosen before the call arrived.
+	Held time.Duration `msgpack:",omitempty"`
 	// ZonesEvacuated is true if there is no endpoint since the zones of all are evacuated.
 	ZonesEvacuated bool `msgpack:",omitempty"`
 	// ReportRunning is true if the replying instance doesn't know the running requests that others have placed for the requesting one.
@@ -123,6 +128,8 @@
 	OperatorRevision uint64 `msgpack:"Operator"`
 	// RegistrationsDigest is the digest of the sender's registrations.
 	RegistrationsDigest uint64 `msgpack:"Sum"`
+	// WarmupDigest is the digest of the sender's registrations with whether their endpoints are cold, or zero if the sender doesn't tell.
+	WarmupDigest uint64 `msgpack:",omitempty"`
 	// SystemKeysDigest is the digest of the sender's copy of the system's own keys.
 	SystemKeysDigest uint64 `msgpack:"Own"`
 	// Source is the run of the instance whose numbered registration changes the sender has applied, and Number is the last one.
