End a long answer that breaks off instead of appending another endpoint's

Cause: an answer of 256 KiB and more is forwarded as it arrives. When it broke off on a repeatable route, the request was retried, and the second endpoint's answer was written after the first part, in chunks that ended as a complete answer does: nothing told retry.Request that a part had been sent. Its Content-Length was set after the head had been written, and so never sent.

Change: retry.Request knows whether a part of a response has been sent (RecordResponseSent, called by writeHead alone) and allows another attempt afterwards only for complete events of a stream, which another endpoint resumes. The job's own flag is gone. The length is set before the head. hosted.EndpointFault has LongBody for the test.

--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -61,6 +61,8 @@
 
 	sends int
 	runs  int
+	// responseSent is true once a part of a response has been sent to the caller, and final once it was one that no other endpoint can continue.
+	responseSent, final bool
 }
 
 // Runs returns the number of endpoints that may have run the request.
@@ -70,7 +72,16 @@
 func (r *Request) Sends() int { return r.sends }
 
 // CanRerun reports whether the request may run at another endpoint if the current attempt breaks off.
-func (r *Request) CanRerun() bool { return r.Repeatable && r.runs+1 < r.MaxRuns }
+func (r *Request) CanRerun() bool { return r.Repeatable && !r.final && r.runs+1 < r.MaxRuns }
+
+// RecordResponseSent records that a part of a response is sent to the caller. Unless the part consists of complete events of a stream, which
+// another endpoint can resume, the request isn't retried any more: a second response would be appended to the first.
+func (r *Request) RecordResponseSent(resumable bool) {
+	r.responseSent, r.final = true, r.final || !resumable
+}
+
+// ResponseSent reports whether a part of a response has been sent to the caller.
+func (r *Request) ResponseSent() bool { return r.responseSent }
 
 // RecordAttempt counts an attempt and returns the action to take. It calls spend to take a retry from the retry budget, except after
 // NotSent.
@@ -79,6 +90,7 @@
 //	endpoints crash         retry, without the budget       retry within the budget         abandon
 //	endpoints full          retry within the budget         -                               -
 //	peak load, all full     reject immediately              -                               -
+//	long responses break    -                               abandon once a part was sent    abandon
 func (r *Request) RecordAttempt(now clock.Instant, o Outcome, spend func() bool) Action {
 	r.sends++
 	if o >= Broken {
@@ -87,13 +99,13 @@
 	if o == Answered {
 		return Deliver
 	}
-	mayRepeat := r.runs == 0 || r.Repeatable && r.runs < r.MaxRuns
+	mayRepeat := !r.final && (r.runs == 0 || r.Repeatable && r.runs < r.MaxRuns)
 	inTime := now.Add(minRemaining).Before(r.Deadline)
 	if mayRepeat && inTime && r.sends < MaxSends && (o == NotSent || spend()) {
 		return RetryElsewhere
 	}
 	switch {
-	case o == Failed:
+	case o == Failed && !r.responseSent:
 		return Deliver
 	case r.runs == 0:
 		return Reject
--- a/internal/coordination/retry/retry_test.go
+++ b/internal/coordination/retry/retry_test.go
@@ -56,4 +56,19 @@
 		r.Deadline = now.Add(time.Millisecond)
 		expectAction(r, 9, retry.Reject, retry.NotRun)
 	})
+	Convey("a request is not retried once a part of a response was sent, since the second response would be appended to the first", t, func() {
+		for _, o := range []retry.Outcome{retry.Broken, retry.Failed} {
+			r := request(true, 3)
+			So(r.CanRerun(), ShouldBeTrue)
+			r.RecordResponseSent(false)
+			So(r.CanRerun(), ShouldBeFalse)
+			expectAction(r, 9, retry.Abandon, o)
+		}
+	})
+	Convey("a stream of which complete events were sent is resumed", t, func() {
+		r := request(true, 2)
+		r.RecordResponseSent(true)
+		expectAction(r, 9, retry.RetryElsewhere, retry.Broken)
+		So(r.ResponseSent(), ShouldBeTrue)
+	})
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,7 +77,7 @@
 			zap.String("endpoint", choice.Endpoint), zap.Bool("sealed", reply.Sealed), zap.String("encoding", resp.Header.Get("Content-Encoding")))
 		return retry.Broken, placement.OutcomeFailed
 	}
-	if j.headSent && !success {
+	if j.attempts.ResponseSent() && !success {
 		// The head of an earlier answer has been sent and can't be replaced.
 		return retry.Broken, placement.OutcomeFailed
 	}
@@ -219,14 +219,14 @@
 	return false
 }
 
-// forwardOversized forwards an answer that is too long to be buffered completely.
+// forwardOversized forwards an answer that is too long to be buffered completely. If it breaks off, the connection to the caller is closed.
 func (j *job) forwardOversized(
 	ctx context.Context, choice *placement.Choice, resp *upstream.Response, prefix []byte,
 ) (retry.Outcome, placement.Outcome) {
-	j.writeHead(resp.Status, resp.Header)
 	if resp.Length >= 0 {
 		j.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
+	j.writeHead(resp.Status, resp.Header, false)
 	if _, err := j.w.Write(prefix); err != nil {
 		return retry.Broken, placement.OutcomeWithdrawn
 	}
@@ -257,12 +257,12 @@
 	return n, err //nolint:wrapcheck // io.Copy compares the error with io.EOF.
 }
 
-// writeHead sends the head of an endpoint's answer to the caller, once.
-func (j *job) writeHead(status int, header http.Header) {
-	if j.headSent {
+// writeHead sends the head of an endpoint's answer to the caller, once. resumable is true for a stream that another endpoint may resume.
+func (j *job) writeHead(status int, header http.Header, resumable bool) {
+	if j.attempts.ResponseSent() {
 		return
 	}
-	j.headSent = true
+	j.attempts.RecordResponseSent(resumable)
 	j.firstByteAt = clock.Now()
 	j.node.metrics.FirstEvent.WithLabelValues(j.route.Kind.String()).Observe(j.firstByteAt.Sub(j.arrived).Seconds())
 	h := j.w.Header()
@@ -281,14 +281,14 @@
 // deliver sends a buffered answer to the caller and records the end of the request; a streamed answer has been sent already.
 func (j *job) deliver() {
 	status := http.StatusOK
-	if !j.headSent && j.buffered != nil {
+	if !j.attempts.ResponseSent() && j.buffered != nil {
 		status = j.buffered.status
 		if length := j.buffered.length; j.r.Method != http.MethodHead {
 			j.w.Header().Set("Content-Length", strconv.Itoa(len(j.buffered.body)))
 		} else if length >= 0 {
 			j.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 		}
-		j.writeHead(status, j.buffered.header)
+		j.writeHead(status, j.buffered.header, false)
 		// Errors are ignored: a caller that has disconnected needs no answer.
 		_, _ = j.w.Write(j.buffered.body)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -55,8 +55,6 @@
 
 	// buffered is the endpoint's last complete answer, not yet delivered to the caller.
 	buffered *bufferedReply
-	// headSent is true once the head of an answer has been sent to the caller.
-	headSent bool
 	// namedVersion is the weight version that the endpoint of the last attempt named when it rejected the request for its weights, or zero.
 	namedVersion int
 	lastEvent    int64
@@ -338,7 +336,7 @@
 // not run.
 func (j *job) fail(ctx context.Context, refused *refusal) {
 	switch {
-	case j.headSent:
+	case j.attempts.ResponseSent():
 		j.recordEnd("cut", refused.reason, 0)
 		// Once part of the answer has been sent, only closing the connection tells the caller that it is truncated.
 		panic(http.ErrAbortHandler)
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -136,6 +136,23 @@
 			s.expectAnswered(a)
 			So(a.body, ShouldEqual, hosted.Body(a.id))
 		})
+		Convey("ends a long response that breaks off for its caller, without another endpoint's response after it", func() {
+			const length = 600_000
+			s.eachEndpoint(hosted.EndpointFault{LongBody: length, CutAfter: 1})
+			a := s.call(e, http.MethodGet, "/read/", "")
+			So(a.status, ShouldEqual, http.StatusOK)
+			So(a.complete, ShouldBeFalse)
+			So(len(a.body), ShouldBeLessThanOrEqualTo, length/2)
+			So(len(s.runs(a.id)), ShouldEqual, 1)
+			So(a.header.Get("Content-Length"), ShouldEqual, fmt.Sprint(length))
+		})
+		Convey("forwards a long response with its length", func() {
+			s.eachEndpoint(hosted.EndpointFault{LongBody: 600_000})
+			a := s.call(e, http.MethodGet, "/read/", "")
+			s.expectAnswered(a)
+			So(len(a.body), ShouldEqual, 600_000)
+			So(a.header.Get("Content-Length"), ShouldEqual, "600000")
+		})
 		Convey("discards bytes that follow a response", func() {
 			s.eachEndpoint(hosted.EndpointFault{Trailing: true})
 			for range 3 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -125,7 +125,7 @@
 }
 
 func (j *job) writeEvents(resp *upstream.Response, flusher *http.ResponseController, data []byte) error {
-	j.writeHead(resp.Status, resp.Header)
+	j.writeHead(resp.Status, resp.Header, true)
 	if len(data) == 0 {
 		return nil
 	}
--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -91,6 +91,9 @@
 	// Status, if not zero, is the status of every response. The response is signed and has a body of StatusBody bytes.
 	Status     int
 	StatusBody int
+	// LongBody, if not zero, is the number of bytes of the response to a plain call, which begin with the usual ones. Half of them are sent and
+	// the connection is aborted if CutAfter isn't zero.
+	LongBody int
 	// Unframed sends streams without length and chunks, which end with their connections; with CutAfter they end inside an event.
 	Unframed bool
 	// EndlessEvent sends, in place of a stream's second event, a line that never ends, until the caller closes the connection.
--- a/internal/standin/hosted/responses.go
+++ b/internal/standin/hosted/responses.go
@@ -152,8 +152,7 @@
 	}
 	if e.cfg.Events == 0 {
 		e.sleep(r, e.cfg.Work)
-		// A write error means that the caller has disconnected.
-		_, _ = io.WriteString(w, Body(id))
+		e.writeBody(w, id, f)
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -186,6 +185,22 @@
 	}
 }
 
+// writeBody writes the body of a plain call's response.
+func (e *Endpoint) writeBody(w http.ResponseWriter, id string, f EndpointFault) {
+	body := Body(id)
+	if f.LongBody > 0 {
+		body += strings.Repeat(".", f.LongBody-len(body))
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	if f.CutAfter > 0 {
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	// A write error means that the caller has disconnected.
+	_, _ = io.WriteString(w, body)
+}
+
 // hasPart reports whether a request's prompt has a part.
 func hasPart(r *http.Request, id string) bool {
 	for _, part := range strings.Split(r.Header.Get("Prompt-Prefix"), ",") {
