Don't use the workspace of a key on public routes once the configuration is too old

Cause: authorize returned for a public route before it checked the configuration's age, but had taken the workspace from the old configuration by then. So an entry without a path to the store sent the Tenant-Id of a revoked key without a bound, and placed the request with the workspace's priority and isolation key. A request placed before its key was revoked or moved kept both after it, too.

Change: the workspace on a public route is none once the configuration is older than the revocation bound. What depends on the workspace (digest, priority, isolation key) is derived in one place, and a placement made for another workspace than the current one is given up and made anew before anything is sent.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -53,6 +53,8 @@
 	attempts     retry.Request
 	placementReq placement.Request
 
+	// appliedWorkspace is the name of the workspace that placementReq and digest are for, or empty.
+	appliedWorkspace string
 	// buffered is the endpoint's last complete answer, not yet delivered to the caller.
 	buffered *bufferedReply
 	// namedVersion is the weight version that the endpoint of the last attempt named when it rejected the request for its weights, or zero.
@@ -140,12 +142,8 @@
 // authorize checks the caller's key against a configuration that is known to be in force.
 func (j *job) authorize(now clock.Instant) *refusal {
 	n := j.node
-	table := n.table.Load()
-	if !table.RequiresKeys() {
-		return nil
-	}
-	j.workspace = table.Workspace(j.head.Key)
-	if j.route.Public {
+	j.workspace = j.currentWorkspace(now)
+	if !n.table.Load().RequiresKeys() || j.route.Public {
 		return nil
 	}
 	if !n.configurationFresh(now) {
@@ -183,11 +181,8 @@
 	if j.head.Deadline != 0 && j.head.Deadline.Before(j.deadline) {
 		j.deadline = j.head.Deadline
 	}
-	workspace := ""
-	if j.workspace != nil {
-		workspace = j.workspace.Name
-	}
-	j.digest = requestDigest(j.r.Method, j.target, workspace, j.body)
+	j.placementReq = placement.Request{ID: placement.AssignmentID{Entry: n.incarnation}, Zone: n.cfg.Zone, Deadline: j.deadline}
+	j.applyWorkspace()
 	if n.suspects.blocked(j.digest) {
 		return &refusal{http.StatusInternalServerError, "crashes_endpoints", 0}
 	}
@@ -197,13 +192,7 @@
 	}
 	j.lastEvent = j.head.LastEvent
 	j.attempts = retry.Request{Repeatable: j.route.Repeatable(), MaxRuns: j.route.MaxAttempts, Deadline: j.deadline}
-	j.placementReq = placement.Request{
-		ID:       placement.AssignmentID{Entry: n.incarnation},
-		Service:  j.service,
-		Zone:     n.cfg.Zone,
-		Priority: route.RequestPriority(j.route, j.workspace),
-		Deadline: j.deadline,
-	}
+	j.placementReq.Service = j.service
 	if s := j.table.Services[j.service]; s != nil && s.Engine != nil && j.route.HasPrompt {
 		j.placementReq.Model = j.head.Model
 		j.placementReq.Parts = j.head.Parts
@@ -218,9 +207,6 @@
 	if n.partsBlocked(&j.placementReq) {
 		return refusalOfBlockedParts()
 	}
-	if j.workspace != nil && j.workspace.Isolated {
-		j.placementReq.IsolationKey = j.workspace.Name
-	}
 	n.retryBudgets.forService(j.service).CountRequest()
 	return nil
 }
@@ -242,6 +228,13 @@
 			j.fail(ctx, refused)
 			return
 		}
+		if !j.workspaceApplied() {
+			if refused := j.withdrawFromWorkspace(ctx, &choice, owner); refused != nil {
+				j.fail(ctx, refused)
+				return
+			}
+			continue
+		}
 		if n.partsBlocked(&j.placementReq) {
 			// Blocked while the request was being placed.
 			n.placer.reportEnd(&j.placementReq, owner, assignmentEnd{outcome: placement.OutcomeWithdrawn})
--- a/internal/standin/hosted/configuration.go
+++ b/internal/standin/hosted/configuration.go
@@ -22,6 +22,7 @@
 	Name     string
 	APIKeys  []string `json:"ApiKeys"`
 	Priority int
+	Isolated bool `json:",omitempty"`
 }
 
 // DefaultLimits returns request limits that a well-behaved caller never reaches.
