--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -178,6 +178,7 @@
 	// ClockMillis is the time on the cache's clock, or zero if it isn't reported.
 	ClockMillis int64
 	// StartMilli identifies the incarnation of the engine, or is zero if it isn't reported.
+	// StartMilli is the start time of the cache's process, in Unix milliseconds, or zero if it isn't reported.
 	StartMilli int64
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,6 +64,7 @@
 	defer resp.Close()
 	wd.received()
 	j.headReceived = true
+	j.node.recordSignOfLife(endpoint, j.sentAt)
 	reply := j.node.deps.Headers.ReadReply(resp.Status, resp.Header)
 	if reply.NotRun {
 		// Reading the rest allows the connection to be reused.
@@ -82,7 +82,7 @@
 			zap.String("endpoint", choice.Endpoint), zap.Bool("sealed", reply.Sealed), zap.String("encoding", resp.Header.Get("Content-Encoding")))
 		return retry.Broken, placement.OutcomeFailed
 	}
-	if j.headSent && !success {
+	if j.attempts.ResponseSent() && !success {
 		// The head of an earlier answer has been sent and can't be replaced.
 		return retry.Broken, placement.OutcomeFailed
 	}
@@ -163,21 +163,22 @@
 	n.log.Info(event.AttemptFailed, "attempt failed", zap.String("request", j.head.ID), zap.String("endpoint", choice.Endpoint),
 		zap.Error(err))
 	if errors.Is(err, upstream.ErrNotSent) {
-		n.reportCrash(choice.Endpoint, errors.Is(err, syscall.ECONNREFUSED))
+		n.recordFailedDial(n.incarnationOf(choice), err)
 		return retry.NotSent, placement.OutcomeUnreachable
 	}
+	endpoint := n.incarnationOf(choice)
 	broken := suspect.BrokenExchange{
 		Exchange: suspect.Exchange{Parts: prompt.IDs(j.placementReq.SharedParts()), Answering: j.headReceived, SentAt: j.sentAt},
-		Digest:   j.digest, Service: j.service, Begun: j.begun, BrokenAt: clock.Now(),
+		Digest:   j.digest, Service: j.service, Begun: j.begun, BrokenAt: clock.Now(), StartMilli: endpoint.StartMilli,
 	}
-	n.suspects.recordBroken(choice.Endpoint, broken)
+	n.recordBroken(endpoint, &broken)
 	if errors.Is(err, upstream.ErrStrayResponse) {
 		return retry.Broken, placement.OutcomeFailed
 	}
 	n.upstreams.CloseIdle(choice.Address)
-	if n.checkCrash(ctx, choice.Endpoint, choice.Address) && broken.Chargeable() {
+	if n.checkCrash(ctx, endpoint, choice.Address, &broken) && broken.Chargeable() {
 		// The exchange may have been taken by the report of another request, which is still on its way.
-		j.crash = crashReport(choice.Endpoint, &broken)
+		j.crash = n.crashReport(choice.Endpoint, &broken)
 	}
 	return retry.Broken, placement.OutcomeUnreachable
 }
@@ -220,6 +221,7 @@
 // recordFirstEvent records that the answer has begun.
 func (j *job) recordFirstEvent() {
 	j.begun = true
+	j.node.recordSignOfLife(j.node.incarnationOf(&j.choice), j.sentAt)
 	j.node.clearParts(&j.placementReq)
 	j.node.placer.reportFirstEvent(&j.placementReq, j.owner)
 }
@@ -233,14 +235,14 @@
 	return false
 }
 
-// forwardOversized forwards an answer that is too long to be buffered completely.
+// forwardOversized forwards an answer that is too long to be buffered completely. If it breaks off, the connection to the caller is closed.
 func (j *job) forwardOversized(
 	ctx context.Context, choice *placement.Choice, resp *upstream.Response, prefix []byte,
 ) (retry.Outcome, placement.Outcome) {
-	j.writeHead(resp.Status, resp.Header)
 	if resp.Length >= 0 {
 		j.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
+	j.writeHead(resp.Status, resp.Header, false)
 	if _, err := j.w.Write(prefix); err != nil {
 		return retry.Broken, placement.OutcomeWithdrawn
 	}
@@ -271,12 +273,12 @@
 	return n, err //nolint:wrapcheck // io.Copy compares the error with io.EOF.
 }
 
-// writeHead sends the head of an endpoint's answer to the caller, once.
-func (j *job) writeHead(status int, header http.Header) {
-	if j.headSent {
+// writeHead sends the head of an endpoint's answer to the caller, once. resumable is true for a stream that another endpoint may resume.
+func (j *job) writeHead(status int, header http.Header, resumable bool) {
+	if j.attempts.ResponseSent() {
 		return
 	}
-	j.headSent = true
+	j.attempts.RecordResponseSent(resumable)
 	j.firstByteAt = clock.Now()
 	j.node.metrics.FirstEvent.WithLabelValues(j.route.Kind.String()).Observe(j.firstByteAt.Sub(j.arrived).Seconds())
 	h := j.w.Header()
@@ -295,14 +297,14 @@
 // deliver sends a buffered answer to the caller and records the end of the request; a streamed answer has been sent already.
 func (j *job) deliver() {
 	status := http.StatusOK
-	if !j.headSent && j.buffered != nil {
+	if !j.attempts.ResponseSent() && j.buffered != nil {
 		status = j.buffered.status
 		if length := j.buffered.length; j.r.Method != http.MethodHead {
 			j.w.Header().Set("Content-Length", strconv.Itoa(len(j.buffered.body)))
 		} else if length >= 0 {
 			j.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 		}
-		j.writeHead(status, j.buffered.header)
+		j.writeHead(status, j.buffered.header, false)
 		// Errors are ignored: a caller that has disconnected needs no answer.
 		_, _ = j.w.Write(j.buffered.body)
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -43,8 +43,10 @@
 	case peer.KindCrashReport:
 		return record(body, func(m *peer.CrashReport) {
 			h.placer.doubtEndpoint(m.Endpoint)
-			(*Node)(h).recordReportedCrash(m)
+			(*Node)(h).recordReportedCrash(from.Incarnation, m)
 		})
+	case peer.KindCrashRetraction:
+		return record(body, func(m *peer.CrashRetraction) { (*Node)(h).recordRetraction(from.Incarnation, m) })
 	case peer.KindPartsCleared:
 		return record(body, func(m *peer.PartsCleared) { h.suspects.recordAnswer(m.Service, m.Parts, clock.Now().Add(-m.Age)) })
 	case peer.KindRunning:
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -61,7 +61,9 @@
 	stopping atomic.Bool
 	ready    atomic.Bool
 	inFlight atomic.Int64
-	wg       conc.WaitGroup
+	// lastReport is the number of the last report or retraction of a crash that was sent to peers.
+	lastReport atomic.Uint64
+	wg         conc.WaitGroup
 }
 
 // New assembles a node without starting it.
@@ -74,7 +76,7 @@
 	n.upstreams = upstream.NewPool(n.metrics.Dials.Inc)
 	n.placer = newPlacer(n)
 	n.running = loadsync.New(cfg.Name, n.incarnation, log, n, n.placer)
-	n.suspects = newSuspects()
+	n.suspects = newSuspects(cfg.Zone)
 	n.notices = newNotices(n)
 	n.evacuations = newEvacuations(n)
 	deps.Engines.Observe(n.notices.recordCall)
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -62,7 +62,7 @@
 		pool = placement.NewPool(placement.Config{
 			PrefillRate: float64(p.node.cfg.PrefillRate), OldWeightsGrace: p.node.bounds.Load().OldWeightsGrace - oldWeightsMargin,
 			Reachability: p.reachability, Suspicions: p.node.suspects, Notices: p.node.notices, Evacuations: p.node.evacuations,
-			Regions: p.node.cfg.Regions,
+			Regions:       p.node.cfg.Regions,
 			ColdAdmission: coldAdmission{p.node},
 		})
 		for model, list := range p.targets {
@@ -414,6 +414,13 @@
 	})
 }
 
+// zoneUnreachable reports whether requests from this instance's zone avoid another zone.
+func (p *placer) zoneUnreachable(zone string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reachability.Unreachable(clock.Now(), p.node.cfg.Zone, zone)
+}
+
 // stallTimeout is how long the queue may go without being processed before placement counts as stopped: many grant periods.
 const stallTimeout = time.Second
 
@@ -493,7 +500,7 @@
 // placed before they are charged with the crash.
 func (p *placer) recordEnd(req *placement.Request, end assignmentEnd) {
 	if end.crash != nil {
-		p.node.recordReportedCrash(end.crash)
+		p.node.recordReportedCrash(req.ID.Entry, end.crash)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -53,10 +53,10 @@
 	attempts     retry.Request
 	placementReq placement.Request
 
+	// appliedWorkspace is the name of the workspace that placementReq and digest are for, or empty.
+	appliedWorkspace string
 	// buffered is the endpoint's last complete answer, not yet delivered to the caller.
 	buffered *bufferedReply
-	// headSent is true once the head of an answer has been sent to the caller.
-	headSent bool
 	// namedVersion is the weight version that the endpoint of the last attempt named when it rejected the request for its weights, or zero.
 	namedVersion int
 	lastEvent    int64
@@ -145,12 +145,8 @@
 // authorize checks the caller's key against a configuration that is known to be in force.
 func (j *job) authorize(now clock.Instant) *refusal {
 	n := j.node
-	table := n.table.Load()
-	if !table.RequiresKeys() {
-		return nil
-	}
-	j.workspace = table.Workspace(j.head.Key)
-	if j.route.Public {
+	j.workspace = j.currentWorkspace(now)
+	if !n.table.Load().RequiresKeys() || j.route.Public {
 		return nil
 	}
 	if !n.configurationFresh(now) {
@@ -188,11 +184,8 @@
 	if j.head.Deadline != 0 && j.head.Deadline.Before(j.deadline) {
 		j.deadline = j.head.Deadline
 	}
-	workspace := ""
-	if j.workspace != nil {
-		workspace = j.workspace.Name
-	}
-	j.digest = requestDigest(j.r.Method, j.target, workspace, j.body)
+	j.placementReq = placement.Request{ID: placement.AssignmentID{Entry: n.incarnation}, Zone: n.cfg.Zone, Deadline: j.deadline}
+	j.applyWorkspace()
 	if n.suspects.blocked(j.digest) {
 		return &refusal{http.StatusInternalServerError, "crashes_endpoints", 0}
 	}
@@ -202,18 +195,13 @@
 	}
 	j.lastEvent = j.head.LastEvent
 	j.attempts = retry.Request{Repeatable: j.route.Repeatable(), MaxRuns: j.route.MaxAttempts, Deadline: j.deadline}
-	j.placementReq = placement.Request{
-		ID:       placement.AssignmentID{Entry: n.incarnation},
-		Service:  j.service,
-		Zone:     n.cfg.Zone,
-		Priority: route.RequestPriority(j.route, j.workspace),
-		Deadline: j.deadline,
-	}
-	regions, possible := route.AllowedRegions(j.route, j.workspace)
+	// The regions of a workspace bind also where its name may not be used any more: without them the request would go to more places.
+	regions, possible := route.AllowedRegions(j.route, j.table.Workspace(j.head.Key))
 	if !possible {
 		return unavailable("no_allowed_region", j.arrived.Add(shortRetryDelay))
 	}
 	j.placementReq.AllowedRegions = regions
+	j.placementReq.Service = j.service
 	if s := j.table.Services[j.service]; s != nil && s.Engine != nil && j.route.HasPrompt {
 		j.placementReq.Model = j.head.Model
 		j.placementReq.Parts = j.head.Parts
@@ -228,9 +216,6 @@
 	if n.partsBlocked(&j.placementReq) {
 		return refusalOfBlockedParts()
 	}
-	if j.workspace != nil && j.workspace.Isolated {
-		j.placementReq.IsolationKey = j.workspace.Name
-	}
 	n.retryBudgets.forService(j.service).CountRequest()
 	return nil
 }
@@ -253,6 +238,13 @@
 			j.fail(ctx, refused)
 			return
 		}
+		if !j.workspaceApplied() {
+			if refused := j.withdrawFromWorkspace(ctx, &choice, owner); refused != nil {
+				j.fail(ctx, refused)
+				return
+			}
+			continue
+		}
 		if n.partsBlocked(&j.placementReq) {
 			// Blocked while the request was being placed.
 			n.placer.reportEnd(&j.placementReq, owner, assignmentEnd{outcome: placement.OutcomeWithdrawn})
@@ -282,6 +274,7 @@
 		action := j.attempts.RecordAttempt(clock.Now(), outcome, n.retryBudgets.forService(j.service).Take)
 		if outcome == retry.Answered {
 			n.suspects.clearDigest(j.digest)
+			n.recordSignOfLife(n.incarnationOf(&choice), j.sentAt)
 		} else {
 			j.logAttempt(outcome, action)
 		}
@@ -366,7 +359,7 @@
 // not run.
 func (j *job) fail(ctx context.Context, refused *refusal) {
 	switch {
-	case j.headSent:
+	case j.attempts.ResponseSent():
 		j.recordEnd("cut", refused.reason, 0)
 		// Once part of the answer has been sent, only closing the connection tells the caller that it is truncated.
 		panic(http.ErrAbortHandler)
--- a/internal/protocol/peer/frame.go
+++ b/internal/protocol/peer/frame.go
@@ -54,6 +54,7 @@
 	KindHandOver
 	KindEndpointNotice
 	KindRunning
+	KindCrashRetraction
 )
 
 var kindNames = [...]string{
@@ -63,7 +64,8 @@
 	KindInstanceList: "roster", KindMemberRequest: "want",
 	KindPlace: "place", KindAssignmentUpdate: "use", KindAwaitPlacement: "await", KindSync: "sync", KindCatchUp: "catchup",
 	KindPartsCleared: "cleared", KindSuccessor: "successor", KindHandOver: "handover", KindEndpointNotice: "notice",
-	KindRunning: "running",
+	KindRunning:         "running",
+	KindCrashRetraction: "retract",
 }
 
 // String returns the label used in metrics, or "unknown".
--- a/internal/standin/hosted/configuration.go
+++ b/internal/standin/hosted/configuration.go
@@ -25,6 +25,7 @@
 	Priority int
 
 	AllowedRegions []string
+	Isolated       bool `json:",omitempty"`
 }
 
 // DefaultLimits returns request limits that a well-behaved caller never reaches.
