--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -17,7 +17,7 @@
 
 // inferenceOf returns what is known of an endpoint for the inference of crashes.
 func (n *Node) inferenceOf(endpoint registration.Incarnation) suspect.Endpoint {
-	zone := n.discovery.zone(endpoint.ID)
+	zone, _ := n.discovery.zone(endpoint.ID)
 	return suspect.Endpoint{
 		ID: endpoint.ID, Zone: zone, StartMilli: endpoint.StartMilli, ZoneUnreachable: n.placer.zoneUnreachable(zone),
 	}
@@ -52,7 +52,8 @@
 
 // recordSignOfLife records that something came from an endpoint on an exchange that was sent at an instant.
 func (n *Node) recordSignOfLife(endpoint registration.Incarnation, sentAt clock.Instant) {
-	e := suspect.Endpoint{ID: endpoint.ID, Zone: n.discovery.zone(endpoint.ID), StartMilli: endpoint.StartMilli}
+	zone, _ := n.discovery.zone(endpoint.ID)
+	e := suspect.Endpoint{ID: endpoint.ID, Zone: zone, StartMilli: endpoint.StartMilli}
 	n.infer(func(i *suspect.Inference, now clock.Instant) []suspect.Change { return i.Responded(now, e, sentAt) })
 }
 
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -196,13 +196,3 @@
 	}
 	return started
 }
-
-// zone returns the zone of an endpoint, or an empty string if it is unknown.
-func (d *discovery) zone(endpoint string) string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if r := d.view.Registration(endpoint); r != nil {
-		return r.Zone
-	}
-	return ""
-}
--- a/internal/gateway/evacuations.go
+++ b/internal/gateway/evacuations.go
@@ -257,6 +257,8 @@
 		if c.Kind == evacuation.Ended {
 			n.metrics.Evacuated.DeleteLabelValues(c.Zone)
 			n.metrics.EvacuatedRunning.DeleteLabelValues(c.Zone)
+			// Before the zone is used again: its endpoints may have become cold meanwhile.
+			n.placer.doubtZone(c.Zone)
 		}
 	}
 	zones := make(map[string]bool)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -222,80 +222,89 @@
 
 // run makes attempts until one returns the answer, or no further attempt is allowed.
 func (j *job) run() {
-	n := j.node
 	ctx, cancel := context.WithTimeout(j.r.Context(), max(0, j.deadline.Sub(j.arrived)))
 	defer cancel()
 	for {
-		choice, owner, err := n.placer.place(ctx, &j.placementReq, j.withdrawals > maxGrantsWithdrawn)
+		choice, owner, err := j.node.placer.place(ctx, &j.placementReq, j.withdrawals > maxGrantsWithdrawn)
 		if err != nil {
 			j.fail(ctx, j.refusalOf(err))
 			return
 		}
 		j.choice, j.owner, j.placedAt = choice, owner, clock.Now()
-		n.running.Placed(&j.placementReq, &choice, owner)
-		if refused := j.authorize(clock.Now()); refused != nil {
-			n.placer.reportEnd(&j.placementReq, owner, assignmentEnd{outcome: placement.OutcomeWithdrawn})
+		j.node.running.Placed(&j.placementReq, &choice, owner)
+		refused, again := j.recheck(ctx, &choice)
+		if refused == nil && !again {
+			refused, again = j.attemptOnce(ctx, &choice)
+		}
+		switch {
+		case refused != nil:
 			j.fail(ctx, refused)
 			return
-		}
-		if !j.workspaceApplied() {
-			if refused := j.withdrawFromWorkspace(ctx, &choice, owner); refused != nil {
-				j.fail(ctx, refused)
-				return
-			}
-			continue
-		}
-		if n.partsBlocked(&j.placementReq) {
-			// Blocked while the request was being placed.
-			n.placer.reportEnd(&j.placementReq, owner, assignmentEnd{outcome: placement.OutcomeWithdrawn})
-			j.fail(ctx, refusalOfBlockedParts())
+		case !again:
+			j.deliver()
 			return
 		}
-		outcome, placementOutcome := j.attempt(ctx, &choice)
-		if placementOutcome == placement.OutcomeUnreachable {
-			n.placer.doubtEndpoint(choice.Endpoint)
-		}
-		n.placer.reportEnd(&j.placementReq, owner, assignmentEnd{placementOutcome, j.namedVersion, j.crash})
-		if j.lapsed {
-			if refused := j.replace(ctx, &choice); refused != nil {
-				j.fail(ctx, refused)
-				return
-			}
-			continue
-		}
-		if j.barred != nil {
-			if refused := j.withdraw(ctx, &choice); refused != nil {
-				j.fail(ctx, refused)
-				return
-			}
-			continue
-		}
-		n.metrics.Attempts.WithLabelValues(outcome.String()).Inc()
-		action := j.attempts.RecordAttempt(clock.Now(), outcome, n.retryBudgets.forService(j.service).Take)
-		if outcome == retry.Answered {
-			n.suspects.clearDigest(j.digest)
-			n.recordSignOfLife(n.incarnationOf(&choice), j.sentAt)
-		} else {
-			j.logAttempt(outcome, action)
+	}
+}
+
+// recheck checks again, once a request is placed, what may have changed while it was being placed. It returns the refusal of the request, or
+// whether it has to be placed again; its placement has been ended in both cases.
+func (j *job) recheck(ctx context.Context, choice *placement.Choice) (refused *refusal, again bool) {
+	n := j.node
+	refused = j.authorize(clock.Now())
+	if refused == nil && !j.workspaceApplied() {
+		refused = j.withdrawFromWorkspace(ctx, choice, j.owner)
+		return refused, refused == nil
+	}
+	if refused == nil && n.partsBlocked(&j.placementReq) {
+		refused = refusalOfBlockedParts()
+	}
+	if refused != nil {
+		n.placer.reportEnd(&j.placementReq, j.owner, assignmentEnd{outcome: placement.OutcomeWithdrawn})
+	}
+	return refused, false
+}
+
+// attemptOnce sends the request to the chosen endpoint. It returns the refusal of the request, or whether it has to be placed again; if neither,
+// the answer is ready or has been sent.
+func (j *job) attemptOnce(ctx context.Context, choice *placement.Choice) (refused *refusal, again bool) {
+	n := j.node
+	outcome, placementOutcome := j.attempt(ctx, choice)
+	if placementOutcome == placement.OutcomeUnreachable {
+		n.placer.doubtEndpoint(choice.Endpoint)
+	}
+	n.placer.reportEnd(&j.placementReq, j.owner, assignmentEnd{placementOutcome, j.namedVersion, j.crash})
+	switch {
+	case j.lapsed:
+		refused = j.replace(ctx, choice)
+		return refused, refused == nil
+	case j.barred != nil:
+		refused = j.withdraw(ctx, choice)
+		return refused, refused == nil
+	}
+	n.metrics.Attempts.WithLabelValues(outcome.String()).Inc()
+	action := j.attempts.RecordAttempt(clock.Now(), outcome, n.retryBudgets.forService(j.service).Take)
+	if outcome == retry.Answered {
+		n.suspects.clearDigest(j.digest)
+		n.recordSignOfLife(n.incarnationOf(choice), j.sentAt)
+	} else {
+		j.logAttempt(outcome, action)
+	}
+	switch action {
+	case retry.RetryElsewhere:
+		if ctx.Err() != nil {
+			return unavailable("deadline", clock.Now().Add(shortRetryDelay)), false
 		}
-		switch action {
-		case retry.RetryElsewhere:
-			if ctx.Err() == nil {
-				if !j.paused {
-					j.placementReq.Avoid = append(j.placementReq.Avoid, choice.Endpoint)
-				}
-				continue
-			}
-			j.fail(ctx, unavailable("deadline", clock.Now().Add(shortRetryDelay)))
-		case retry.Deliver:
-			j.deliver()
-		case retry.Reject:
-			j.fail(ctx, unavailable("not_run", clock.Now().Add(shortRetryDelay)))
-		case retry.Abandon:
-			j.fail(ctx, &refusal{http.StatusBadGateway, "broken_off", 0})
+		if !j.paused {
+			j.placementReq.Avoid = append(j.placementReq.Avoid, choice.Endpoint)
 		}
-		return
+		return nil, true
+	case retry.Reject:
+		return unavailable("not_run", clock.Now().Add(shortRetryDelay)), false
+	case retry.Abandon:
+		return &refusal{http.StatusBadGateway, "broken_off", 0}, false
 	}
+	return nil, false
 }
 
 const (
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -111,6 +111,16 @@
 	}
 }
 
+// doubtZone records that the endpoints of a zone may have become cold, as after its evacuation.
+func (p *placer) doubtZone(zone string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := clock.Now()
+	for _, pool := range p.pools {
+		pool.EndpointsInDoubt(zone, now)
+	}
+}
+
 // logWarmups logs and counts which endpoints of a service have become cold or warm; the caller holds the lock.
 func (p *placer) logWarmups(service string, pool *placement.Pool, now clock.Instant) {
 	for _, c := range pool.TakeWarmupChanges(now) {
