Take no endpoint for cold that names no time when an entry starts

Cause: a registration without ColdLeftMs counted as that of a new incarnation also at the start of an entry, which then took all such endpoints for cold.

Change: only endpoints that join or return as another incarnation later count as such.

--- a/internal/coordination/placement/warmup.go
+++ b/internal/coordination/placement/warmup.go
@@ -60,7 +60,8 @@
 // the newest at the instant readAt.
 func (p *Pool) ObserveRegistrations(now, readAt clock.Instant) {
 	w := &p.warmups
-	if w.endpoints == nil {
+	first := w.endpoints == nil
+	if first {
 		w.endpoints, w.since = make(map[string]*endpointWarmup), now
 	}
 	for _, s := range p.endpointList {
@@ -74,7 +75,18 @@
 			e.Confirm(readAt)
 			continue
 		}
-		p.announce(now, readAt, e, s.Registration)
+		left := s.WarmupTime
+		if previous := e.registration; previous != nil && (previous.StartMilli != s.StartMilli || previous.Address != s.Address) {
+			e.Restart()
+		} else if previous != nil || first {
+			// What this process finds at its start has not just started.
+			left = max(0, left)
+		}
+		if left == registration.WarmupUnknown {
+			left = w.limits.Time
+		}
+		e.registration = s.Registration
+		e.Announce(now, readAt, left)
 	}
 	for id, e := range w.endpoints {
 		if now.Sub(e.listedAt) > goneWarmupTime {
@@ -83,24 +95,6 @@
 	}
 }
 
-// announce applies a newer registration.
-func (p *Pool) announce(now, readAt clock.Instant, e *endpointWarmup, r *registration.Registration) {
-	previous := e.registration
-	e.registration = r
-	left := r.WarmupTime
-	restarted := previous == nil || previous.StartMilli != r.StartMilli || previous.Address != r.Address
-	if restarted && previous != nil {
-		e.Restart()
-	}
-	if left == registration.WarmupUnknown {
-		left = 0
-		if restarted {
-			left = p.warmups.limits.Time
-		}
-	}
-	e.Announce(now, readAt, left)
-}
-
 // WarmupStated applies the time left that an endpoint's incarnation has named in an answer, and reports whether the endpoint was taken for warm
 // and isn't.
 func (p *Pool) WarmupStated(now clock.Instant, endpoint registration.Incarnation, left time.Duration) bool {
