Don't wait for a cold endpoint in a zone that can't be reached

Cause: a queued request waited for the window of a cold endpoint that its entry can't reach, instead of trying the endpoints in backoff.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -200,7 +200,7 @@
 		case p.barred(now, s, req):
 			busy = busy || q != nil && !p.leaves(now, s)
 		case p.refusesCold(now, s, req):
-			if q != nil && s.usable(now) {
+			if q != nil && s.usable(now) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone) {
 				return nil, true
 			}
 			busy = busy || q != nil
