Count and retract crashes under the lock of their inference

Cause: by reading. Two steps of the inference could be carried out in the other order, so that a retraction preceded what it takes back and the crash stayed counted; the same held for a peer's report that was checked against its retraction before it was counted.

Change: what a step counts or retracts is entered in the tables, and numbered for peers, under the lock under which the step ran. Log lines and messages follow outside of it.

Measured: TestEndpointFaults, TestZoneCutWithResets, TestRetractedCrashReport and the tests of parts and blocks pass twice with -race.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -23,18 +23,66 @@
 	}
 }
 
-// infer runs a step of the inference, and reports the crashes that it counts or retracts.
+// infer runs a step of the inference, and reports the crashes that it counts or retracts. They are counted and numbered under the same lock as
+// the step, since a retraction must not precede what it takes back.
 func (n *Node) infer(step func(i *suspect.Inference, now clock.Instant) []suspect.Change) {
-	n.suspects.mu.Lock()
-	changes := step(n.suspects.inference, clock.Now())
-	n.suspects.mu.Unlock()
+	s := n.suspects
+	s.mu.Lock()
+	changes := step(s.inference, clock.Now())
+	messages := make([]crashMessage, 0, len(changes))
 	for i := range changes {
-		if c := &changes[i]; c.Retracted {
-			n.retractCrash(c)
-		} else {
-			n.reportCrash(c)
+		c := &changes[i]
+		if c.Retracted {
+			s.retract(c.Endpoint, c.First, c.Last, "", c.Alive)
+			messages = append(messages, crashMessage{change: c, retraction: n.crashRetraction(c)})
+			continue
+		}
+		for k := range c.Exchanges {
+			b := &c.Exchanges[k]
+			counted := s.count(c.Endpoint, b, "")
+			if counted.isNew || b.Chargeable() {
+				messages = append(messages, crashMessage{change: c, counted: counted, report: n.crashReport(c.Endpoint, b)})
+			}
 		}
 	}
+	s.mu.Unlock()
+	for i := range messages {
+		messages[i].log(n)
+	}
+	// A peer that reads slowly must not delay the attribution of the other exchanges.
+	for i := range messages {
+		messages[i].send(n)
+	}
+}
+
+// crashMessage tells peers of a crash that is counted against an exchange, or of one that is retracted.
+type crashMessage struct {
+	change     *suspect.Change
+	counted    countedCrash
+	report     *peer.CrashReport
+	retraction *peer.CrashRetraction
+}
+
+func (m *crashMessage) log(n *Node) {
+	if m.retraction != nil {
+		n.log.Info(event.CrashRetracted, "what was taken for a crash of the endpoint was none, or may be that of its zone's network",
+			zap.String("endpoint", m.change.Endpoint), zap.Bool("alive", m.change.Alive), zap.Int64("broken_ms", m.retraction.FirstAge.Milliseconds()))
+		return
+	}
+	b := m.counted.exchange
+	n.log.Warn(event.EndpointCrashed, "endpoint crashed with a request in flight", zap.String("endpoint", m.change.Endpoint),
+		zap.String("digest", b.Digest), zap.Bool("head", b.Answering), zap.Bool("begun", b.Begun), zap.Strings("shared", b.Parts),
+		zap.Int64("broken_ms", m.report.BrokenAge.Milliseconds()))
+	n.announceAttribution(&m.counted)
+}
+
+func (m *crashMessage) send(n *Node) {
+	switch {
+	case m.report != nil:
+		n.notifyPeers(peer.KindCrashReport, m.report)
+	case !m.change.Known:
+		n.notifyPeers(peer.KindCrashRetraction, m.retraction)
+	}
 }
 
 // recordBroken records that an exchange with an endpoint ended prematurely.
@@ -110,44 +158,38 @@
 	return s.inference.Counted(endpoint, brokenAt)
 }
 
-// recordCrash counts a crash against a request, as this instance or a peer has found. It reports whether it is new here.
-func (s *suspects) recordCrash(endpoint, digest string, age time.Duration, witness string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.table.RecordReport(time.Now().Add(-age), digest, endpoint, witness)
+// countedCrash is what came of counting a crash against a broken exchange.
+type countedCrash struct {
+	endpoint string
+	exchange *suspect.BrokenExchange
+	// isNew is true if the crash had not been counted against the request before.
+	isNew bool
+	// blocked are the combinations of parts that are blocked from now on, and suspected the suspected parts of the prompt.
+	blocked   [][]string
+	suspected []string
 }
 
-// retract takes back the crashes of an endpoint that broke exchanges between two instants, as a witness has reported them or any has.
-func (s *suspects) retract(endpoint string, first, last clock.Instant, witness string, all bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// count counts a crash against a request and, if its answer had not begun, against the parts of its prompt, as this instance or a witness has
+// found. The caller holds the lock.
+func (s *suspects) count(endpoint string, b *suspect.BrokenExchange, witness string) countedCrash {
 	now := clock.Now()
-	s.table.Retract(endpoint, time.Now().Add(-now.Sub(first)), time.Now().Add(-now.Sub(last)), witness, all)
-	for _, t := range s.parts {
-		t.Retract(endpoint, first, last, witness, all)
+	c := countedCrash{endpoint: endpoint, exchange: b}
+	c.isNew = s.table.RecordReport(time.Now().Add(-now.Sub(b.BrokenAt)), b.Digest, endpoint, witness)
+	if b.Chargeable() {
+		t := s.service(b.Service)
+		c.blocked = t.RecordCrash(now, endpoint, b.BrokenAt, b.Exchange)
+		_, c.suspected = t.Check(now, b.Parts)
 	}
+	return c
 }
 
-// reportCrash counts an endpoint's crash against the requests that were in flight there, on this instance and on every peer.
-func (n *Node) reportCrash(c *suspect.Change) {
-	var reports []*peer.CrashReport
-	for i := range c.Exchanges {
-		b := &c.Exchanges[i]
-		age := clock.Now().Sub(b.BrokenAt)
-		if counted := n.suspects.recordCrash(c.Endpoint, b.Digest, age, ""); !counted && !b.Chargeable() {
-			continue
-		}
-		n.log.Warn(event.EndpointCrashed, "endpoint crashed with a request in flight", zap.String("endpoint", c.Endpoint),
-			zap.String("digest", b.Digest), zap.Bool("head", b.Answering), zap.Bool("begun", b.Begun), zap.Strings("shared", b.Parts),
-			zap.Int64("broken_ms", age.Milliseconds()))
-		reports = append(reports, n.crashReport(c.Endpoint, b))
-		if b.Chargeable() {
-			n.attributeCrash(c.Endpoint, b)
-		}
-	}
-	// A peer that reads slowly must not delay the attribution of the other exchanges.
-	for _, report := range reports {
-		n.notifyPeers(peer.KindCrashReport, report)
+// retract takes back the crashes of an endpoint that broke exchanges between two instants, as a witness has reported them or any has. The caller
+// holds the lock.
+func (s *suspects) retract(endpoint string, first, last clock.Instant, witness string, all bool) {
+	now, wall := clock.Now(), time.Now()
+	s.table.Retract(endpoint, wall.Add(-now.Sub(first)), wall.Add(-now.Sub(last)), witness, all)
+	for _, t := range s.parts {
+		t.Retract(endpoint, first, last, witness, all)
 	}
 }
 
@@ -163,18 +205,12 @@
 	return report
 }
 
-// retractCrash takes back what was counted for an endpoint's crash, on this instance and, unless they learn it themselves, on every peer.
-func (n *Node) retractCrash(c *suspect.Change) {
-	n.suspects.retract(c.Endpoint, c.First, c.Last, "", c.Alive)
+// crashRetraction takes back what was reported of an endpoint's crash.
+func (n *Node) crashRetraction(c *suspect.Change) *peer.CrashRetraction {
 	now := clock.Now()
-	n.log.Info(event.CrashRetracted, "what was taken for a crash of the endpoint was none, or may be that of its zone's network",
-		zap.String("endpoint", c.Endpoint), zap.Bool("alive", c.Alive), zap.Int64("broken_ms", now.Sub(c.First).Milliseconds()))
-	if c.Known {
-		return
-	}
-	n.notifyPeers(peer.KindCrashRetraction, &peer.CrashRetraction{
+	return &peer.CrashRetraction{
 		Endpoint: c.Endpoint, FirstAge: now.Sub(c.First), LastAge: now.Sub(c.Last), Alive: c.Alive, Number: n.lastReport.Add(1),
-	})
+	}
 }
 
 // recordReportedCrash counts a crash that an instance has reported, identified by its incarnation.
@@ -188,30 +224,26 @@
 		Exchange: suspect.Exchange{Parts: r.Parts, Answering: r.Answering, SentAt: now.Add(-r.SentAge), Witness: witness},
 		Digest:   r.Digest, Service: r.Service, BrokenAt: now.Add(-r.BrokenAge), StartMilli: r.StartMilli,
 	}
-	if n.suspects.retracted(from, r) {
+	s := n.suspects
+	s.mu.Lock()
+	if s.retractions.Covers(from, r.Endpoint, r.Number) {
+		s.mu.Unlock()
 		return
 	}
-	n.suspects.recordCrash(r.Endpoint, r.Digest, r.BrokenAge, witness)
-	if len(r.Parts) > 0 {
-		n.attributeCrash(r.Endpoint, &b)
-	}
+	counted := s.count(r.Endpoint, &b, witness)
+	s.mu.Unlock()
+	n.announceAttribution(&counted)
 	if witness != "" {
 		n.infer(func(i *suspect.Inference, now clock.Instant) []suspect.Change { return i.Claimed(now, r.Endpoint, &b) })
 	}
 }
 
-// retracted reports whether an instance has taken back a report that arrives later.
-func (s *suspects) retracted(from string, r *peer.CrashReport) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.retractions.Covers(from, r.Endpoint, r.Number)
-}
-
 // recordRetraction takes back what a peer has reported.
 func (n *Node) recordRetraction(from string, m *peer.CrashRetraction) {
 	now := clock.Now()
-	n.suspects.mu.Lock()
-	n.suspects.retractions.Record(now, from, m.Endpoint, m.Number)
-	n.suspects.mu.Unlock()
-	n.suspects.retract(m.Endpoint, now.Add(-m.FirstAge), now.Add(-m.LastAge), from, m.Alive)
+	s := n.suspects
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retractions.Record(now, from, m.Endpoint, m.Number)
+	s.retract(m.Endpoint, now.Add(-m.FirstAge), now.Add(-m.LastAge), from, m.Alive)
 }
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -59,18 +59,6 @@
 	return status == suspect.Blocked, suspected
 }
 
-// recordPartCrash attributes a crash to the parts of a broken exchange's prompt, and returns the combinations of parts that are blocked from
-// now on and the suspected parts of the prompt.
-func (s *suspects) recordPartCrash(endpoint string, b *suspect.BrokenExchange) (blocked [][]string, suspected []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := clock.Now()
-	t := s.service(b.Service)
-	blocked = t.RecordCrash(now, endpoint, b.BrokenAt, b.Exchange)
-	_, suspected = t.Check(now, b.Parts)
-	return blocked, suspected
-}
-
 // recordAnswer records that an answer to a request with some shared parts began at an instant, and returns those that it clears.
 func (s *suspects) recordAnswer(service string, parts []string, at clock.Instant) []string {
 	s.mu.Lock()
@@ -127,23 +115,26 @@
 	s.table.ClearRequest(digest)
 }
 
-// attributeCrash attributes a crash to the parts of a broken exchange's prompt. The leader hears of most answers, so it tells its peers of those
-// that have begun since the crash: the instances that were answered may not have known that they had something to report.
-func (n *Node) attributeCrash(endpoint string, b *suspect.BrokenExchange) {
-	blocked, suspected := n.suspects.recordPartCrash(endpoint, b)
-	if len(suspected) > 0 {
-		n.log.Warn(event.PartSuspected, "engine crashed while it ran a prompt with these parts", zap.String("endpoint", endpoint),
-			zap.String("service", b.Service), zap.Strings("parts", suspected), zap.Bool("head", b.Answering))
+// announceAttribution logs to which parts of a broken exchange's prompt a crash is attributed. The leader hears of most answers, so it tells its
+// peers of those that have begun since the crash: the instances that were answered may not have known that they had something to report.
+func (n *Node) announceAttribution(c *countedCrash) {
+	b := c.exchange
+	if !b.Chargeable() {
+		return
+	}
+	if len(c.suspected) > 0 {
+		n.log.Warn(event.PartSuspected, "engine crashed while it ran a prompt with these parts", zap.String("endpoint", c.endpoint),
+			zap.String("service", b.Service), zap.Strings("parts", c.suspected), zap.Bool("head", b.Answering))
 	}
-	for _, parts := range blocked {
+	for _, parts := range c.blocked {
 		n.log.Warn(event.PartBlocked, "prompts with these parts are blocked", zap.String("service", b.Service), zap.Strings("parts", parts),
-			zap.String("endpoint", endpoint))
+			zap.String("endpoint", c.endpoint))
 	}
 	now := clock.Now()
 	if !n.leadership.holdsLease(now) {
 		return
 	}
-	if answered, at := n.suspects.takeAnswered(endpoint, b); len(answered) > 0 {
+	if answered, at := n.suspects.takeAnswered(c.endpoint, b); len(answered) > 0 {
 		n.reportCleared(b.Service, answered, now.Sub(at))
 	}
 }
