Keep the hosted edge's clients within the process's memory and connections

Cause: a body was read whole whatever else the process held, had no deadline of its own, and connections weren't limited.

Change: - internal/coordination/memory decides: a byte account by use (headers, bodies, responses, streams, frames), in which the incomplete header section or body whose last progress is oldest gives way, and a table of connections, in which a refused one, one slow with its first header section, or the one idle longest gives way to a new one. - internal/transport/intake drives them from a wrapping listener and http.Server.ConnState. Header sections over 16 KB are charged by length and lines; bodies grow in steps; kernel buffers are 64 KB per direction; a client that takes nothing for 20 s is disconnected; a failed accept is repeated, on the readiness and metrics listeners too. - A body must be complete by the request's own deadline, else 408; one that finds no room gets 503 with Retry-After. Answers that find no room are forwarded without being buffered. A body over 16 KB isn't copied for sending. - process.connections and process.buffers with defaults from process.memory; metrics, event 110, docs.

TestRequests and TestEndpointFaults pass with -race.

TestListener once waited for ten minutes on a busy machine, since its test took the order of answers for that of idle states; it now waits for the states, and passes 20 of 20.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -54,6 +54,7 @@
 	SettingsRechecked       Number = 107
 	LogLinesDropped         Number = 108
 	InstanceBehind          Number = 109
+	IntakeLimited           Number = 110
 	TableAdopted            Number = 310
 	TableInvalid            Number = 311
 	StoreUnreachable        Number = 312
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -185,7 +185,9 @@
 		// forwarded.
 		return retry.Broken, placement.OutcomeFailed
 	}
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
+	j.replyHeld.Release()
+	body, whole, held, err := j.node.guard.ReadReply(resp, resp.Length, maxBufferedBytes)
+	j.replyHeld = held
 	if err != nil {
 		return j.classifyError(ctx, choice, err)
 	}
@@ -193,7 +195,7 @@
 		// An error may come from an engine that has not begun to run the prompt, and says nothing of its parts.
 		j.recordFirstEvent()
 	}
-	if len(body) == maxBufferedBytes {
+	if !whole {
 		return j.forwardOversized(ctx, choice, resp, body)
 	}
 	j.buffered = &bufferedReply{resp.Status, resp.Header, resp.Length, body}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -36,6 +36,7 @@
 	table        atomic.Pointer[route.Table]
 	confirmation freshness.Confirmation
 	upstreams    *upstream.Pool
+	guard        callerGuard
 	placer       *placer
 	suspects     *suspects
 	notices      *notices
@@ -54,6 +55,7 @@
 	leaderBackoff leaderBackoff
 	dispatchDelay *dispatchDelay
 	handOver      *handOver
+	intake        intakeReport
 
 	stopping atomic.Bool
 	ready    atomic.Bool
@@ -69,6 +71,7 @@
 	n.metrics = metric.NewHosted(func() float64 { return n.confirmation.Age(clock.Now()).Seconds() })
 	n.metrics.SetSettings(cfg.Name, cfg.Digest, bounds.Digest())
 	n.upstreams = upstream.NewPool(n.metrics.Dials.Inc)
+	n.guard = newGuard(cfg, n.countIntake)
 	n.placer = newPlacer(n)
 	n.suspects = newSuspects()
 	n.notices = newNotices(n)
@@ -186,5 +189,6 @@
 		n.placer.removeExpired(now)
 		n.notices.sweep(now)
 		n.metrics.InFlight.Set(float64(n.inFlight.Load()))
+		n.reportIntake(now)
 	})
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -19,6 +18,7 @@
 	"gypsumvale/internal/state/clock"
 	"gypsumvale/internal/state/registration"
 	"gypsumvale/internal/state/route"
+	"gypsumvale/internal/transport/intake"
 )
 
 const (
@@ -39,19 +39,21 @@
 	w    http.ResponseWriter
 	r    *http.Request
 
-	arrived      clock.Instant
-	target       string
-	table        *route.Table
-	head         *exchange.Head
-	route        *route.Route
-	service      string
-	workspace    *route.Workspace
-	body         []byte
-	bodyRead     bool
-	digest       string
-	deadline     clock.Instant
-	attempts     retry.Request
-	placementReq placement.Request
+	arrived   clock.Instant
+	target    string
+	table     *route.Table
+	head      *exchange.Head
+	route     *route.Route
+	service   string
+	workspace *route.Workspace
+	body      []byte
+	bodyRead  bool
+	// held and replyHeld are the memory that the body and the buffered answer hold.
+	held, replyHeld *intake.Held
+	digest          string
+	deadline        clock.Instant
+	attempts        retry.Request
+	placementReq    placement.Request
 
 	// buffered is the endpoint's last complete answer, not yet delivered to the caller.
 	buffered *bufferedReply
@@ -88,6 +90,7 @@
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer j.releaseMemory()
 	if refused := j.admit(); refused != nil {
 		j.writeRefusal(refused)
 		return
@@ -164,27 +167,12 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	if j.r.ContentLength > limit {
-		return &refusal{http.StatusRequestEntityTooLarge, "body_too_large", 0}
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, limit))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return &refusal{http.StatusRequestEntityTooLarge, "body_too_large", 0}
-		}
-		return &refusal{http.StatusBadRequest, "body_broken", 0}
-	}
-	j.body, j.bodyRead = body, true
-	return nil
+	return j.receiveBody(limit)
 }
 
 func (j *job) prepare() *refusal {
 	n := j.node
-	j.deadline = j.arrived.Add(j.route.Timeout)
-	if j.head.Deadline != 0 && j.head.Deadline.Before(j.deadline) {
-		j.deadline = j.head.Deadline
-	}
+	j.deadline = j.ownDeadline()
 	workspace := ""
 	if j.workspace != nil {
 		workspace = j.workspace.Name
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -24,7 +24,7 @@
 
 func (n *Node) openServers() (*listeners.Group, error) {
 	g := listeners.New(n.log)
-	if err := g.Open(n.cfg.Callers, newServer(n)); err != nil {
+	if err := g.OpenProtected(n.cfg.Callers, newServer(n), n.guard.Protect); err != nil {
 		return nil, fmt.Errorf("serve callers: %w", err)
 	}
 	if err := g.Open(n.cfg.Readiness, newServer(http.HandlerFunc(n.serveReadiness))); err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -82,6 +82,9 @@
 	splitter := eventSplitter{last: j.lastEvent}
 	flusher := http.NewResponseController(j.w)
 	buf := make([]byte, streamBufferBytes)
+	heldBytes := 2 * streamBufferBytes
+	held := j.node.guard.HoldStream(int64(heldBytes))
+	defer held.Release()
 	for {
 		n, err := resp.Read(buf)
 		if n > 0 {
@@ -90,6 +93,10 @@
 			if orderErr != nil {
 				return j.classifyError(ctx, choice, orderErr)
 			}
+			if size := streamBufferBytes + cap(splitter.pending); size > heldBytes {
+				held.Take(int64(size - heldBytes))
+				heldBytes = size
+			}
 			if len(events) > 0 {
 				if !j.begun {
 					j.recordFirstEvent()
--- a/internal/metric/hosted.go
+++ b/internal/metric/hosted.go
@@ -23,6 +23,9 @@
 	PlacementAge  prometheus.Gauge
 	DispatchDelay prometheus.Gauge
 	Settings      *prometheus.GaugeVec
+	Held          *prometheus.GaugeVec
+	Connections   prometheus.Gauge
+	Intake        *prometheus.CounterVec
 	Reloads       *prometheus.CounterVec
 }
 
@@ -54,9 +57,14 @@
 		DispatchDelay: prometheus.NewGauge(gaugeOpts("dispatch_delay_seconds", "Mean time that arrived data waits until this process reads it.")),
 		Settings: prometheus.NewGaugeVec(gaugeOpts("settings_info", "One for the settings file in force, by its digest and that of its bounds."),
 			[]string{"instance", "digest", "bounds"}),
+		Held:        prometheus.NewGaugeVec(gaugeOpts("held_bytes", "Bytes held for callers by use: headers, bodies, responses, streams, frames."), []string{"use"}),
+		Connections: prometheus.NewGauge(gaugeOpts("caller_connections", "Open connections of callers.")),
+		Intake: newCounterVec("intake_closed_total",
+			"Connections closed and requests refused to stay within limits: connections, not_accepted, headers, bodies.", "reason"),
 		Reloads: newCounterVec("settings_reloads_total", "Changed settings files by result: applied, invalid, needs_restart.", "result"),
 	}
 	s.Registry.MustRegister(s.Requests, s.Latency, s.FirstEvent, s.Attempts, s.PromptTokens, s.Placements, s.StoreCalls, s.Orders, s.Dials,
-		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.Settings, s.Reloads)
+		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.Settings, s.Reloads, s.Held,
+		s.Connections, s.Intake)
 	return s
 }
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -41,6 +41,10 @@
 	PrefillRate int
 	// MemoryMB is the memory limit of the process, in MiB.
 	MemoryMB float64
+	// MaxConnections limits the connections of callers. Zero derives the limit from MemoryMB and the process's limit of descriptors.
+	MaxConnections int
+	// BuffersMB limits the memory for callers' data, in MiB. Zero derives the limit from MemoryMB.
+	BuffersMB float64
 	// Threads is the number of operating system threads that execute Go code at the same time (GOMAXPROCS).
 	Threads int
 	// CPUCores is the CPU time available to this instance, in cores. Instances with the highest value are preferred as leader.
@@ -93,7 +97,9 @@
 		{"[instance] readiness", h.Readiness, next.Readiness}, {"[instance] peers", h.Peers, next.Peers},
 		{"[instance] advertise", h.Advertise, next.Advertise}, {"[instance] metrics", h.Metrics, next.Metrics},
 		{"[platform] store", h.Store, next.Store}, {"[engine] prefill_tokens_per_second", h.PrefillRate, next.PrefillRate},
-		{"[process] memory", h.MemoryMB, next.MemoryMB}, {"[process] threads", h.Threads, next.Threads},
+		{"[process] memory", h.MemoryMB, next.MemoryMB},
+		{"[process] connections", h.MaxConnections, next.MaxConnections}, {"[process] buffers", h.BuffersMB, next.BuffersMB},
+		{"[process] threads", h.Threads, next.Threads},
 		{"[process] processor", h.CPUCores, next.CPUCores}, {"[process] link", h.LinkMbps, next.LinkMbps},
 		{"[log] level", h.LogLevel, next.LogLevel}, {"[log] format", h.LogFormat, next.LogFormat},
 	} {
@@ -155,14 +161,16 @@
 			RetryReserve:       r.float("bounds", "retry_slack", 0, 1000000, 100),
 			MaxLoads:           r.integer("engine", "loads", 1, 1000, 3),
 		},
-		PrefillRate: r.integer("engine", "prefill_tokens_per_second", 1, 100000000, 20000),
-		MemoryMB:    r.float("process", "memory", 16, 1<<20, 128),
-		Threads:     r.integer("process", "threads", 1, 1024, 1),
-		CPUCores:    r.float("process", "processor", 0.001, 1024, 1),
-		LinkMbps:    r.float("process", "link", 0.001, 1e6, 1000),
-		LogLevel:    r.choice("log", "level", "info", "debug", "warn", "error"),
-		LogFormat:   r.choice("log", "format", "json", "console"),
-		Digest:      r.digest,
+		PrefillRate:    r.integer("engine", "prefill_tokens_per_second", 1, 100000000, 20000),
+		MemoryMB:       r.float("process", "memory", 16, 1<<20, 128),
+		MaxConnections: r.integer("process", "connections", 1, 1000000, 0),
+		BuffersMB:      r.float("process", "buffers", 5, 1<<20, 0),
+		Threads:        r.integer("process", "threads", 1, 1024, 1),
+		CPUCores:       r.float("process", "processor", 0.001, 1024, 1),
+		LinkMbps:       r.float("process", "link", 0.001, 1e6, 1000),
+		LogLevel:       r.choice("log", "level", "info", "debug", "warn", "error"),
+		LogFormat:      r.choice("log", "format", "json", "console"),
+		Digest:         r.digest,
 	}
 	if h.Advertise == "" {
 		h.Advertise = h.Peers
--- a/internal/settings/hosted_test.go
+++ b/internal/settings/hosted_test.go
@@ -68,6 +68,10 @@
 		Convey("require the store's address", func() { expectHostedFault("store = 127.0.0.1:8587", "", "platform", "store") })
 		Convey("reject malformed durations", func() { expectHostedFault("revocation = 5s", "revocation = 5000", "bounds", "revocation") })
 		Convey("reject shares out of range", func() { expectHostedFault("retry_share = 0.2", "retry_share = 2", "bounds", "retry_share") })
+		Convey("reject limits of connections and buffers out of range", func() {
+			expectHostedFault("threads = 1", "threads = 1\nconnections = 0", "process", "connections")
+			expectHostedFault("threads = 1", "threads = 1\nbuffers = 1", "process", "buffers")
+		})
 		Convey("reject unknown keys", func() { expectHostedFault("[log]", "[log]\nshape = x", "log", "shape") })
 	})
 }
--- /dev/null
+++ b/internal/transport/intake/conn.go
@@ -0,0 +1,167 @@
+package intake
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gypsumvale/internal/coordination/memory"
+)
+
+const (
+	// A header section takes headerFactor times its length, as read and as parsed, and headerLineBytes for each line: the entry of a map and
+	// its strings. net/http doesn't limit the number of lines.
+	headerFactor    = 2
+	headerLineBytes = 200
+	// headerStep is charged at once; header sections up to this size aren't charged, since the number of connections bounds them.
+	headerStep = 16 << 10
+)
+
+// errNoRoom is returned for a header section that finds no room.
+var errNoRoom = errors.New("no memory for the header section")
+
+// conn is a client's connection. Its methods for reading are called by one goroutine at a time, as net/http does.
+type conn struct {
+	net.Conn
+	guard *Guard
+	entry *memory.Connection
+	// awaiting is true until a complete header section has arrived.
+	awaiting atomic.Bool
+	// headerBytes is the memory that the header section takes, and charged the part of it that has been charged to headers.
+	headerBytes, charged int64
+	headers              *memory.Charge
+	removed              atomic.Bool
+}
+
+// Read reads from the connection, and charges header sections.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.awaiting.Load() && !c.chargeHeader(b[:n]) {
+		c.guard.count(reasonHeaders)
+		c.abort()
+		return 0, errNoRoom
+	}
+	return n, err //nolint:wrapcheck // net/http checks the errors of connections.
+}
+
+func (c *conn) chargeHeader(data []byte) bool {
+	c.headerBytes += headerFactor*int64(len(data)) + headerLineBytes*int64(bytes.Count(data, []byte{'\n'}))
+	if c.headerBytes-c.charged <= headerStep {
+		return true
+	}
+	if c.headers == nil {
+		c.guard.mu.Lock()
+		c.headers = c.guard.account.Open(memory.Headers, c.abort)
+		c.guard.mu.Unlock()
+	}
+	n := c.headerBytes - c.charged
+	c.charged = c.headerBytes
+	return c.guard.grow(c.headers, n)
+}
+
+// stallTimeout is how long a client may take none of the bytes that wait for it, and writeBytes is how many are offered to it at once: a
+// client that takes 1 KB/s isn't cut off.
+const (
+	stallTimeout = 20 * time.Second
+	writeBytes   = 16 << 10
+)
+
+// Write writes to the connection. It fails if the client stops reading.
+func (c *conn) Write(b []byte) (int, error) {
+	written := 0
+	for {
+		if err := c.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
+			return written, err //nolint:wrapcheck // net/http checks the errors of connections.
+		}
+		n, err := c.Conn.Write(b[written:min(len(b), written+writeBytes)])
+		written += n
+		if err != nil || written == len(b) {
+			return written, err //nolint:wrapcheck // net/http checks the errors of connections.
+		}
+	}
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	if !c.removed.Swap(true) {
+		c.guard.remove(c)
+	}
+	return c.Conn.Close() //nolint:wrapcheck // net/http checks the errors of connections.
+}
+
+// abort closes the connection of a client that gives way.
+func (c *conn) abort() { _ = c.Close() }
+
+// recordState follows what net/http does with a connection.
+func (g *Guard) recordState(raw net.Conn, s http.ConnState) {
+	c := unwrap(raw)
+	if c == nil {
+		return
+	}
+	switch s {
+	case http.StateActive:
+		c.awaiting.Store(false)
+		g.setState(c, memory.StateServed)
+		if c.headers != nil {
+			g.mu.Lock()
+			g.account.Complete(c.headers)
+			g.mu.Unlock()
+		}
+	case http.StateIdle:
+		g.setState(c, memory.StateIdle)
+		if c.headers != nil {
+			g.mu.Lock()
+			g.account.Close(c.headers)
+			c.headers = nil
+			g.mu.Unlock()
+		}
+		c.headerBytes, c.charged = 0, 0
+		c.awaiting.Store(true)
+	}
+}
+
+// unwrap returns the connection below TLS, if there is TLS, and nil if it is none of a Guard's.
+func unwrap(raw net.Conn) *conn {
+	if above, ok := raw.(interface{ NetConn() net.Conn }); ok {
+		raw = above.NetConn()
+	}
+	c, _ := raw.(*conn)
+	return c
+}
+
+type contextKey struct{}
+
+func withConn(ctx context.Context, raw net.Conn) context.Context {
+	if c := unwrap(raw); c != nil {
+		return context.WithValue(ctx, contextKey{}, c)
+	}
+	return ctx
+}
+
+// maxDrainBytes bounds how much is read from a connection whose request was refused: twice the operators' usual limit of a body.
+const maxDrainBytes = 8 << 20
+
+// Drain reads and discards what a client still sends after the refusal of its request, until the client closes the connection or for at most
+// the given time: closing a connection with unread bytes resets it, and the client would lose the refusal. The server must close the
+// connection afterwards, and nothing else may read from it. Drain does nothing if the context isn't that of a request on a guarded listener.
+func Drain(ctx context.Context, timeout time.Duration) {
+	c, ok := ctx.Value(contextKey{}).(*conn)
+	if !ok {
+		return
+	}
+	c.guard.setState(c, memory.StateRefused)
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	if c.SetReadDeadline(time.Now().Add(timeout)) == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, maxDrainBytes)
+		// net/http closes the request's body afterwards and must not wait for more of it.
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
--- a/internal/transport/listeners/group.go
+++ b/internal/transport/listeners/group.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"gypsumvale/internal/event"
+	"gypsumvale/internal/transport/intake"
 )
 
 // Group is a set of HTTP servers that start and stop together.
@@ -28,10 +29,19 @@
 
 // Open listens on an address for a server that Serve starts later. Without certificates the server uses plain HTTP.
 func (g *Group) Open(address string, server *http.Server, certificates ...tls.Certificate) error {
+	resilient := func(l net.Listener, _ *http.Server) net.Listener { return intake.Resilient(l) }
+	return g.OpenProtected(address, server, resilient, certificates...)
+}
+
+// OpenProtected is Open for a server whose connections a function protects, such as intake.Guard.Protect.
+func (g *Group) OpenProtected(
+	address string, server *http.Server, protect func(net.Listener, *http.Server) net.Listener, certificates ...tls.Certificate,
+) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
+	listener = protect(listener, server)
 	if len(certificates) > 0 {
 		listener = tls.NewListener(listener, &tls.Config{Certificates: certificates, MinVersion: tls.VersionTLS12})
 	}
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -82,7 +83,7 @@
 }
 
 func (c *conn) roundTrip(r *Request) (*Response, error) {
-	if n, err := c.raw.Write(encodeRequest(r)); err != nil {
+	if n, err := c.writeRequest(r); err != nil {
 		if n == 0 {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
@@ -123,9 +124,23 @@
 	return nil, errors.New("too many informational responses")
 }
 
-func encodeRequest(r *Request) []byte {
+// maxCopiedBody is the longest body that is copied behind the head for one write. Longer ones are written from where they are, since copies of
+// many large bodies would take as much memory again.
+const maxCopiedBody = 16 << 10
+
+func (c *conn) writeRequest(r *Request) (int64, error) {
+	if len(r.Body) > maxCopiedBody {
+		parts := net.Buffers{encodeHead(r, 0), r.Body}
+		return parts.WriteTo(c.raw) //nolint:wrapcheck // The caller wraps it.
+	}
+	n, err := c.raw.Write(append(encodeHead(r, len(r.Body)), r.Body...))
+	return int64(n), err //nolint:wrapcheck // The caller wraps it.
+}
+
+// encodeHead encodes the head of a request, with room behind it.
+func encodeHead(r *Request, room int) []byte {
 	var b bytes.Buffer
-	b.Grow(len(r.Body) + len(r.Target) + readBufferBytes/4)
+	b.Grow(room + len(r.Target) + readBufferBytes/4)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(r.Body) > 0 || r.HasBody {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
@@ -133,7 +148,6 @@
 	// Writes to a bytes.Buffer never fail.
 	_ = r.Header.Write(&b)
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
