Count descriptors at the end of a flood, and more often

Cause: in two of five runs TestEmptyLines ended before the first count of descriptors, 50 ms after the start, and so checked none.

Change: descriptors are counted every 10 ms, and once all clients have sent. The bounds and the clients are the same.

--- a/internal/flood/process_test.go
+++ b/internal/flood/process_test.go
@@ -10,7 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"testing"
 	"time"
 
@@ -56,7 +56,8 @@
 	cmd                *exec.Cmd
 	ended              chan struct{}
 	// maxOpen is the highest number of descriptors seen.
-	maxOpen atomic.Int64
+	maxOpen int
+	mu      sync.Mutex
 }
 
 // start starts a store, two endpoints and a hosted entry, and waits until the entry is ready.
@@ -128,14 +129,20 @@
 		select {
 		case <-e.ended:
 			return
-		case <-time.After(50 * time.Millisecond):
-		}
-		if list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", e.cmd.Process.Pid)); err == nil {
-			e.maxOpen.Store(max(e.maxOpen.Load(), int64(len(list))))
+		case <-time.After(10 * time.Millisecond):
+			e.countDescriptors()
 		}
 	}
 }
 
+func (e *entry) countDescriptors() {
+	if list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", e.cmd.Process.Pid)); err == nil {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.maxOpen = max(e.maxOpen, len(list))
+	}
+}
+
 // peakKB returns the peak resident memory in KB.
 func (e *entry) peakKB() int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.cmd.Process.Pid))
@@ -153,13 +160,17 @@
 
 // expectWithinBounds checks that the process still runs within its bounds, and that an ordinary request is answered.
 func (e *entry) expectWithinBounds(t *testing.T) {
+	e.countDescriptors()
 	e.expectAnswer()
 	select {
 	case <-e.ended:
 		So("the entry has ended", ShouldBeEmpty)
 	default:
 	}
-	peak, open := e.peakKB(), e.maxOpen.Load()
+	peak := e.peakKB()
+	e.mu.Lock()
+	open := e.maxOpen
+	e.mu.Unlock()
 	t.Logf("peak resident memory %.1f MB, at most %d descriptors", float64(peak)/1024, open)
 	So(peak, ShouldBeLessThanOrEqualTo, memoryMB<<10)
 	So(open, ShouldBeLessThanOrEqualTo, maxDescriptors)
