Close a connection whose refused request wasn't read to its end

Cause: after the refusal of a request whose body hadn't been read, discardBody read for a second at most and returned; net/http took the expired read for the end of the body, and parsed what came later as a new request.

Change: a body that is there within 5 ms is read to its end before the refusal. Otherwise the refusal says Connection: close, and the bytes that come within a second are discarded below net/http, so that closing doesn't reset the connection before the refusal has arrived. Nothing that comes later is parsed.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "gypsumvale/internal/state/clock"
+import (
+	"net"
+	"net/http"
+
+	"gypsumvale/internal/state/clock"
+)
 
 // HoldPlacement keeps a node's placement from running until the returned function is called.
 func HoldPlacement(n *Node) (release func()) {
@@ -14,3 +19,8 @@
 	defer n.rollout.mu.Unlock()
 	return n.rollout.planner.InProgress(toTime(clock.Now()), nil)
 }
+
+// Protect returns the listener of a node's callers for another listener and server.
+func Protect(n *Node, l net.Listener, server *http.Server) net.Listener {
+	return n.guard.Protect(l, server)
+}
