Accept peers after a failed accept

Cause: acceptAll ended at any error, so that an entry which lacked a descriptor for a moment was deaf to its peers until its restart.

Change: intake.Accept repeats a failed accept after 5 to 200 ms until the listener is closed; the first failure of a row is reported as event 200. The listeners of HTTP use it already.

Measured: TestFailedAccepts fails on the code before with "peer unreachable" and passes 2 of 2, with the package's other tests, under -race.

--- a/internal/transport/peers/network.go
+++ b/internal/transport/peers/network.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gypsumvale/internal/protocol/peer"
+	"gypsumvale/internal/transport/intake"
 )
 
 // Handler handles messages from peers and events of connections.
@@ -113,7 +114,13 @@
 
 func (n *Network) acceptAll(ctx context.Context) {
 	for {
-		raw, err := n.listener.Accept()
+		reported := false
+		raw, err := intake.Accept(n.listener, func(err error) {
+			if !reported {
+				reported = true
+				n.handler.ConnectionRejected(n.cfg.Address, fmt.Errorf("accept: %w", err))
+			}
+		})
 		if err != nil {
 			return
 		}
--- a/internal/transport/peers/network_test.go
+++ b/internal/transport/peers/network_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,11 +27,17 @@
 
 // startNetwork starts the network of an instance until the test has ended.
 func startNetwork(name string) (network *peers.Network, address string) {
+	return startNetworkWith(name, func(l net.Listener) net.Listener { return l })
+}
+
+// startNetworkWith is startNetwork with another listener in place of the network's own.
+func startNetworkWith(name string, wrap func(net.Listener) net.Listener) (network *peers.Network, address string) {
 	network = peers.New(peers.Config{
 		Name: name, Incarnation: peers.NewIncarnation(name), Address: "127.0.0.1:0", Secret: []byte("secret"),
 	}, answerer{})
 	address, err := network.Listen()
 	So(err, ShouldBeNil)
+	peers.WrapListener(network, wrap)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -122,3 +130,28 @@
 		}
 	})
 }
+
+// shortListener fails a number of accepts for lack of descriptors.
+type shortListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *shortListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// A process that lacks descriptors for a moment must not be deaf to its peers until its restart.
+func TestFailedAccepts(t *testing.T) {
+	Convey("a network accepts peers after accepts have failed", t, func() {
+		a, _ := startNetwork("a")
+		_, address := startNetworkWith("b", func(l net.Listener) net.Listener { return &shortListener{l, 3} })
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		So(a.Call(ctx, "b", address, peer.KindPlace, peer.Empty{}, &peer.Empty{}), ShouldBeNil)
+	})
+}
