--- a/internal/flood/process_test.go
+++ b/internal/flood/process_test.go
@@ -33,16 +33,17 @@
 	routeTimeoutMs = 120000
 )
 
-// program is the path of the built gypsum-entry.
-var program string
+// programs is the folder of the built programs.
+var programs string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "gypsum-flood")
 	if err != nil {
 		panic(err)
 	}
-	program = filepath.Join(dir, "gypsum-entry")
-	if out, err := exec.Command("go", "build", "-o", program, "gypsumvale/cmd/gypsum-entry").CombinedOutput(); err != nil {
+	programs = filepath.Join(dir, "bin")
+	build := exec.Command("go", "build", "-o", programs+"/", "gypsumvale/cmd/gypsum-entry", "gypsumvale/cmd/gypsum-standin")
+	if out, err := build.CombinedOutput(); err != nil {
 		panic(string(out))
 	}
 	code := m.Run()
@@ -52,16 +53,21 @@
 
 // entry is a running process of gypsum-entry.
 type entry struct {
-	callers, readiness string
-	cmd                *exec.Cmd
-	ended              chan struct{}
+	callers string
+	// readiness is the URL that answers with 200 once the entry is ready.
+	readiness string
+	// head returns the head of a request with a body, without its end, and answered sends an ordinary request.
+	head     func(i int) string
+	answered func(ctx context.Context, i int) error
+	cmd      *exec.Cmd
+	ended    chan struct{}
 	// maxOpen is the highest number of descriptors seen.
 	maxOpen int
 	mu      sync.Mutex
 }
 
-// start starts a store, two endpoints and a hosted entry, and waits until the entry is ready.
-func start(t *testing.T) *entry {
+// startHosted starts a store, two endpoints and a hosted entry, and waits until the entry is ready.
+func startHosted(t *testing.T) *entry {
 	store := hosted.NewStore()
 	server := httptest.NewServer(store.Handler())
 	Reset(server.Close)
@@ -83,24 +89,47 @@
 		Limits:   map[string]int{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		Tenants:  []hosted.Tenant{{Name: "demo", APIKeys: []string{hosted.SiteAPIKey}}},
 	}), ShouldBeNil)
-	e := &entry{callers: freeAddress(), readiness: freeAddress(), ended: make(chan struct{})}
+	e := &entry{
+		callers: freeAddress(),
+		head: func(i int) string {
+			return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: flood-%d\r\nCredential: %s\r\nDeadline-Ms: %d\r\n",
+				hosted.ReadPath, hosted.SiteHostname, i, hosted.SiteAPIKey, routeTimeoutMs)
+		},
+	}
+	e.answered = func(ctx context.Context, i int) error {
+		return hosted.NewCaller().Call(ctx, e.callers, fmt.Sprintf("ordinary-%d", i), hosted.ReadPath)
+	}
+	readiness := freeAddress()
+	e.readiness = "http://" + readiness + "/"
 	path := filepath.Join(t.TempDir(), "settings.ini")
 	So(os.WriteFile(path, fmt.Appendf(nil, "[instance]\nedge = hosted\nname = e0\nzone = a\ncallers = %s\nreadiness = %s\npeers = %s\n"+
 		"[platform]\nstore = %s\n[process]\nmemory = %d\n[log]\nlevel = warn\n",
-		e.callers, e.readiness, freeAddress(), server.Listener.Addr(), memoryMB), 0o600), ShouldBeNil)
-	e.cmd = exec.Command(program, "--settings", path)
-	So(e.cmd.Start(), ShouldBeNil)
+		e.callers, readiness, freeAddress(), server.Listener.Addr(), memoryMB), 0o600), ShouldBeNil)
+	e.run(path)
+	return e
+}
+
+// run starts the entry's process and waits until it is ready.
+func (e *entry) run(settings string) {
+	e.cmd, e.ended = startProgram("gypsum-entry", "--settings", settings)
+	e.waitReady()
+	go e.watchDescriptors()
+}
+
+// startProgram starts a program until the test ends. The channel is closed once it has ended.
+func startProgram(name string, args ...string) (cmd *exec.Cmd, ended chan struct{}) {
+	cmd = exec.Command(filepath.Join(programs, name), args...)
+	So(cmd.Start(), ShouldBeNil)
+	ended = make(chan struct{})
 	go func() {
-		defer close(e.ended)
-		_ = e.cmd.Wait()
+		defer close(ended)
+		_ = cmd.Wait()
 	}()
 	Reset(func() {
-		_ = e.cmd.Process.Kill()
-		<-e.ended
+		_ = cmd.Process.Kill()
+		<-ended
 	})
-	e.waitReady()
-	go e.watchDescriptors()
-	return e
+	return cmd, ended
 }
 
 func freeAddress() string {
@@ -111,7 +140,7 @@
 
 func (e *entry) waitReady() {
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		resp, err := http.Get("http://" + e.readiness + "/")
+		resp, err := http.Get(e.readiness)
 		if err != nil {
 			continue
 		}
@@ -182,7 +211,7 @@
 	defer cancel()
 	var err error
 	for i := 0; ctx.Err() == nil; i++ {
-		if err = hosted.NewCaller().Call(ctx, e.callers, fmt.Sprintf("ordinary-%d", i), hosted.ReadPath); err == nil {
+		if err = e.answered(ctx, i); err == nil {
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
