--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -37,6 +37,7 @@
 	table        atomic.Pointer[route.Table]
 	confirmation freshness.Confirmation
 	upstreams    *upstream.Pool
+	guard        callerGuard
 	placer       *placer
 	running      *loadsync.Reporter
 	suspects     *suspects
@@ -57,6 +58,7 @@
 	leaderBackoff leaderBackoff
 	dispatchDelay *dispatchDelay
 	handOver      *handOver
+	intake        intakeReport
 
 	stopping atomic.Bool
 	ready    atomic.Bool
@@ -74,6 +76,7 @@
 	n.metrics = metric.NewHosted(func() float64 { return n.confirmation.Age(clock.Now()).Seconds() })
 	n.metrics.SetSettings(cfg.Name, cfg.Digest, bounds.Digest())
 	n.upstreams = upstream.NewPool(n.metrics.Dials.Inc)
+	n.guard = newGuard(cfg, n.countIntake)
 	n.placer = newPlacer(n)
 	n.running = loadsync.New(cfg.Name, n.incarnation, log, n, n.placer)
 	n.suspects = newSuspects(cfg.Zone)
@@ -194,5 +197,6 @@
 		n.notices.sweep(now)
 		n.evacuations.sweep(now)
 		n.metrics.InFlight.Set(float64(n.inFlight.Load()))
+		n.reportIntake(now)
 	})
 }
