Limit the prefill on an engine by the gap targets of the streams there

Each step of an engine produces one token for each stream and, while prompts wait, carries a chunk of up to 2,048 prompt tokens. An event carries Stride tokens, so that the prefill within Stride steps determines the gap between events. Engines got up to 600 ms of prefill, whatever streams ran there, also those that are 1.5 to 2.5 times slower.

A queued request whose prefill exceeds one chunk now goes only to an engine where the prompt tokens placed within about the shortest gap target leave the streams enough time. The slowdown that counts is measured by first events after at least 20 ms of prefill, from which nothing is tolerated. The request waits for this until half of the time to its own target has passed, and not where the target is met with whole chunks in all steps or is missed without any prefill. Without Stride or a gap target placement is as before.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -56,11 +56,12 @@
 // choose places a request. A request that may wait (q is not nil) goes only to an endpoint that has capacity for it.
 func (p *Pool) choose(now clock.Instant, req *Request, q *queuedRequest) (Choice, error) {
 	eligible, busy := p.eligibleEndpoints(now, req, q)
-	return p.chooseFrom(now, req, eligible, busy, q != nil)
+	return p.chooseFrom(now, req, eligible, busy, q)
 }
 
 // chooseFrom places a request on the endpoint with the lowest cost; busy is true if endpoints were left out because they are busy.
-func (p *Pool) chooseFrom(now clock.Instant, req *Request, eligible []*endpointState, busy, mayWait bool) (Choice, error) {
+func (p *Pool) chooseFrom(now clock.Instant, req *Request, eligible []*endpointState, busy bool, q *queuedRequest) (Choice, error) {
+	mayWait := q != nil
 	if err := p.checkParts(now, req, mayWait); err != nil {
 		return Choice{}, err
 	}
@@ -70,7 +71,7 @@
 		meanErrorRate := p.meanErrorRate()
 		for _, s := range eligible {
 			c := p.evaluate(now, s, req, home, known, meanErrorRate)
-			if mayWait && !p.accepts(s, req, &c.choice) {
+			if mayWait && !p.accepts(now, s, q, &c.choice) {
 				busy = true
 				continue
 			}
@@ -176,7 +177,7 @@
 		s := list[(first+i)%len(list)]
 		p.checks++
 		p.sampleNext++
-		if p.available(now, s, req) && s.version[req.Model] >= oldest && !contains(req.Avoid, s.ID) && (q == nil || p.mayHaveCapacity(s, q)) {
+		if p.available(now, s, req) && s.version[req.Model] >= oldest && !contains(req.Avoid, s.ID) && (q == nil || p.mayHaveCapacity(now, s, q)) {
 			eligible = append(eligible, s)
 			limit--
 		}
@@ -197,7 +198,7 @@
 		case p.available(now, s, req):
 			return nil, true
 		case now.Before(s.loadingUntil):
-		case q != nil && !p.mayHaveCapacity(s, q):
+		case q != nil && !p.mayHaveCapacity(now, s, q):
 			busy = true
 		default:
 			eligible = append(eligible, s)
@@ -211,6 +212,8 @@
 	choice   Choice
 	cost     time.Duration
 	fetch    fetch
+	// healthyTime is the time to the first event that would be expected of a healthy engine.
+	healthyTime time.Duration
 }
 
 // available reports whether an endpoint is usable, takes requests of the entry, and is not in a zone that seems unreachable from the caller's.
@@ -240,6 +243,7 @@
 	queueSeconds := s.prefillBefore(req) / p.cfg.PrefillRate
 	c.Expected = baseLatency + time.Duration(s.slowdown.current(now)*(prefillSeconds+queueSeconds)*float64(time.Second)) + fetchTime
 	c.Expected += time.Duration(len(s.assignments)) * runningPenalty
+	healthy := healthyFirstEvent(prefillSeconds+queueSeconds, fetchTime)
 	cost := p.comparisonCost(s, req, c.Expected, meanErrorRate) + p.saturationCost(s, req)
 	if recomputed := known - c.Cached - c.Fetched; recomputed > 0 {
 		cost += time.Duration(recomputeFactor * float64(recomputed) / p.cfg.PrefillRate * float64(time.Second))
@@ -250,7 +254,7 @@
 	if target, ok := p.target(req.Model); ok && c.Version < target.Version {
 		cost += oldWeightsPenalty
 	}
-	return candidate{s, c, cost, f}
+	return candidate{s, c, cost, f, healthy}
 }
 
 // saturationCost returns the cost of a request on an engine whose memory or slots are taken: running requests are preempted, or cached
@@ -294,12 +298,14 @@
 	a := &assignment{
 		req: req, endpoint: s, space: c.CacheSpace, version: c.Version, sentAt: now, expected: c.Expected,
 		prefillTokens: max(1, req.Prompt-c.Cached-c.Fetched), saves: c.SaveTo != nil,
+		gapTarget: p.gapTarget(req), healthyTime: best.healthyTime,
 	}
 	a.slowestLinks = best.fetch.slowestLinks(s)
 	p.assignments[req.ID] = a
 	p.holds.add(a)
 	s.add(a)
 	p.countPlaced(now, req.Priority)
+	s.pacing.placed(now, a.prefillTokens)
 	if p.engine == nil || req.Model == "" {
 		return
 	}
--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -28,6 +28,9 @@
 	expected time.Duration
 	// prefillTokens is the number of prompt tokens still to be prefilled; it is zero after the first event.
 	prefillTokens int
+	// gapTarget is the target for the gaps between events of a stream, or zero, and healthyTime the time to the first event that was expected
+	// of a healthy engine.
+	gapTarget, healthyTime time.Duration
 	// saves is true if a store saves parts of the prompt.
 	saves bool
 	// slowestLinks are the links that carry the longest of the transfers before the first event.
@@ -67,6 +70,7 @@
 	orderPending bool
 
 	slowdown  slowdown
+	pacing    pacing
 	errorRate float64
 }
 
@@ -145,6 +149,9 @@
 // delay after a transfer is attributed to the links.
 func (a *assignment) observeFirstEvent(now clock.Instant) {
 	ratio := float64(now.Sub(a.sentAt)) / float64(a.expected)
+	if a.healthyTime > 0 {
+		a.endpoint.pacing.observe(now, float64(now.Sub(a.sentAt))/float64(a.healthyTime))
+	}
 	if len(a.slowestLinks) == 0 {
 		a.endpoint.slowdown.observe(now, ratio)
 		return
@@ -181,6 +188,7 @@
 	s.prefillTokens += a.prefillTokens
 	s.prefillByPriority[priorityLevel(a.req)] += a.prefillTokens
 	s.memoryTokens += a.req.memoryTokens()
+	s.pacing.count(a.gapTarget, 1)
 }
 
 // prefillDone records that an assignment's prompt has been prefilled.
@@ -193,5 +201,6 @@
 func (s *endpointState) remove(a *assignment) {
 	s.prefillDone(a)
 	s.memoryTokens -= a.req.memoryTokens()
+	s.pacing.count(a.gapTarget, -1)
 	delete(s.assignments, a.req.ID)
 }
--- a/internal/coordination/placement/mixedload_test.go
+++ b/internal/coordination/placement/mixedload_test.go
@@ -72,7 +72,9 @@
 	results       map[string]*mixedResult
 	contextTokens map[string]int
 	calls         map[placement.AssignmentID]*mixedCall
-	recomputed    int
+	// targets is true if the routes have gap targets.
+	targets    bool
+	recomputed int
 }
 
 const (
@@ -86,14 +88,14 @@
 )
 
 // newMixedLoad returns a load of a multiple of the classes' rates; a third of the engines are 1.5 to 2.5 times slower than the others.
-func newMixedLoad(seed uint64, multiple float64) *mixedLoad {
+func newMixedLoad(seed uint64, multiple float64, targets bool) *mixedLoad {
 	f := &mixedLoad{
 		fleet:   fleet{random: rand.New(rand.NewPCG(seed, 2))},
 		engines: map[string]*steppingEngine{}, byAddress: map[string]*steppingEngine{}, results: map[string]*mixedResult{},
-		contextTokens: map[string]int{}, calls: map[placement.AssignmentID]*mixedCall{},
+		contextTokens: map[string]int{}, calls: map[placement.AssignmentID]*mixedCall{}, targets: targets,
 	}
 	f.pool = placement.NewPool(placement.Config{PrefillRate: prefillRate})
-	f.pool.SetEngine(&placement.Engine{Slots: mixedSlots, CacheTokens: mixedMemory, TokenSeconds: mixedTransfer})
+	f.pool.SetEngine(&placement.Engine{Slots: mixedSlots, CacheTokens: mixedMemory, TokenSeconds: mixedTransfer, Stride: mixedStride})
 	list := endpoints(mixedEngines)
 	for i, r := range list {
 		r.Slots = mixedSlots
@@ -147,6 +149,9 @@
 		FirstEventDeadline: now.Add(min(class.timeout, 3200*time.Millisecond)), Deadline: now.Add(class.timeout),
 		TargetDeadline: now.Add(class.firstTarget),
 	}
+	if f.targets {
+		c.req.TargetEventGap = class.gapTarget
+	}
 	f.results[class.name].requests++
 	f.calls[c.req.ID] = c
 	if choice, err := f.pool.Place(now, c.req); err == nil {
@@ -207,29 +212,50 @@
 // share returns a share in percent.
 func share(count, of int) float64 { return 100 * float64(count) / float64(max(1, of)) }
 
-func (f *mixedLoad) log(t *testing.T, what string) {
+// runMixedLoad returns the results of the classes for some seeds, added up.
+func runMixedLoad(t *testing.T, multiple float64, targets bool) map[string]*mixedResult {
+	sums := map[string]*mixedResult{}
+	for _, class := range mixedClasses {
+		sums[class.name] = &mixedResult{}
+	}
+	for seed := range uint64(3) {
+		f := newMixedLoad(seed, multiple, targets)
+		for name, r := range f.simulate() {
+			sum := sums[name]
+			sum.requests += r.requests
+			sum.served += r.served
+			sum.firstInTime += r.firstInTime
+			sum.gapsInTime += r.gapsInTime
+			sum.inTime += r.inTime
+			sum.preempted += r.preempted
+		}
+	}
 	for _, class := range mixedClasses {
-		r := f.results[class.name]
-		t.Logf("%s %-8s %5d requests, served %.1f%%, first event in time %.1f%%, gaps %.1f%%, both %.1f%%, %d preempted", what, class.name, r.requests,
-			share(r.served, r.requests), share(r.firstInTime, r.requests), share(r.gapsInTime, r.requests), share(r.inTime, r.requests), r.preempted)
+		r := sums[class.name]
+		t.Logf("x%g, targets %v, %-8s %5d requests, served %.1f%%, first event in time %.1f%%, gaps %.1f%%, both %.1f%%, %d preempted", multiple, targets,
+			class.name, r.requests, share(r.served, r.requests), share(r.firstInTime, r.requests), share(r.gapsInTime, r.requests),
+			share(r.inTime, r.requests), r.preempted)
 	}
-	t.Logf("%s %d shared tokens recomputed, %d evaluations, %d checks", what, f.recomputed, f.pool.Evaluations(), f.pool.Checks())
+	return sums
 }
 
 // Long prompts delayed the events of all that ran on their engines: 15 in 100 short requests missed their targets for the gap between events.
 func TestMixedLoad(t *testing.T) {
-	Convey("under long and short prompts on the same engines", t, func() {
-		for _, multiple := range []float64{1, 1.4, 1.7, 2, 3} {
-			f := newMixedLoad(1, multiple)
-			results := f.simulate()
-			f.log(t, fmt.Sprintf("x%g", multiple))
-			if multiple == 1 {
-				Convey("all are served while engines have capacity", func() {
-					for _, class := range mixedClasses {
-						So(results[class.name].served, ShouldEqual, results[class.name].requests)
-					}
-				})
+	Convey("under long and short prompts on the same engines, in comparison with routes without gap targets", t, func() {
+		Convey("more of both are within their targets, and no fewer are served, while engines have capacity", func() {
+			before, now := runMixedLoad(t, 1.7, false), runMixedLoad(t, 1.7, true)
+			for _, name := range []string{"short", "long"} {
+				So(now[name].inTime, ShouldBeGreaterThan, before[name].inTime)
 			}
-		}
+			for _, class := range mixedClasses {
+				So(now[class.name].served, ShouldBeGreaterThanOrEqualTo, before[class.name].served)
+			}
+		})
+		Convey("no fewer are served under overload", func() {
+			before, now := runMixedLoad(t, 3, false), runMixedLoad(t, 3, true)
+			for _, class := range mixedClasses {
+				So(now[class.name].served, ShouldBeGreaterThanOrEqualTo, before[class.name].served)
+			}
+		})
 	})
 }
--- /dev/null
+++ b/internal/coordination/placement/pacing.go
@@ -0,0 +1,155 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"gypsumvale/internal/state/clock"
+)
+
+const (
+	// decodeStep is the time in which a healthy engine produces a token for each running request while nothing is prefilled; runningStep is
+	// the time that each running request adds to it.
+	decodeStep  = 3740 * time.Microsecond
+	runningStep = 100 * time.Microsecond
+	// chunkTokens is the largest number of prompt tokens that an engine prefills in one step.
+	chunkTokens = 2048
+	// minObservedPrefill is the shortest expected prefill whose duration tells how slow an engine is, and healthyLatency the rest of the time
+	// to the first event.
+	minObservedPrefill = 20 * time.Millisecond
+	healthyLatency     = 10 * time.Millisecond
+	// maxPacingSlowdown bounds the measured slowdown that predictions count with: first events that were late for other reasons, such as a
+	// preemption, must not stop an engine.
+	maxPacingSlowdown = 3
+	// pacingSlowdownTimeout is how long a measured slowdown counts without new observations.
+	pacingSlowdownTimeout = 10 * time.Second
+)
+
+// pacing predicts the gaps between the events of the streams on an engine from what was placed there.
+//
+//	load pattern                                what happens
+//	no streams with a gap target on the engine  long prompts are placed there freely
+//	streams with a gap target                   the prefill placed there within that time is limited to what the target leaves
+//	no engine may take a long prompt            it waits for half of the time to its own target at most, then gaps don't limit it
+//	gaps over the target even without prefill   prefill isn't limited, since the target is missed anyway
+type pacing struct {
+	// targets counts the streams by their gap targets, of which there are as many as routes have different ones; shortest is the shortest
+	// of those that streams on the engine have, or zero.
+	targets  []targetCount
+	shortest time.Duration
+	// slowdown is the measured ratio to the expected time of a prefill; unlike the engine's other slowdown none is tolerated.
+	slowdown slowdown
+	// recent is the number of prompt tokens placed lately, which decays with the shortest gap target, as of recentAt.
+	recent   float64
+	recentAt clock.Instant
+}
+
+type targetCount struct {
+	gap   time.Duration
+	count int
+}
+
+// count adds a number of streams with a gap target.
+func (s *pacing) count(gap time.Duration, n int) {
+	if gap == 0 {
+		return
+	}
+	i := slices.IndexFunc(s.targets, func(t targetCount) bool { return t.gap == gap })
+	if i < 0 {
+		i = len(s.targets)
+		s.targets = append(s.targets, targetCount{gap: gap})
+	}
+	s.targets[i].count += n
+	s.shortest = 0
+	for _, t := range s.targets {
+		if t.count > 0 && (s.shortest == 0 || t.gap < s.shortest) {
+			s.shortest = t.gap
+		}
+	}
+}
+
+// observe records how long the first event of an assignment took, compared with the expectation for a healthy engine.
+func (s *pacing) observe(now clock.Instant, ratio float64) {
+	if s.slowdown.observedAt == 0 || now.Sub(s.slowdown.observedAt) > pacingSlowdownTimeout {
+		s.slowdown.ratio = 1
+	}
+	s.slowdown.ratio += (min(max(ratio, minSlowdown), maxSlowdown) - s.slowdown.ratio) * slowdownWeight
+	s.slowdown.observedAt = now
+}
+
+// currentSlowdown returns the ratio of the time that the engine needs to the one expected of a healthy engine.
+func (s *pacing) currentSlowdown(now clock.Instant) float64 {
+	if s.slowdown.observedAt == 0 || now.Sub(s.slowdown.observedAt) > pacingSlowdownTimeout {
+		return 1
+	}
+	return min(max(minSlowdown, s.slowdown.ratio), maxPacingSlowdown)
+}
+
+// recentPrefill returns the number of prompt tokens placed within about the shortest gap target.
+func (s *pacing) recentPrefill(now clock.Instant) float64 {
+	if s.shortest == 0 {
+		return 0
+	}
+	return s.recent * math.Exp(-float64(now.Sub(s.recentAt))/float64(s.shortest))
+}
+
+// placed records that some prompt tokens were placed.
+func (s *pacing) placed(now clock.Instant, tokens int) {
+	s.recent, s.recentAt = s.recentPrefill(now)+float64(tokens), now
+}
+
+// healthyFirstEvent returns the time to the first event that is expected of a healthy engine, or zero if the prefill is too short to tell how
+// slow an engine is.
+func healthyFirstEvent(prefillSeconds float64, fetchTime time.Duration) time.Duration {
+	prefill := time.Duration(prefillSeconds * float64(time.Second))
+	if prefill < minObservedPrefill {
+		return 0
+	}
+	return prefill + fetchTime + healthyLatency
+}
+
+// gapTarget returns the gap target of a request, or zero if it has none or its output fits into one event.
+func (p *Pool) gapTarget(req *Request) time.Duration {
+	if p.engine == nil || p.engine.Stride <= 0 || req.Output <= p.engine.Stride {
+		return 0
+	}
+	return req.TargetEventGap
+}
+
+// decodeTime returns the time that an engine needs for the tokens of one event while nothing is prefilled.
+func (p *Pool) decodeTime(now clock.Instant, s *endpointState) time.Duration {
+	step := decodeStep + time.Duration(len(s.assignments))*runningStep
+	return time.Duration(max(1, s.pacing.currentSlowdown(now)) * float64(p.engine.Stride) * float64(step))
+}
+
+// pacedPrefill returns how many prompt tokens may be placed on an engine within the shortest gap target of the streams there, so that they
+// meet it. There is no limit if none of them has a target, if the target is met even while all steps prefill whole chunks, or if it is missed
+// without any prefill.
+func (p *Pool) pacedPrefill(now clock.Instant, s *endpointState) float64 {
+	if s.pacing.shortest == 0 {
+		return math.Inf(1)
+	}
+	left := (s.pacing.shortest - p.decodeTime(now, s)).Seconds() / s.pacing.currentSlowdown(now)
+	tokens := left * p.cfg.PrefillRate
+	if tokens <= 0 || tokens >= float64(p.engine.Stride*chunkTokens) {
+		return math.Inf(1)
+	}
+	return tokens
+}
+
+// fitsPace reports whether the streams on an engine would meet their gap targets with a queued request of some prompt tokens to prefill. A
+// request waits for this only until the rest of the time to its own target is needed for its prefill, and not if its prefill fits into one
+// chunk: those are a small part of all prefill.
+func (p *Pool) fitsPace(now clock.Instant, s *endpointState, q *queuedRequest, tokens int) bool {
+	if tokens <= chunkTokens || s.pacing.shortest == 0 || q.lateAt == 0 || q.lateAt.Before(now) {
+		return true
+	}
+	queued := max(float64(s.prefillTokens), s.pacing.recentPrefill(now))
+	fits := queued+float64(tokens) <= p.pacedPrefill(now, s)
+	q.paced = q.paced || !fits
+	return fits
+}
+
+// PacedRequests returns how many queued requests an engine didn't get because of the gap targets of the streams there.
+func (p *Pool) PacedRequests() uint64 { return p.pacedRequests }
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -59,7 +59,9 @@
 	// sampleNext is the index into endpointList from which a large fleet is sampled next.
 	sampleNext  int
 	evaluations uint64
-	checks      uint64
+	// pacedRequests is the result of PacedRequests.
+	pacedRequests uint64
+	checks        uint64
 }
 
 // NewPool returns a pool without endpoints.
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -37,6 +37,8 @@
 	// late is true from lateAt on, when the first event will probably not come within the request's target any more.
 	late   bool
 	lateAt clock.Instant
+	// paced is true once an engine didn't get the request because of the gap targets of the streams there.
+	paced bool
 	// scanned is true once all engines have been considered since the request was queued.
 	scanned bool
 	// knownByVersion caches knownTokens by weight version, as of the last full scan.
@@ -113,6 +115,9 @@
 // unqueue accounts for a request that leaves the queue.
 func (p *Pool) unqueue(q *queuedRequest) {
 	delete(p.queued, q.req.ID)
+	if q.paced {
+		p.pacedRequests++
+	}
 	p.queuedTokens[q.req.Priority] -= q.uniqueTokens
 }
 
@@ -350,10 +355,10 @@
 	}
 	eligible := p.selectEligible(now, q.req, q, nil, from.engines, p.scanLimit())
 	if len(eligible) > 0 || !from.complete {
-		return p.chooseFrom(now, q.req, eligible, true, true)
+		return p.chooseFrom(now, q.req, eligible, true, q)
 	}
 	eligible, busy := p.lastResort(now, q.req, q)
-	return p.chooseFrom(now, q.req, eligible, busy, true)
+	return p.chooseFrom(now, q.req, eligible, busy, q)
 }
 
 // enginesWithRoom are engines that may have capacity for some request.
@@ -429,7 +434,7 @@
 // mayHaveCapacity reports whether an engine may have capacity for a queued request, which needs at least the prefill of the tokens that no
 // cache has. It is a cheap check before evaluate: at peak load most engines have no capacity, and evaluating them all for each request
 // would saturate the leader's processor.
-func (p *Pool) mayHaveCapacity(s *endpointState, q *queuedRequest) bool {
+func (p *Pool) mayHaveCapacity(now clock.Instant, s *endpointState, q *queuedRequest) bool {
 	if q.req.memoryTokens() > p.freeMemory(s) {
 		return false
 	}
@@ -445,12 +450,13 @@
 		}
 		q.knownByVersion[version] = known
 	}
-	return p.fitsPrefillLimit(s.prefillTokens + q.req.Prompt - known)
+	return p.fitsPrefillLimit(s.prefillTokens+q.req.Prompt-known) && p.fitsPace(now, s, q, q.req.Prompt-known)
 }
 
 // accepts reports whether an engine that may have capacity takes a request, given the tokens that it would have to prefill.
-func (p *Pool) accepts(s *endpointState, req *Request, c *Choice) bool {
-	return s.prefillTokens == 0 || p.fitsPrefillLimit(s.prefillTokens+max(0, req.Prompt-c.Cached-c.Fetched))
+func (p *Pool) accepts(now clock.Instant, s *endpointState, q *queuedRequest, c *Choice) bool {
+	tokens := max(0, q.req.Prompt-c.Cached-c.Fetched)
+	return (s.prefillTokens == 0 || p.fitsPrefillLimit(s.prefillTokens+tokens)) && p.fitsPace(now, s, q, tokens)
 }
 
 // fitsPrefillLimit reports whether an engine may have this many tokens of prefill queued.
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -39,6 +39,10 @@
 	FirstEventDeadline clock.Instant `msgpack:"Patience"`
 	// TargetDeadline is until when the first event should come for full credit; zero is no target.
 	TargetDeadline clock.Instant
+	// TargetEventGap is the target for the longest gap between two events of the stream; zero is no target.
+	TargetEventGap time.Duration `msgpack:",omitempty"`
+	// LengthHint is an estimate of the output in tokens that is accurate at the median only; zero is none.
+	LengthHint int `msgpack:",omitempty"`
 	// Deadline is the latest end of the assignment.
 	Deadline clock.Instant
 	// Uncoordinated is true if this pool sees only part of the load, so that entries have to make consistent choices without coordination.
@@ -133,6 +137,8 @@
 	CacheTokens int
 	// TokenSeconds is the time in seconds that the link takes to transfer one token's KV cache.
 	TokenSeconds float64
+	// Stride is the number of tokens in an event of a stream. Zero is unknown: then the gaps between events aren't predicted.
+	Stride int
 }
 
 // Config sets the expected performance of healthy endpoints, and limits.
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -92,7 +92,7 @@
 		if s.Engine == nil {
 			continue
 		}
-		e := &placement.Engine{Slots: s.Engine.Slots, CacheTokens: s.Engine.CacheTokens}
+		e := &placement.Engine{Slots: s.Engine.Slots, CacheTokens: s.Engine.CacheTokens, Stride: s.Engine.Stride}
 		if s.Engine.LinkBitsPerSecond > 0 {
 			e.TokenSeconds = float64(s.Engine.TokenBytes) * bitsPerByte / s.Engine.LinkBitsPerSecond
 		}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -211,6 +211,8 @@
 		j.placementReq.Parts = j.head.Parts
 		j.placementReq.Prompt = j.head.PromptTokens
 		j.placementReq.Output = j.head.OutputTokens
+		j.placementReq.LengthHint = j.head.LengthHint
+		j.placementReq.TargetEventGap = j.route.TargetEventGap
 		j.placementReq.FirstEventDeadline = min(j.deadline,
 			j.arrived.Add(max(minFirstEventTimeout, firstEventLatencyFactor*j.route.TargetLatency, firstEventGapFactor*j.route.TargetEventGap)))
 		if j.route.TargetLatency > 0 {
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -25,6 +25,8 @@
 	// PromptTokens is the length of the prompt, and OutputTokens the largest length of the output.
 	PromptTokens int
 	OutputTokens int
+	// LengthHint is the caller's estimate of the length of the output in tokens, or zero.
+	LengthHint int
 	// Parts lists the prompt's parts in order. The last part belongs to this request or its session only.
 	Parts []prompt.Part
 	// LastEvent is the number of the last event that the caller has received, or zero.
--- a/internal/state/route/types.go
+++ b/internal/state/route/types.go
@@ -96,7 +96,9 @@
 	LinkBitsPerSecond float64
 	// MaxEventPolls is the number of pending long polls for cache events that an endpoint accepts from all its callers together.
 	MaxEventPolls int
-	Models        []string
+	// Stride is the largest number of tokens in an event of a stream; zero if it is unknown.
+	Stride int
+	Models []string
 }
 
 // Service is a set of interchangeable endpoints.
