Count memory that requests share once, and limit what they occupy

An engine's memory was limited by the sum of its requests' prompts and largest outputs, up to 1.2 of it. A context that several requests share was counted for each of them, and one that was to be loaded first evicted the contexts that the next requests needed, or had running requests preempted.

Where streams have gap targets, a shared part is now counted once from when it has been prefilled, an output by 1.5 times the length hint if there is one, and running requests occupy 0.7 of the memory at most; the rest keeps cached contexts.

--- a/internal/coordination/placement/cache.go
+++ b/internal/coordination/placement/cache.go
@@ -159,3 +159,9 @@
 		c.remove(c.lru.Back())
 	}
 }
+
+// ready reports whether a part is believed to be prefilled.
+func (c *cache) ready(key cacheKey) bool {
+	e := c.parts[key]
+	return e != nil && e.Value.(*cachedPart).ready
+}
--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -244,7 +244,7 @@
 	c.Expected = baseLatency + time.Duration(s.slowdown.current(now)*(prefillSeconds+queueSeconds)*float64(time.Second)) + fetchTime
 	c.Expected += time.Duration(len(s.assignments)) * runningPenalty
 	healthy := healthyFirstEvent(prefillSeconds+queueSeconds, fetchTime)
-	cost := p.comparisonCost(s, req, c.Expected, meanErrorRate) + p.saturationCost(s, req)
+	cost := p.comparisonCost(s, req, c.Expected, meanErrorRate) + p.saturationCost(s, req, c.CacheSpace)
 	if recomputed := known - c.Cached - c.Fetched; recomputed > 0 {
 		cost += time.Duration(recomputeFactor * float64(recomputed) / p.cfg.PrefillRate * float64(time.Second))
 	}
@@ -259,9 +259,9 @@
 
 // saturationCost returns the cost of a request on an engine whose memory or slots are taken: running requests are preempted, or cached
 // contexts are evicted.
-func (p *Pool) saturationCost(s *endpointState, req *Request) time.Duration {
+func (p *Pool) saturationCost(s *endpointState, req *Request, space string) time.Duration {
 	cost := time.Duration(0)
-	if over := float64(s.memoryTokens+req.memoryTokens())/float64(max(1, p.engine.CacheTokens)) - 1; over > 0 {
+	if over := float64(p.memoryAfter(s, req, space))/float64(max(1, p.engine.CacheTokens)) - 1; over > 0 {
 		cost += time.Duration((1 + over) * float64(saturationPenalty))
 	}
 	if over := float64(len(s.assignments)+1)/float64(max(1, s.Slots)) - 1; over > 0 {
@@ -309,7 +309,7 @@
 	if p.engine == nil || req.Model == "" {
 		return
 	}
-	capacity := max(0, p.engine.CacheTokens-s.memoryTokens)
+	capacity := max(0, p.engine.CacheTokens-p.uncachedMemory(s))
 	if now.Before(s.cacheFeedUntil) {
 		// Evictions are reported by cache events.
 		capacity = 1 << 40
--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -31,6 +31,8 @@
 	// gapTarget is the target for the gaps between events of a stream, or zero, and healthyTime the time to the first event that was expected
 	// of a healthy engine.
 	gapTarget, healthyTime time.Duration
+	// ownTokens is the memory that is counted for the request alone, and sharing the number of its leading parts that others may share.
+	ownTokens, sharing int
 	// saves is true if a store saves parts of the prompt.
 	saves bool
 	// slowestLinks are the links that carry the longest of the transfers before the first event.
@@ -45,6 +47,7 @@
 	prefillTokens     int
 	prefillByPriority [priorityLevels]int
 	memoryTokens      int
+	occupancy         occupancy
 	cache             *cache
 	// cacheFeedUntil is until when the endpoint's cache events are assumed to be complete.
 	cacheFeedUntil clock.Instant
@@ -188,6 +191,7 @@
 	s.prefillTokens += a.prefillTokens
 	s.prefillByPriority[priorityLevel(a.req)] += a.prefillTokens
 	s.memoryTokens += a.req.memoryTokens()
+	s.occupy(a)
 	s.pacing.count(a.gapTarget, 1)
 }
 
@@ -201,6 +205,7 @@
 func (s *endpointState) remove(a *assignment) {
 	s.prefillDone(a)
 	s.memoryTokens -= a.req.memoryTokens()
+	s.vacate(a)
 	s.pacing.count(a.gapTarget, -1)
 	delete(s.assignments, a.req.ID)
 }
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -59,6 +59,8 @@
 	// sampleNext is the index into endpointList from which a large fleet is sampled next.
 	sampleNext  int
 	evaluations uint64
+	// paced is true once a request with a gap target was placed on engines of known stride.
+	paced bool
 	// pacedRequests is the result of PacedRequests.
 	pacedRequests uint64
 	checks        uint64
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -77,6 +77,7 @@
 	if req.Uncoordinated || req.Model == "" || p.engine == nil {
 		return p.PlaceNow(now, req)
 	}
+	p.paced = p.paced || p.gapTarget(req) > 0
 	q := &queuedRequest{req: req, uniqueTokens: req.uniqueTokens()}
 	if req.TargetDeadline != 0 {
 		q.lateAt = now.Add(time.Duration(maxWaitShare * float64(req.TargetDeadline.Sub(now))))
@@ -350,7 +351,7 @@
 
 // placeQueued places a queued request on one of some engines; the error is errAllBusy if it has to wait longer.
 func (p *Pool) placeQueued(now clock.Instant, q *queuedRequest, from *enginesWithRoom) (Choice, error) {
-	if !from.noneUsable && q.req.memoryTokens() > from.memory {
+	if !from.noneUsable && p.leastMemory(q.req) > from.memory {
 		return Choice{}, errAllBusy
 	}
 	eligible := p.selectEligible(now, q.req, q, nil, from.engines, p.scanLimit())
@@ -411,6 +412,9 @@
 	case len(s.assignments) >= s.Slots || s.prefillTokens > 0 && !p.fitsPrefillLimit(s.prefillTokens):
 		return 0
 	}
+	if p.paced {
+		return int(maxOccupancy*float64(p.engine.CacheTokens)) - s.occupancy.tokens
+	}
 	return int(maxMemoryShare*float64(p.engine.CacheTokens)) - s.memoryTokens
 }
 
@@ -435,7 +439,7 @@
 // cache has. It is a cheap check before evaluate: at peak load most engines have no capacity, and evaluating them all for each request
 // would saturate the leader's processor.
 func (p *Pool) mayHaveCapacity(now clock.Instant, s *endpointState, q *queuedRequest) bool {
-	if q.req.memoryTokens() > p.freeMemory(s) {
+	if p.leastMemory(q.req) > p.freeMemory(s) {
 		return false
 	}
 	if s.prefillTokens == 0 {
@@ -455,6 +459,9 @@
 
 // accepts reports whether an engine that may have capacity takes a request, given the tokens that it would have to prefill.
 func (p *Pool) accepts(now clock.Instant, s *endpointState, q *queuedRequest, c *Choice) bool {
+	if p.paced && !p.fitsMemory(s, q.req, c.CacheSpace) {
+		return false
+	}
 	tokens := max(0, q.req.Prompt-c.Cached-c.Fetched)
 	return (s.prefillTokens == 0 || p.fitsPrefillLimit(s.prefillTokens+tokens)) && p.fitsPace(now, s, q, tokens)
 }
