Compare engines by the gaps between events that their streams will see

Engines were compared by the time to the first event alone, so that a long prompt went to an engine where many streams run close to their gap target, and a short one to an engine whose gaps exceed its own.

The cost of an engine now includes what the predicted gap there exceeds the request's own target by, three times, and for each stream there a tenth of the delay by the request's prefill, times the square of the share of its target that the gap would reach.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -244,7 +244,7 @@
 	c.Expected = baseLatency + time.Duration(s.slowdown.current(now)*(prefillSeconds+queueSeconds)*float64(time.Second)) + fetchTime
 	c.Expected += time.Duration(len(s.assignments)) * runningPenalty
 	healthy := healthyFirstEvent(prefillSeconds+queueSeconds, fetchTime)
-	cost := p.comparisonCost(s, req, c.Expected, meanErrorRate) + p.saturationCost(s, req, c.CacheSpace)
+	cost := p.comparisonCost(s, req, c.Expected, meanErrorRate) + p.saturationCost(s, req, c.CacheSpace) + p.pacingCost(now, s, req, prefill)
 	if recomputed := known - c.Cached - c.Fetched; recomputed > 0 {
 		cost += time.Duration(recomputeFactor * float64(recomputed) / p.cfg.PrefillRate * float64(time.Second))
 	}
--- a/internal/coordination/placement/pacing.go
+++ b/internal/coordination/placement/pacing.go
@@ -24,6 +24,11 @@
 	maxPacingSlowdown = 3
 	// pacingSlowdownTimeout is how long a measured slowdown counts without new observations.
 	pacingSlowdownTimeout = 10 * time.Second
+	// streamDelayShare is the cost of delaying a stream on the engine, as a share of that of delaying the new request's first event, when
+	// the stream's gap reaches its target. With 1, long prompts kept away from engines that had their contexts.
+	streamDelayShare = 0.1
+	// ownGapFactor multiplies what the request's own gaps would exceed their target by: they recur with each event.
+	ownGapFactor = 3
 )
 
 // pacing predicts the gaps between the events of the streams on an engine from what was placed there.
@@ -38,6 +43,8 @@
 	// of those that streams on the engine have, or zero.
 	targets  []targetCount
 	shortest time.Duration
+	// streams is the number of streams with a gap target.
+	streams int
 	// slowdown is the measured ratio to the expected time of a prefill; unlike the engine's other slowdown none is tolerated.
 	slowdown slowdown
 	// recent is the number of prompt tokens placed lately, which decays with the shortest gap target, as of recentAt.
@@ -61,6 +68,7 @@
 		s.targets = append(s.targets, targetCount{gap: gap})
 	}
 	s.targets[i].count += n
+	s.streams += n
 	s.shortest = 0
 	for _, t := range s.targets {
 		if t.count > 0 && (s.shortest == 0 || t.gap < s.shortest) {
@@ -138,6 +146,38 @@
 	return tokens
 }
 
+// predictedGap returns the longest gap between events on an engine when some prompt tokens are prefilled within about the time of an event.
+func (p *Pool) predictedGap(now clock.Instant, s *endpointState, prefill float64) time.Duration {
+	seconds := min(prefill, float64(p.engine.Stride*chunkTokens)) / p.cfg.PrefillRate * s.pacing.currentSlowdown(now)
+	return p.decodeTime(now, s) + time.Duration(seconds*float64(time.Second))
+}
+
+// pacingCost returns what a request costs the streams on an engine, and what its own gaps exceed its target by. A delay of a stream counts
+// the more, the closer its gap comes to its target.
+func (p *Pool) pacingCost(now clock.Instant, s *endpointState, req *Request, prefill int) time.Duration {
+	target := p.gapTarget(req)
+	if target == 0 && s.pacing.shortest == 0 {
+		return 0
+	}
+	queued := s.queuedPrefill(now)
+	before := p.predictedGap(now, s, queued)
+	cost := time.Duration(0)
+	if target > 0 {
+		cost = ownGapFactor * max(0, before-target)
+	}
+	if s.pacing.shortest > 0 {
+		after := p.predictedGap(now, s, queued+float64(prefill))
+		reached := float64(after) / float64(s.pacing.shortest)
+		cost += time.Duration(streamDelayShare * float64(s.pacing.streams) * float64(after-before) * reached * reached)
+	}
+	return cost
+}
+
+// queuedPrefill returns the prompt tokens that are prefilled within about the shortest gap target of the streams on an engine.
+func (s *endpointState) queuedPrefill(now clock.Instant) float64 {
+	return max(float64(s.prefillTokens), s.pacing.recentPrefill(now))
+}
+
 // fitsPace reports whether the streams on an engine would meet their gap targets with a queued request of some prompt tokens to prefill. A
 // request waits for this only until the rest of the time to its own target is needed for its prefill, and not if its prefill fits into one
 // chunk: those are a small part of all prefill.
@@ -145,8 +185,7 @@
 	if tokens <= chunkTokens || s.pacing.shortest == 0 || q.lateAt == 0 || q.lateAt.Before(now) {
 		return true
 	}
-	queued := max(float64(s.prefillTokens), s.pacing.recentPrefill(now))
-	fits := queued+float64(tokens) <= p.pacedPrefill(now, s)
+	fits := s.queuedPrefill(now)+float64(tokens) <= p.pacedPrefill(now, s)
 	q.paced = q.paced || !fits
 	return fits
 }
