Keep slots and memory for short prompts while long ones wait

Long prompts that wait took each slot and all memory that became free.

A request whose own tokens fit into one chunk isn't held up by less urgent prefill any more, and may use up to 0.75 of an engine's memory. Up to a quarter of the slots is kept for such requests, as many as twice what runs of them on an engine on average, so that nothing is kept where there are none.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -302,6 +302,7 @@
 	}
 	a.slowestLinks = best.fetch.slowestLinks(s)
 	p.assignments[req.ID] = a
+	p.countSmall(req, 1)
 	p.holds.add(a)
 	s.add(a)
 	p.countPlaced(now, req.Priority)
--- a/internal/coordination/placement/mixedload_test.go
+++ b/internal/coordination/placement/mixedload_test.go
@@ -215,12 +215,15 @@
 // runMixedLoad returns the results of the classes for some seeds, added up.
 func runMixedLoad(t *testing.T, multiple float64, targets bool) map[string]*mixedResult {
 	sums := map[string]*mixedResult{}
+	var requests, evaluations, checks uint64
 	for _, class := range mixedClasses {
 		sums[class.name] = &mixedResult{}
 	}
 	for seed := range uint64(2) {
 		f := newMixedLoad(seed, multiple, targets)
-		for name, r := range f.simulate() {
+		results := f.simulate()
+		requests, evaluations, checks = requests+f.requestCount, evaluations+f.pool.Evaluations(), checks+f.pool.Checks()
+		for name, r := range results {
 			sum := sums[name]
 			sum.requests += r.requests
 			sum.served += r.served
@@ -236,6 +239,9 @@
 			class.name, r.requests, share(r.served, r.requests), share(r.firstInTime, r.requests), share(r.gapsInTime, r.requests),
 			share(r.inTime, r.requests), r.preempted)
 	}
+	t.Logf("%d evaluations and %d checks per request", evaluations/requests, checks/requests)
+	So(evaluations, ShouldBeLessThanOrEqualTo, requests*maxEvaluationsPerRequest)
+	So(checks, ShouldBeLessThanOrEqualTo, requests*maxChecksPerRequest)
 	return sums
 }
 
@@ -251,10 +257,11 @@
 				So(now[class.name].served, ShouldBeGreaterThanOrEqualTo, before[class.name].served)
 			}
 		})
-		Convey("no fewer are served and no more preempted under overload", func() {
+		Convey("under overload no fewer are served or within their targets, and no more are preempted", func() {
 			before, now := runMixedLoad(t, 3, false), runMixedLoad(t, 3, true)
 			for _, class := range mixedClasses {
 				So(now[class.name].served, ShouldBeGreaterThanOrEqualTo, before[class.name].served)
+				So(now[class.name].inTime, ShouldBeGreaterThanOrEqualTo, before[class.name].inTime)
 				So(now[class.name].preempted, ShouldBeLessThanOrEqualTo, before[class.name].preempted)
 			}
 		})
--- a/internal/coordination/placement/occupancy.go
+++ b/internal/coordination/placement/occupancy.go
@@ -9,9 +9,16 @@
 	users map[cacheKey]int
 }
 
-// maxOccupancy is the share of an engine's memory that running requests may occupy. The rest keeps cached contexts: with 1, evicted contexts
-// had to be recomputed, and under overload fewer requests were served than with 0.7.
-const maxOccupancy = 0.7
+const (
+	// maxOccupancy is the share of an engine's memory that running requests may occupy. The rest keeps cached contexts: with 1, evicted
+	// contexts had to be recomputed, and under overload fewer requests were served than with 0.7.
+	maxOccupancy = 0.7
+	// maxSmallOccupancy is the share up to which small requests are still placed, which evict little.
+	maxSmallOccupancy = 0.75
+	// maxReservedSlots is the largest share of an engine's slots that is kept for small requests. Without, long ones took all slots under
+	// overload, and small ones went to whichever engine had one, mostly a slow one.
+	maxReservedSlots = 0.25
+)
 
 // hintMargin multiplies the expected length of an output: the hint is accurate at the median only, and the mean of such lengths is higher.
 const hintMargin = 1.5
@@ -27,12 +34,20 @@
 // ownMemory returns the tokens that a request occupies besides its shared parts.
 func (req *Request) ownMemory() int { return req.uniqueTokens() + req.expectedOutput() }
 
-// leastMemory returns the tokens that a request occupies at least on an engine, whatever it shares there.
+// leastMemory returns the free memory that an engine must have at least for a request, whatever the request shares there.
 func (p *Pool) leastMemory(req *Request) int {
-	if p.paced {
+	switch {
+	case !p.paced:
+		return req.memoryTokens()
+	case req.small():
 		return req.ownMemory()
 	}
-	return req.memoryTokens()
+	return req.ownMemory() + p.smallMemory()
+}
+
+// smallMemory returns the part of an engine's memory that is left to small requests.
+func (p *Pool) smallMemory() int {
+	return int((maxSmallOccupancy - maxOccupancy) * float64(p.engine.CacheTokens))
 }
 
 // neededMemory returns the tokens that a request would occupy on an engine in addition to those that are counted, and how many leading parts
@@ -102,8 +117,42 @@
 	return s.memoryTokens
 }
 
-// fitsMemory reports whether an engine has memory for a request.
-func (p *Pool) fitsMemory(s *endpointState, req *Request, space string) bool {
-	tokens, _ := s.neededMemory(space, req)
-	return tokens <= p.freeMemory(s)
+// small reports whether a request's own tokens fit into one chunk. Short requests are placed into memory and slots that others leave.
+func (req *Request) small() bool { return req.ownMemory() <= chunkTokens }
+
+// countSmall adds a number of running requests to those that are small.
+func (p *Pool) countSmall(req *Request, n int) {
+	if req.small() {
+		p.smallRunning += n
+	}
+}
+
+// reservedSlots returns how many of an engine's slots are kept for small requests: twice as many as run on an engine on average, since they
+// come in bursts.
+func (p *Pool) reservedSlots(s *endpointState) int {
+	engines := max(1, len(p.endpointList))
+	return min(int(maxReservedSlots*float64(s.Slots)), (2*p.smallRunning+engines-1)/engines)
+}
+
+// fitsMemory reports whether an engine has memory, and a slot that isn't reserved, for a request.
+func (p *Pool) fitsMemory(s *endpointState, q *queuedRequest) bool {
+	least, free := p.leastMemory(q.req), p.freeMemory(s)
+	switch {
+	case least > free:
+		return false
+	case !p.paced || len(s.assignments) == 0:
+		return true
+	case !q.req.small() && len(s.assignments) >= s.Slots-p.reservedSlots(s):
+		return false
+	}
+	needed, _ := s.neededMemory(q.space(s.version[q.req.Model]), q.req)
+	return needed-q.req.ownMemory()+least <= free
+}
+
+// space returns the cache space of a queued request for a weight version.
+func (q *queuedRequest) space(version int) string {
+	if q.spaceOf == "" || q.spaceVersion != version {
+		q.spaceOf, q.spaceVersion = cacheSpace(version, q.req.IsolationKey), version
+	}
+	return q.spaceOf
 }
--- a/internal/coordination/placement/pacing.go
+++ b/internal/coordination/placement/pacing.go
@@ -190,5 +190,17 @@
 	return fits
 }
 
+// fitsPrefill reports whether an engine may have a request's prompt tokens queued. A prompt that fits into one chunk isn't held up by less
+// urgent ones, which an engine prefills after it.
+func (p *Pool) fitsPrefill(s *endpointState, req *Request, tokens int) bool {
+	if !p.paced || tokens > chunkTokens {
+		return p.fitsPrefillLimit(s.prefillTokens + tokens)
+	}
+	for _, queued := range s.prefillByPriority[:priorityLevel(req)+1] {
+		tokens += queued
+	}
+	return p.fitsPrefillLimit(tokens)
+}
+
 // PacedRequests returns how many queued requests an engine didn't get because of the gap targets of the streams there.
 func (p *Pool) PacedRequests() uint64 { return p.pacedRequests }
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -61,6 +61,8 @@
 	evaluations uint64
 	// paced is true once a request with a gap target was placed on engines of known stride.
 	paced bool
+	// smallRunning is the number of small requests that run.
+	smallRunning int
 	// pacedRequests is the result of PacedRequests.
 	pacedRequests uint64
 	checks        uint64
@@ -280,6 +282,7 @@
 // removeAssignment frees what an assignment occupies.
 func (p *Pool) removeAssignment(a *assignment) {
 	delete(p.assignments, a.req.ID)
+	p.countSmall(a.req, -1)
 	p.holds.remove(a)
 	a.endpoint.remove(a)
 	p.recordCapacityChange(a.endpoint)
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -43,6 +43,9 @@
 	scanned bool
 	// knownByVersion caches knownTokens by weight version, as of the last full scan.
 	knownByVersion map[int]int
+	// spaceOf caches the cache space of spaceVersion.
+	spaceOf      string
+	spaceVersion int
 }
 
 const (
@@ -409,11 +412,11 @@
 	switch {
 	case len(s.assignments) == 0:
 		return math.MaxInt
-	case len(s.assignments) >= s.Slots || s.prefillTokens > 0 && !p.fitsPrefillLimit(s.prefillTokens):
+	case len(s.assignments) >= s.Slots || !p.paced && s.prefillTokens > 0 && !p.fitsPrefillLimit(s.prefillTokens):
 		return 0
 	}
 	if p.paced {
-		return int(maxOccupancy*float64(p.engine.CacheTokens)) - s.occupancy.tokens
+		return int(maxSmallOccupancy*float64(p.engine.CacheTokens)) - s.occupancy.tokens
 	}
 	return int(maxMemoryShare*float64(p.engine.CacheTokens)) - s.memoryTokens
 }
@@ -439,7 +442,7 @@
 // cache has. It is a cheap check before evaluate: at peak load most engines have no capacity, and evaluating them all for each request
 // would saturate the leader's processor.
 func (p *Pool) mayHaveCapacity(now clock.Instant, s *endpointState, q *queuedRequest) bool {
-	if p.leastMemory(q.req) > p.freeMemory(s) {
+	if !p.fitsMemory(s, q) {
 		return false
 	}
 	if s.prefillTokens == 0 {
@@ -454,16 +457,13 @@
 		}
 		q.knownByVersion[version] = known
 	}
-	return p.fitsPrefillLimit(s.prefillTokens+q.req.Prompt-known) && p.fitsPace(now, s, q, q.req.Prompt-known)
+	return p.fitsPrefill(s, q.req, q.req.Prompt-known) && p.fitsPace(now, s, q, q.req.Prompt-known)
 }
 
 // accepts reports whether an engine that may have capacity takes a request, given the tokens that it would have to prefill.
 func (p *Pool) accepts(now clock.Instant, s *endpointState, q *queuedRequest, c *Choice) bool {
-	if p.paced && !p.fitsMemory(s, q.req, c.CacheSpace) {
-		return false
-	}
 	tokens := max(0, q.req.Prompt-c.Cached-c.Fetched)
-	return (s.prefillTokens == 0 || p.fitsPrefillLimit(s.prefillTokens+tokens)) && p.fitsPace(now, s, q, tokens)
+	return (s.prefillTokens == 0 || p.fitsPrefill(s, q.req, tokens)) && p.fitsPace(now, s, q, tokens)
 }
 
 // fitsPrefillLimit reports whether an engine may have this many tokens of prefill queued.
