Report the predicted gap between events, and what waits because of it

Nothing showed whether gap targets hold up long prompts, nor the gaps that the leader expects.

gypsum_predicted_gap_seconds is the longest gap predicted at any engine, gypsum_paced_requests_total counts the requests that waited. A new configuration starts without gap targets, until a request has one, so that a deployment that removes them is placed as before.

--- a/internal/coordination/placement/pacing.go
+++ b/internal/coordination/placement/pacing.go
@@ -202,5 +202,21 @@
 	return p.fitsPrefillLimit(tokens)
 }
 
-// PacedRequests returns how many queued requests an engine didn't get because of the gap targets of the streams there.
-func (p *Pool) PacedRequests() uint64 { return p.pacedRequests }
+// TakePacedRequests returns how many requests have left the queue, since the last call, that an engine didn't get because of the gap targets
+// of the streams there.
+func (p *Pool) TakePacedRequests() int {
+	n := p.pacedRequests
+	p.pacedRequests = 0
+	return n
+}
+
+// PredictedGap returns the longest gap between events that is predicted for streams with a gap target on any engine.
+func (p *Pool) PredictedGap(now clock.Instant) time.Duration {
+	longest := time.Duration(0)
+	for _, s := range p.endpointList {
+		if s.pacing.shortest > 0 && p.engine != nil {
+			longest = max(longest, p.predictedGap(now, s, s.queuedPrefill(now)))
+		}
+	}
+	return longest
+}
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -63,8 +63,8 @@
 	paced bool
 	// smallRunning is the number of small requests that run.
 	smallRunning int
-	// pacedRequests is the result of PacedRequests.
-	pacedRequests uint64
+	// pacedRequests is the result of TakePacedRequests.
+	pacedRequests int
 	checks        uint64
 }
 
@@ -91,8 +91,8 @@
 	}
 }
 
-// SetEngine sets the properties of the service's engines; nil is for plain services.
-func (p *Pool) SetEngine(e *Engine) { p.engine = e }
+// SetEngine sets the properties of the service's engines; nil is for plain services. Gap targets count from the next request that has one.
+func (p *Pool) SetEngine(e *Engine) { p.engine, p.paced = e, false }
 
 // SetEndpoints replaces the endpoints, which are ordered by identifier. Assignments on removed endpoints continue but no longer count.
 func (p *Pool) SetEndpoints(list []*registration.Registration) {
--- a/internal/metric/hosted.go
+++ b/internal/metric/hosted.go
@@ -22,6 +22,8 @@
 	InFlight      prometheus.Gauge
 	PlacementAge  prometheus.Gauge
 	DispatchDelay prometheus.Gauge
+	PredictedGap  *prometheus.GaugeVec
+	Paced         *prometheus.CounterVec
 	Settings      *prometheus.GaugeVec
 	Reloads       *prometheus.CounterVec
 }
@@ -52,11 +54,13 @@
 		InFlight:      prometheus.NewGauge(gaugeOpts("requests_in_flight", "Requests that this instance holds.")),
 		PlacementAge:  prometheus.NewGauge(gaugeOpts("placement_age_seconds", "Time since this instance last processed its queue of requests to place.")),
 		DispatchDelay: prometheus.NewGauge(gaugeOpts("dispatch_delay_seconds", "Mean time that arrived data waits until this process reads it.")),
+		PredictedGap:  prometheus.NewGaugeVec(gaugeOpts("predicted_gap_seconds", "Longest predicted gap between events at any engine."), []string{"service"}),
+		Paced:         newCounterVec("paced_requests_total", "Requests that waited because of the gap targets of streams at an engine.", "service"),
 		Settings: prometheus.NewGaugeVec(gaugeOpts("settings_info", "One for the settings file in force, by its digest and that of its bounds."),
 			[]string{"instance", "digest", "bounds"}),
 		Reloads: newCounterVec("settings_reloads_total", "Changed settings files by result: applied, invalid, needs_restart.", "result"),
 	}
 	s.Registry.MustRegister(s.Requests, s.Latency, s.FirstEvent, s.Attempts, s.PromptTokens, s.Placements, s.StoreCalls, s.Orders, s.Dials,
-		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.Settings, s.Reloads)
+		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.PredictedGap, s.Paced, s.Settings, s.Reloads)
 	return s
 }
