Take requests as short by their prompts, not by their largest outputs

A request with a short prompt counted as long if the largest output that its caller allows exceeds a chunk, though what delays others is the prefill.

--- a/internal/coordination/placement/occupancy.go
+++ b/internal/coordination/placement/occupancy.go
@@ -35,14 +35,14 @@
 func (req *Request) ownMemory() int { return req.uniqueTokens() + req.expectedOutput() }
 
 // leastMemory returns the free memory that an engine must have at least for a request, whatever the request shares there.
-func (p *Pool) leastMemory(req *Request) int {
+func (p *Pool) leastMemory(q *queuedRequest) int {
 	switch {
 	case !p.paced:
-		return req.memoryTokens()
-	case req.small():
-		return req.ownMemory()
+		return q.req.memoryTokens()
+	case q.small():
+		return q.ownMemory()
 	}
-	return req.ownMemory() + p.smallMemory()
+	return q.ownMemory() + p.smallMemory()
 }
 
 // smallMemory returns the part of an engine's memory that is left to small requests.
@@ -117,8 +117,12 @@
 	return s.memoryTokens
 }
 
-// small reports whether a request's own tokens fit into one chunk. Short requests are placed into memory and slots that others leave.
-func (req *Request) small() bool { return req.ownMemory() <= chunkTokens }
+// small reports whether a request's own prompt tokens fit into one chunk. Small requests are placed into memory and slots that others leave.
+func (req *Request) small() bool { return req.uniqueTokens() <= chunkTokens }
+
+// small and ownMemory return the results of the request's methods of these names, without adding up its parts again.
+func (q *queuedRequest) small() bool    { return q.uniqueTokens <= chunkTokens }
+func (q *queuedRequest) ownMemory() int { return q.uniqueTokens + q.req.expectedOutput() }
 
 // countSmall adds a number of running requests to those that are small.
 func (p *Pool) countSmall(req *Request, n int) {
@@ -136,17 +140,17 @@
 
 // fitsMemory reports whether an engine has memory, and a slot that isn't reserved, for a request.
 func (p *Pool) fitsMemory(s *endpointState, q *queuedRequest) bool {
-	least, free := p.leastMemory(q.req), p.freeMemory(s)
+	least, free := p.leastMemory(q), p.freeMemory(s)
 	switch {
 	case least > free:
 		return false
 	case !p.paced || len(s.assignments) == 0:
 		return true
-	case !q.req.small() && len(s.assignments) >= s.Slots-p.reservedSlots(s):
+	case !q.small() && len(s.assignments) >= s.Slots-p.reservedSlots(s):
 		return false
 	}
 	needed, _ := s.neededMemory(q.space(s.version[q.req.Model]), q.req)
-	return needed-q.req.ownMemory()+least <= free
+	return needed-q.ownMemory()+least <= free
 }
 
 // space returns the cache space of a queued request for a weight version.
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -354,7 +354,7 @@
 
 // placeQueued places a queued request on one of some engines; the error is errAllBusy if it has to wait longer.
 func (p *Pool) placeQueued(now clock.Instant, q *queuedRequest, from *enginesWithRoom) (Choice, error) {
-	if !from.noneUsable && p.leastMemory(q.req) > from.memory {
+	if !from.noneUsable && p.leastMemory(q) > from.memory {
 		return Choice{}, errAllBusy
 	}
 	eligible := p.selectEligible(now, q.req, q, nil, from.engines, p.scanLimit())
