--- a/internal/coordination/placement/adopt.go
+++ b/internal/coordination/placement/adopt.go
@@ -13,7 +13,10 @@
 		delete(p.withdrawn, req.ID)
 		return false
 	}
-	a := &assignment{req: req, endpoint: s, space: choice.CacheSpace, version: choice.Version, sentAt: now, saves: choice.SaveTo != nil && !begun}
+	a := &assignment{
+		req: req, endpoint: s, space: choice.CacheSpace, version: choice.Version, sentAt: now, saves: choice.SaveTo != nil && !begun,
+		gapTarget: p.gapTarget(req),
+	}
 	if !begun {
 		a.prefillTokens = max(1, req.Prompt-choice.Cached-choice.Fetched)
 		p.holds.add(a)
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -61,7 +61,13 @@
 	// sampleNext is the index into endpointList from which a large fleet is sampled next.
 	sampleNext  int
 	evaluations uint64
-	checks      uint64
+	// paced is true once a request with a gap target was placed on engines of known stride.
+	paced bool
+	// smallRunning is the number of small requests that run.
+	smallRunning int
+	// pacedRequests is the result of TakePacedRequests.
+	pacedRequests int
+	checks        uint64
 }
 
 // NewPool returns a pool without endpoints.
@@ -87,8 +93,8 @@
 	}
 }
 
-// SetEngine sets the properties of the service's engines; nil is for plain services.
-func (p *Pool) SetEngine(e *Engine) { p.engine = e }
+// SetEngine sets the properties of the service's engines; nil is for plain services. Gap targets count from the next request that has one.
+func (p *Pool) SetEngine(e *Engine) { p.engine, p.paced = e, false }
 
 // SetEndpoints replaces the endpoints, which are ordered by identifier. Assignments on removed endpoints continue but no longer count.
 func (p *Pool) SetEndpoints(list []*registration.Registration) {
@@ -279,6 +285,7 @@
 // removeAssignment frees what an assignment occupies.
 func (p *Pool) removeAssignment(a *assignment) {
 	delete(p.assignments, a.req.ID)
+	p.countSmall(a.req, -1)
 	p.holds.remove(a)
 	a.endpoint.remove(a)
 	p.recordCapacityChange(a.endpoint)
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -37,10 +37,15 @@
 	// late is true from lateAt on, when the first event will probably not come within the request's target any more.
 	late   bool
 	lateAt clock.Instant
+	// paced is true once an engine didn't get the request because of the gap targets of the streams there.
+	paced bool
 	// scanned is true once all engines have been considered since the request was queued.
 	scanned bool
 	// knownByVersion caches knownTokens by weight version, as of the last full scan.
 	knownByVersion map[int]int
+	// spaceOf caches the cache space of spaceVersion.
+	spaceOf      string
+	spaceVersion int
 }
 
 const (
@@ -76,6 +81,7 @@
 	if req.Uncoordinated || req.Model == "" || p.engine == nil {
 		return p.PlaceNow(now, req)
 	}
+	p.paced = p.paced || p.gapTarget(req) > 0
 	q := &queuedRequest{req: req, uniqueTokens: req.uniqueTokens()}
 	if req.TargetDeadline != 0 {
 		q.lateAt = now.Add(time.Duration(maxWaitShare * float64(req.TargetDeadline.Sub(now))))
@@ -114,6 +120,9 @@
 // unqueue accounts for a request that leaves the queue.
 func (p *Pool) unqueue(q *queuedRequest) {
 	delete(p.queued, q.req.ID)
+	if q.paced {
+		p.pacedRequests++
+	}
 	p.queuedTokens[q.req.Priority] -= q.uniqueTokens
 }
 
@@ -347,15 +356,15 @@
 
 // placeQueued places a queued request on one of some engines; the error is errAllBusy if it has to wait longer.
 func (p *Pool) placeQueued(now clock.Instant, q *queuedRequest, from *enginesWithRoom) (Choice, error) {
-	if !from.noneUsable && q.req.memoryTokens() > from.memory {
+	if !from.noneUsable && p.leastMemory(q) > from.memory {
 		return Choice{}, errAllBusy
 	}
 	eligible := p.selectEligible(now, q.req, q, nil, from.engines, p.scanLimit())
 	if len(eligible) > 0 || !from.complete {
-		return p.chooseFrom(now, q.req, eligible, true, true)
+		return p.chooseFrom(now, q.req, eligible, true, q)
 	}
 	eligible, busy := p.lastResort(now, q.req, q)
-	return p.chooseFrom(now, q.req, eligible, busy, true)
+	return p.chooseFrom(now, q.req, eligible, busy, q)
 }
 
 // enginesWithRoom are engines that may have capacity for some request.
@@ -405,9 +414,12 @@
 	switch {
 	case len(s.assignments) == 0:
 		return math.MaxInt
-	case len(s.assignments) >= s.Slots || s.prefillTokens > 0 && !p.fitsPrefillLimit(s.prefillTokens):
+	case len(s.assignments) >= s.Slots || !p.paced && s.prefillTokens > 0 && !p.fitsPrefillLimit(s.prefillTokens):
 		return 0
 	}
+	if p.paced {
+		return int(maxSmallOccupancy*float64(p.engine.CacheTokens)) - s.occupancy.tokens
+	}
 	return int(maxMemoryShare*float64(p.engine.CacheTokens)) - s.memoryTokens
 }
 
@@ -431,8 +443,8 @@
 // mayHaveCapacity reports whether an engine may have capacity for a queued request, which needs at least the prefill of the tokens that no
 // cache has. It is a cheap check before evaluate: at peak load most engines have no capacity, and evaluating them all for each request
 // would saturate the leader's processor.
-func (p *Pool) mayHaveCapacity(s *endpointState, q *queuedRequest) bool {
-	if q.req.memoryTokens() > p.freeMemory(s) {
+func (p *Pool) mayHaveCapacity(now clock.Instant, s *endpointState, q *queuedRequest) bool {
+	if !p.fitsMemory(s, q) {
 		return false
 	}
 	if s.prefillTokens == 0 {
@@ -447,12 +459,13 @@
 		}
 		q.knownByVersion[version] = known
 	}
-	return p.fitsPrefillLimit(s.prefillTokens + q.req.Prompt - known)
+	return p.fitsPrefill(s, q.req, q.req.Prompt-known) && p.fitsPace(now, s, q, q.req.Prompt-known)
 }
 
 // accepts reports whether an engine that may have capacity takes a request, given the tokens that it would have to prefill.
-func (p *Pool) accepts(s *endpointState, req *Request, c *Choice) bool {
-	return s.prefillTokens == 0 || p.fitsPrefillLimit(s.prefillTokens+max(0, req.Prompt-c.Cached-c.Fetched))
+func (p *Pool) accepts(now clock.Instant, s *endpointState, q *queuedRequest, c *Choice) bool {
+	tokens := max(0, q.req.Prompt-c.Cached-c.Fetched)
+	return (s.prefillTokens == 0 || p.fitsPrefill(s, q.req, tokens)) && p.fitsPace(now, s, q, tokens)
 }
 
 // fitsPrefillLimit reports whether an engine may have this many tokens of prefill queued.
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -96,7 +96,7 @@
 		if s.Engine == nil {
 			continue
 		}
-		e := &placement.Engine{Slots: s.Engine.Slots, CacheTokens: s.Engine.CacheTokens}
+		e := &placement.Engine{Slots: s.Engine.Slots, CacheTokens: s.Engine.CacheTokens, Stride: s.Engine.Stride}
 		if s.Engine.LinkBitsPerSecond > 0 {
 			e.TokenSeconds = float64(s.Engine.TokenBytes) * bitsPerByte / s.Engine.LinkBitsPerSecond
 		}
@@ -406,6 +406,8 @@
 			}
 			p.logWarmups(service, pool, now)
 			p.grantWaiting(pool, now)
+			p.node.metrics.PredictedGap.WithLabelValues(service).Set(pool.PredictedGap(now).Seconds())
+			p.node.metrics.Paced.WithLabelValues(service).Add(float64(pool.TakePacedRequests()))
 		}
 		for _, c := range p.reachability.TakeChanges() {
 			p.node.log.Info(event.ZoneReachabilityChanged, "zone reachability changed", zap.String("from", c.From), zap.String("zone", c.To),
