Don't hold long prompts back for the gap targets of streams

Change: the limit is removed with its metric; engines are still compared by predicted gaps. Running requests may occupy 0.95 of the memory, short ones all of it.

--- a/internal/coordination/placement/occupancy.go
+++ b/internal/coordination/placement/occupancy.go
@@ -10,11 +10,11 @@
 }
 
 const (
-	// maxOccupancy is the share of an engine's memory that running requests may occupy. The rest keeps cached contexts: with 1, evicted
-	// contexts had to be recomputed, and under overload fewer requests were served than with 0.7.
-	maxOccupancy = 0.7
+	// maxOccupancy is the share of an engine's memory that running requests may occupy. With 0.7 the largest prompts waited for memory behind
+	// smaller ones until they were rejected.
+	maxOccupancy = 0.95
 	// maxSmallOccupancy is the share up to which small requests are still placed, which evict little.
-	maxSmallOccupancy = 0.75
+	maxSmallOccupancy = 1.0
 	// maxReservedSlots is the largest share of an engine's slots that is kept for small requests. Without, long ones took all slots under
 	// overload, and small ones went to whichever engine had one, mostly a slow one.
 	maxReservedSlots = 0.25
--- a/internal/coordination/placement/pacing.go
+++ b/internal/coordination/placement/pacing.go
@@ -35,9 +35,8 @@
 //
 //	load pattern                                what happens
 //	no streams with a gap target on the engine  long prompts are placed there freely
-//	streams with a gap target                   the prefill placed there within that time is limited to what the target leaves
-//	no engine may take a long prompt            it waits for half of the time to its own target at most, then gaps don't limit it
-//	gaps over the target even without prefill   prefill isn't limited, since the target is missed anyway
+//	streams with a gap target                   the closer a long prefill would bring them to it, the more an engine costs
+//	all engines at their gap targets            long prompts aren't held back: waiting for the streams lost more targets than it kept
 type pacing struct {
 	// targets counts the streams by their gap targets, of which there are as many as routes have different ones; shortest is the shortest
 	// of those that streams on the engine have, or zero.
@@ -131,21 +130,6 @@
 	return time.Duration(max(1, s.pacing.currentSlowdown(now)) * float64(p.engine.Stride) * float64(step))
 }
 
-// pacedPrefill returns how many prompt tokens may be placed on an engine within the shortest gap target of the streams there, so that they
-// meet it. There is no limit if none of them has a target, if the target is met even while all steps prefill whole chunks, or if it is missed
-// without any prefill.
-func (p *Pool) pacedPrefill(now clock.Instant, s *endpointState) float64 {
-	if s.pacing.shortest == 0 {
-		return math.Inf(1)
-	}
-	left := (s.pacing.shortest - p.decodeTime(now, s)).Seconds() / s.pacing.currentSlowdown(now)
-	tokens := left * p.cfg.PrefillRate
-	if tokens <= 0 || tokens >= float64(p.engine.Stride*chunkTokens) {
-		return math.Inf(1)
-	}
-	return tokens
-}
-
 // predictedGap returns the longest gap between events on an engine when some prompt tokens are prefilled within about the time of an event.
 func (p *Pool) predictedGap(now clock.Instant, s *endpointState, prefill float64) time.Duration {
 	seconds := min(prefill, float64(p.engine.Stride*chunkTokens)) / p.cfg.PrefillRate * s.pacing.currentSlowdown(now)
@@ -178,18 +162,6 @@
 	return max(float64(s.prefillTokens), s.pacing.recentPrefill(now))
 }
 
-// fitsPace reports whether the streams on an engine would meet their gap targets with a queued request of some prompt tokens to prefill. A
-// request waits for this only until the rest of the time to its own target is needed for its prefill, and not if its prefill fits into one
-// chunk: those are a small part of all prefill.
-func (p *Pool) fitsPace(now clock.Instant, s *endpointState, q *queuedRequest, tokens int) bool {
-	if tokens <= chunkTokens || s.pacing.shortest == 0 || q.lateAt == 0 || q.lateAt.Before(now) {
-		return true
-	}
-	fits := s.queuedPrefill(now)+float64(tokens) <= p.pacedPrefill(now, s)
-	q.paced = q.paced || !fits
-	return fits
-}
-
 // fitsPrefill reports whether an engine may have a request's prompt tokens queued. A prompt that fits into one chunk isn't held up by less
 // urgent ones, which an engine prefills after it.
 func (p *Pool) fitsPrefill(s *endpointState, req *Request, tokens int) bool {
@@ -202,14 +174,6 @@
 	return p.fitsPrefillLimit(tokens)
 }
 
-// TakePacedRequests returns how many requests have left the queue, since the last call, that an engine didn't get because of the gap targets
-// of the streams there.
-func (p *Pool) TakePacedRequests() int {
-	n := p.pacedRequests
-	p.pacedRequests = 0
-	return n
-}
-
 // PredictedGap returns the longest gap between events that is predicted for streams with a gap target on any engine.
 func (p *Pool) PredictedGap(now clock.Instant) time.Duration {
 	longest := time.Duration(0)
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -65,9 +65,7 @@
 	paced bool
 	// smallRunning is the number of small requests that run.
 	smallRunning int
-	// pacedRequests is the result of TakePacedRequests.
-	pacedRequests int
-	checks        uint64
+	checks       uint64
 }
 
 // NewPool returns a pool without endpoints.
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -37,8 +37,6 @@
 	// late is true from lateAt on, when the first event will probably not come within the request's target any more.
 	late   bool
 	lateAt clock.Instant
-	// paced is true once an engine didn't get the request because of the gap targets of the streams there.
-	paced bool
 	// scanned is true once all engines have been considered since the request was queued.
 	scanned bool
 	// knownByVersion caches knownTokens by weight version, as of the last full scan.
@@ -120,9 +118,6 @@
 // unqueue accounts for a request that leaves the queue.
 func (p *Pool) unqueue(q *queuedRequest) {
 	delete(p.queued, q.req.ID)
-	if q.paced {
-		p.pacedRequests++
-	}
 	p.queuedTokens[q.req.Priority] -= q.uniqueTokens
 }
 
@@ -459,13 +454,13 @@
 		}
 		q.knownByVersion[version] = known
 	}
-	return p.fitsPrefill(s, q.req, q.req.Prompt-known) && p.fitsPace(now, s, q, q.req.Prompt-known)
+	return p.fitsPrefill(s, q.req, q.req.Prompt-known)
 }
 
 // accepts reports whether an engine that may have capacity takes a request, given the tokens that it would have to prefill.
 func (p *Pool) accepts(now clock.Instant, s *endpointState, q *queuedRequest, c *Choice) bool {
 	tokens := max(0, q.req.Prompt-c.Cached-c.Fetched)
-	return (s.prefillTokens == 0 || p.fitsPrefill(s, q.req, tokens)) && p.fitsPace(now, s, q, tokens)
+	return (s.prefillTokens == 0 || p.fitsPrefill(s, q.req, tokens))
 }
 
 // fitsPrefillLimit reports whether an engine may have this many tokens of prefill queued.
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -407,7 +407,6 @@
 			p.logWarmups(service, pool, now)
 			p.grantWaiting(pool, now)
 			p.node.metrics.PredictedGap.WithLabelValues(service).Set(pool.PredictedGap(now).Seconds())
-			p.node.metrics.Paced.WithLabelValues(service).Add(float64(pool.TakePacedRequests()))
 		}
 		for _, c := range p.reachability.TakeChanges() {
 			p.node.log.Info(event.ZoneReachabilityChanged, "zone reachability changed", zap.String("from", c.From), zap.String("zone", c.To),
--- a/internal/metric/hosted.go
+++ b/internal/metric/hosted.go
@@ -25,7 +25,6 @@
 	PlacementAge  prometheus.Gauge
 	DispatchDelay prometheus.Gauge
 	PredictedGap  *prometheus.GaugeVec
-	Paced         *prometheus.CounterVec
 	Settings      *prometheus.GaugeVec
 	Held          *prometheus.GaugeVec
 	Connections   prometheus.Gauge
@@ -66,7 +65,6 @@
 		PlacementAge:  prometheus.NewGauge(gaugeOpts("placement_age_seconds", "Time since this instance last processed its queue of requests to place.")),
 		DispatchDelay: prometheus.NewGauge(gaugeOpts("dispatch_delay_seconds", "Mean time that arrived data waits until this process reads it.")),
 		PredictedGap:  prometheus.NewGaugeVec(gaugeOpts("predicted_gap_seconds", "Longest predicted gap between events at any engine."), []string{"service"}),
-		Paced:         newCounterVec("paced_requests_total", "Requests that waited because of the gap targets of streams at an engine.", "service"),
 		Settings: prometheus.NewGaugeVec(gaugeOpts("settings_info", "One for the settings file in force, by its digest and that of its bounds."),
 			[]string{"instance", "digest", "bounds"}),
 		Held:        prometheus.NewGaugeVec(gaugeOpts("held_bytes", "Bytes held for callers by use: headers, bodies, responses, streams, frames."), []string{"use"}),
@@ -81,7 +79,7 @@
 			counterOpts("evacuation_withdrawals_total", "Placements given up before the request was sent, since the endpoint's zone is evacuated.")),
 	}
 	s.Registry.MustRegister(s.Requests, s.Latency, s.FirstEvent, s.Attempts, s.PromptTokens, s.Placements, s.StoreCalls, s.Orders, s.Dials,
-		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.Cold, s.ColdDeferred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.PredictedGap, s.Paced, s.Settings, s.Reloads,
+		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.Cold, s.ColdDeferred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.PredictedGap, s.Settings, s.Reloads,
 		s.Evacuated, s.EvacuatedRunning, s.EvacuationWithdrawals, s.Held, s.Connections, s.Intake)
 	return s
 }
