Clear the read deadline of a body that has been read

Cause: found by reading. The deadline stayed on the connection, and net/http, which goes on reading to notice that the caller leaves, takes its end for that. At the request's deadline the caller could get a closed connection instead of 504. Change: the deadline is cleared once the body is there. Measured: the new case of TestRequests passes with and without the change, since the two timers end at the same moment and the other one came first in 8 of 8 requests; so the fault isn't shown by a run.

--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -74,6 +74,8 @@
 	body, held, err := j.node.guard.ReadBody(j.r.Body, j.r.ContentLength, limit, interrupt)
 	switch {
 	case err == nil:
+		// net/http goes on reading to notice that the caller leaves, and would take the end of the deadline for that.
+		_ = control.SetReadDeadline(time.Time{})
 		j.body, j.held, j.bodyRead = body, held, true
 		return nil
 	case errors.Is(err, intake.ErrTooLarge):
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -63,6 +63,13 @@
 			So(resp.StatusCode, ShouldEqual, http.StatusRequestEntityTooLarge)
 			So(resp.Body.Close(), ShouldBeNil)
 		})
+		Convey("answers a request with a body whose deadline passes while an endpoint works, instead of closing the connection", func() {
+			s.eachEndpoint(hosted.EndpointFault{StartDelay: 2 * time.Second})
+			for range 4 {
+				a := s.call(e, http.MethodPost, "/book/", "slot 4", "Deadline-Ms", "300")
+				So(a.status, ShouldEqual, http.StatusGatewayTimeout)
+			}
+		})
 		Convey("serves public routes without a key", func() { s.expectAnswered(s.call(e, http.MethodGet, "/public/", "", "Credential", "")) })
 		Convey("forwards a stream", func() {
 			a := s.call(e, http.MethodPost, "/redraft/", "plan")
