Don't let stopped placement keep an entry from reading the store

Cause: each read of the store that shows no change confirmed the registrations under the placement's lock, for cold endpoints. While placement had stopped, the entry read nothing more, and no other leader could be seen. Change: the confirmation is left in an atomic variable and applied by the placement's next round. The predicted gap is measured each second instead of each 20 ms on every entry. New tests of the gateway that mostly wait run in parallel.

--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -18,6 +18,7 @@
 
 // In a cut the connections to many endpoints break at once and dials may be refused, which was taken for crashes caused by the requests.
 func TestZoneCutWithResets(t *testing.T) {
+	t.Parallel()
 	Convey("a site whose endpoints are cut off twice with resets, while a device on the path refuses connections", t, func() {
 		s := newSite()
 		s.putConfiguration(defaultSpec())
@@ -97,6 +98,7 @@
 }
 
 func TestRetractedCrashReport(t *testing.T) {
+	t.Parallel()
 	Convey("an entry to which a peer has reported two crashes of a part goes on blocking it until one of them is retracted", t, func() {
 		s := startPartSite(1)
 		p := s.startPeer()
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -24,6 +24,8 @@
 type placer struct {
 	node       *Node
 	lastNumber atomic.Uint64
+	// confirmedAt is when the registrations in use were last read without a change, until that is applied.
+	confirmedAt atomic.Int64
 	// lastRun is when the queue was last processed; stalled is true while that is longer ago than stallTimeout.
 	lastRun atomic.Int64
 	stalled bool
@@ -229,6 +231,7 @@
 func (p *placer) setEndpoints(readAt clock.Instant, byService map[string][]*registration.Registration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.confirmedAt.Store(0)
 	for service := range byService {
 		p.pool(service)
 	}
@@ -398,6 +401,7 @@
 		defer p.mu.Unlock()
 		now := clock.Now()
 		p.lastRun.Store(int64(now))
+		p.applyConfirmation(now)
 		for service, pool := range p.pools {
 			for _, change := range pool.CheckLiveness(now) {
 				p.node.log.Info(event.EndpointUnresponsive, "endpoint liveness changed", zap.String("service", service),
@@ -406,7 +410,6 @@
 			}
 			p.logWarmups(service, pool, now)
 			p.grantWaiting(pool, now)
-			p.node.metrics.PredictedGap.WithLabelValues(service).Set(pool.PredictedGap(now).Seconds())
 		}
 		for _, c := range p.reachability.TakeChanges() {
 			p.node.log.Info(event.ZoneReachabilityChanged, "zone reachability changed", zap.String("from", c.From), zap.String("zone", c.To),
@@ -542,10 +545,12 @@
 	p.pool(service).WeightsLoaded(endpoint, model, version)
 }
 
+// removeExpired removes assignments whose ends were never reported, and updates what is measured each second.
 func (p *placer) removeExpired(now clock.Instant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, pool := range p.pools {
+	for service, pool := range p.pools {
 		pool.RemoveExpired(now)
+		p.node.metrics.PredictedGap.WithLabelValues(service).Set(pool.PredictedGap(now).Seconds())
 	}
 }
--- a/internal/gateway/refused_body_test.go
+++ b/internal/gateway/refused_body_test.go
@@ -118,6 +118,7 @@
 // Guards against the rest of a refused request's body being served as a request, and against refusals that are lost since their connection
 // is reset.
 func TestRefusedBodies(t *testing.T) {
+	t.Parallel()
 	Convey("the body of a refused request is never served as a request", t, func() {
 		s := startSite(1)
 		e := s.entries[0]
--- a/internal/gateway/revoked_workspace_test.go
+++ b/internal/gateway/revoked_workspace_test.go
@@ -15,6 +15,7 @@
 
 // An entry that can't reach the store doesn't learn that a key has been revoked, and public routes are served without a key.
 func TestRevokedKeyOnPublicRoute(t *testing.T) {
+	t.Parallel()
 	Convey("an entry whose path to the store is cut while a key is revoked", t, func() {
 		s := newSite()
 		spec := defaultSpec()
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -68,11 +68,16 @@
 	p.setWarmupLimits(table)
 }
 
-// confirmRegistrations records that the registrations in use were still the newest at an instant.
-func (p *placer) confirmRegistrations(readAt clock.Instant) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := clock.Now()
+// confirmRegistrations records that the registrations in use were still the newest at an instant. It takes no lock: reading the store must go on
+// while placement has stopped, so that another instance can lead.
+func (p *placer) confirmRegistrations(readAt clock.Instant) { p.confirmedAt.Store(int64(readAt)) }
+
+// applyConfirmation applies the last confirmation of the registrations; the caller holds the lock.
+func (p *placer) applyConfirmation(now clock.Instant) {
+	readAt := clock.Instant(p.confirmedAt.Swap(0))
+	if readAt == 0 {
+		return
+	}
 	for _, pool := range p.pools {
 		pool.ObserveRegistrations(now, readAt)
 	}
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -89,6 +89,7 @@
 
 // TestLapsedPlacement guards against an entry that uses a placement on a cold endpoint after the leader has admitted others in its place.
 func TestLapsedPlacement(t *testing.T) {
+	t.Parallel()
 	Convey("an entry", t, func() {
 		s, leader := startSiteWithSlowLeader(0)
 		// lapse makes the first placements look as old as the given time, as if the entry had been frozen.
