Forget an engine's measured rate when it restarts

A restarted engine kept the prompt tokens placed lately and the rate that its predecessor had, for up to 10 s. Both start afresh now, like the rest of its state.

--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -92,6 +92,7 @@
 		s.version, s.confirmedVersion = make(map[string]int), make(map[string]int)
 		s.orderPending = false
 		s.failures, s.backoffUntil, s.loadingUntil, s.errorRate, s.slowdown, s.link, s.unresponsiveSince = 0, 0, 0, 0, slowdown{}, link{}, 0
+		s.pacing.slowdown, s.pacing.recent = slowdown{}, 0
 	}
 	s.Registration = r
 	for model, v := range r.Versions {
