Keep the native edge's callers within the process's memory and connections

Cause: the native edge read every body whole, without a bound on all of them or on connections, and unread bodies of refused requests held the refusal back until net/http had read them.

Change: the guard of internal/transport/intake is used there too, with the settings process.memory, connections and buffers. A body that is incomplete at the request's deadline gets 408, one that finds no room 503 with Retry-After; run is unknown if the request has an idempotency key. Refusals before a body was read go through intake.Refuse on both edges. api.Error.Write states the length, since a refusal of unknown length ended only after the connection had been half closed: TestBadInput got "unexpected EOF" for an oversized body meanwhile.

--- a/cmd/gypsum-entry/main.go
+++ b/cmd/gypsum-entry/main.go
@@ -58,6 +58,9 @@
 		fmt.Printf("%s: no faults\n", path)
 		return nil
 	}
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * cfg.MemoryMB * (1 << 20)))
+	}
 	log, err := event.New(cfg.LogLevel, cfg.LogFormat, cfg.Name)
 	if err != nil {
 		return fmt.Errorf("log: %w", err)
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -22,6 +22,7 @@
 	"gypsumvale/internal/metric"
 	"gypsumvale/internal/settings"
 	"gypsumvale/internal/transport/endpoint"
+	"gypsumvale/internal/transport/intake"
 	"gypsumvale/internal/transport/keyvalue"
 	"gypsumvale/internal/transport/listeners"
 	"gypsumvale/internal/transport/peers"
@@ -48,6 +49,7 @@
 	network   *peers.Network
 	endpoints *endpoint.Client
 	stores    *storage.Client
+	guard     *intake.Guard
 
 	follower    *ticket.Follower
 	tickets     *ticket.Committer
@@ -94,6 +96,7 @@
 		streams:     newStreams(),
 		suspects:    &suspects{table: suspect.NewTable(), pieces: suspect.NewPartTable()},
 	}
+	n.guard = newGuard(cfg, n.metrics)
 	seed := xxhash.Sum64String(n.incarnation)
 	limits := budget.New(budget.Config{WritesPerSecond: float64(cfg.WritesPerSecond), ReadsPerSecond: float64(cfg.ReadsPerSecond), Seed: seed})
 	n.platform = keyvalue.New(cfg.Name, cfg.KeyValue, limits)
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -4,9 +4,7 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,8 +20,8 @@
 // callerGuard keeps callers within the process's limits on memory and connections.
 type callerGuard interface {
 	Protect(l net.Listener, server *http.Server) net.Listener
-	// ReadBody reads a body to its end; interrupt must end the read in progress. The caller releases the memory.
-	ReadBody(r io.Reader, length, limit int64, interrupt func()) ([]byte, *intake.Held, error)
+	// ReadRequest reads the body of a request to its end by a deadline. The caller releases the memory.
+	ReadRequest(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, *intake.Held, error)
 	// ReadReply reads an answer until its end, the limit, or the end of the memory for answers. The caller releases the memory.
 	ReadReply(r io.Reader, length, limit int64) (body []byte, whole bool, held *intake.Held, err error)
 	// HoldStream counts bytes of a stream in progress. The caller releases them.
@@ -32,21 +30,9 @@
 	Connections() int
 }
 
-// newGuard returns a guard with the limits that the settings name or, where they name none, with those that follow from the process's memory
-// and descriptors.
+// newGuard returns a guard with the limits of the settings.
 func newGuard(cfg *settings.Hosted, count func(reason string)) *intake.Guard {
-	var descriptors syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors) != nil {
-		descriptors.Cur = 1024
-	}
-	limits := intake.DefaultLimits(cfg.MemoryMB, descriptors.Cur)
-	if cfg.MaxConnections > 0 {
-		limits.Connections = cfg.MaxConnections
-	}
-	if cfg.BuffersMB > 0 {
-		limits.Bytes = int64(cfg.BuffersMB * (1 << 20))
-	}
-	return intake.New(limits, count)
+	return intake.New(intake.LimitsFor(cfg.MemoryMB, cfg.MaxConnections, cfg.BuffersMB, defaultBodyBytes), count)
 }
 
 // ownDeadline returns the instant at which the request ends: the caller's deadline or the route's, whichever is sooner.
@@ -58,20 +44,10 @@
 	return deadline
 }
 
-// interrupted is a read deadline in the past, which ends a read in progress.
-var interrupted = time.Unix(1, 0)
-
 // receiveBody reads the body within the process's memory, until the request's own deadline.
 func (j *job) receiveBody(limit int64) *refusal {
-	if j.r.ContentLength == 0 {
-		j.bodyRead = true
-		return nil
-	}
-	control := http.NewResponseController(j.w)
-	// An error shows with the first read.
-	_ = control.SetReadDeadline(time.Now().Add(j.ownDeadline().Sub(clock.Now())))
-	interrupt := func() { _ = control.SetReadDeadline(interrupted) }
-	body, held, err := j.node.guard.ReadBody(j.r.Body, j.r.ContentLength, limit, interrupt)
+	deadline := time.Now().Add(j.ownDeadline().Sub(clock.Now()))
+	body, held, err := j.node.guard.ReadRequest(j.w, j.r, limit, deadline)
 	switch {
 	case err == nil:
 		j.body, j.held, j.bodyRead = body, held, true
@@ -80,7 +56,7 @@
 		return &refusal{http.StatusRequestEntityTooLarge, "body_too_large", 0}
 	case errors.Is(err, intake.ErrNoMemory):
 		return unavailable("memory", clock.Now().Add(memoryRetryDelay))
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, intake.ErrLate):
 		return &refusal{http.StatusRequestTimeout, "body_late", 0}
 	}
 	return &refusal{http.StatusBadRequest, "body_broken", 0}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -2,12 +2,8 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
-	"time"
-
-	"github.com/pkg/errors"
 
 	"gypsumvale/internal/state/clock"
 	"gypsumvale/internal/transport/intake"
@@ -50,35 +46,15 @@
 	}{refused.reason})
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	control := http.NewResponseController(j.w)
-	unread := !j.bodyRead && j.r.ContentLength != 0 && !j.readRest(control)
-	if unread {
-		h.Set("Connection", "close")
-	}
-	j.w.WriteHeader(refused.status)
-	// Errors are ignored: a caller that has disconnected needs no answer.
-	_, _ = j.w.Write(body)
-	j.recordEnd("refused", refused.reason, refused.status)
-	if unread && control.Flush() == nil {
-		intake.Drain(j.r.Context(), refusalDrainTimeout)
+	write := func() {
+		j.w.WriteHeader(refused.status)
+		// Errors are ignored: a caller that has disconnected needs no answer.
+		_, _ = j.w.Write(body)
+		j.recordEnd("refused", refused.reason, refused.status)
 	}
-}
-
-const (
-	// A body is read to its end before its refusal if it takes no more than restTimeout and maxRestBytes, as most bodies do. Otherwise the
-	// connection serves no other request: what comes later must not be parsed as one.
-	restTimeout  = 5 * time.Millisecond
-	maxRestBytes = 64 << 10
-	// refusalDrainTimeout is how long a caller may take to send the rest of its body and still get the refusal.
-	refusalDrainTimeout = time.Second
-)
-
-// readRest reads the rest of a body that is not needed, and reports whether it has read it to its end.
-func (j *job) readRest(control *http.ResponseController) bool {
-	// With this header, reading would ask the caller for the body.
-	if j.r.Header.Get("Expect") != "" || control.SetReadDeadline(time.Now().Add(restTimeout)) != nil {
-		return false
+	if j.bodyRead {
+		write()
+		return
 	}
-	n, err := io.CopyN(io.Discard, j.r.Body, maxRestBytes)
-	return n < maxRestBytes && errors.Is(err, io.EOF)
+	intake.Refuse(j.w, j.r, write)
 }
--- a/internal/metric/hosted.go
+++ b/internal/metric/hosted.go
@@ -59,9 +59,8 @@
 			[]string{"instance", "digest", "bounds"}),
 		Held:        prometheus.NewGaugeVec(gaugeOpts("held_bytes", "Bytes held for callers by use: headers, bodies, responses, streams, frames."), []string{"use"}),
 		Connections: prometheus.NewGauge(gaugeOpts("caller_connections", "Open connections of callers.")),
-		Intake: newCounterVec("intake_closed_total",
-			"Connections closed and requests refused to stay within limits: connections, not_accepted, headers, bodies.", "reason"),
-		Reloads: newCounterVec("settings_reloads_total", "Changed settings files by result: applied, invalid, needs_restart.", "result"),
+		Intake:      newIntakeCounter(),
+		Reloads:     newCounterVec("settings_reloads_total", "Changed settings files by result: applied, invalid, needs_restart.", "result"),
 	}
 	s.Registry.MustRegister(s.Requests, s.Latency, s.FirstEvent, s.Attempts, s.PromptTokens, s.Placements, s.StoreCalls, s.Orders, s.Dials,
 		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.Settings, s.Reloads, s.Held,
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -27,6 +27,14 @@
 	InFlight        prometheus.Gauge
 	ControlMessages *prometheus.CounterVec
 	PlatformDown    prometheus.Gauge
+	Intake          *prometheus.CounterVec
+}
+
+// PublishGauge registers a gauge whose value is read when the metrics are.
+func (s *Set) PublishGauge(name, help string, labels map[string]string, value func() float64) {
+	opts := gaugeOpts(name, help)
+	opts.ConstLabels = labels
+	s.Registry.MustRegister(prometheus.NewGaugeFunc(opts, value))
 }
 
 var (
@@ -57,10 +65,11 @@
 		InFlight:        prometheus.NewGauge(gaugeOpts("requests_in_flight", "Requests that this instance holds.")),
 		ControlMessages: newCounterVec("control_messages_total", "Messages from peers by kind.", "kind"),
 		PlatformDown:    prometheus.NewGauge(gaugeOpts("platform_down", "One while calls to the key-value service are held back.")),
+		Intake:          newIntakeCounter(),
 	}
 	r.MustRegister(s.Requests, s.FirstToken, s.InterToken, s.GrantWait, s.ServiceTime, s.ContextTokens, s.Attempts,
 		s.Hedges, s.DroppedChunks, s.Claims, s.LinkBytes, s.LinkRefused, s.ConfigRevision, s.Members, s.InFlight,
-		s.ControlMessages, s.PlatformDown)
+		s.ControlMessages, s.PlatformDown, s.Intake)
 	return s
 }
 
@@ -83,3 +92,8 @@
 func newHistogramVec(name, help string, labels ...string) *prometheus.HistogramVec {
 	return prometheus.NewHistogramVec(histogramOpts(name, help), labels)
 }
+
+func newIntakeCounter() *prometheus.CounterVec {
+	return newCounterVec("intake_closed_total",
+		"Connections closed and requests refused to stay within limits: connections, not_accepted, headers, bodies.", "reason")
+}
--- a/internal/protocol/api/error.go
+++ b/internal/protocol/api/error.go
@@ -93,11 +93,16 @@
 		h.Set("Retry-After", RetryAfterSeconds(e.RetryAt.Sub(now)))
 		h.Set("Retry-After-Ms", strconv.FormatInt(max(e.RetryAt.Sub(now).Milliseconds(), 1), 10))
 	}
-	w.WriteHeader(e.Status)
-	// The error is ignored, since it means that the caller has disconnected.
-	_ = json.NewEncoder(w).Encode(struct {
+	// Encoding an Error never fails: only strings of it are encoded.
+	body, _ := json.Marshal(struct {
 		Error *Error `json:"error"`
 	}{e})
+	body = append(body, '\n')
+	// With its length, an answer is complete before the handler returns.
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(e.Status)
+	// The error is ignored, since it means that the caller has disconnected.
+	_, _ = w.Write(body)
 }
 
 // RetryAfterSeconds returns a wait rounded up to whole seconds, at least one, as the Retry-After header requires integers.
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -53,6 +53,12 @@
 	TokenTime        time.Duration
 	PieceBytes       int
 
+	// MemoryMB is the memory limit of the process, in MiB. It is zero if the file names none.
+	MemoryMB float64
+	// MaxConnections and BuffersMB limit the connections of callers and the memory for their data. Zero derives them from MemoryMB.
+	MaxConnections int
+	BuffersMB      float64
+
 	CallersTLS   TLS
 	OperatorsTLS TLS
 
@@ -104,6 +110,9 @@
 		PrefillPerSecond: r.integer("engine", "prefill_tokens_per_second", 1, 100000000, 20000),
 		TokenTime:        r.duration("engine", "token_time", time.Microsecond, time.Minute, 20*time.Millisecond),
 		PieceBytes:       r.integer("engine", "piece_bytes", 1, 1<<40, 16<<20),
+		MemoryMB:         r.float("process", "memory", 16, 1<<20, 0),
+		MaxConnections:   r.integer("process", "connections", 1, 1000000, 0),
+		BuffersMB:        r.float("process", "buffers", 5, 1<<20, 0),
 		CallersTLS:       r.tls("callers"),
 		OperatorsTLS:     r.tls("operators"),
 		LogLevel:         r.choice("log", "level", "info", "debug", "warn", "error"),
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -14,6 +14,7 @@
 
 	"gypsumvale/internal/protocol/api"
 	"gypsumvale/internal/state/catalog"
+	"gypsumvale/internal/transport/intake"
 )
 
 // Prompt is a chat request as passed to the backend.
@@ -84,6 +85,14 @@
 type Config struct {
 	// Timeout is the longest time that a request may take. A caller may request a shorter one.
 	Timeout time.Duration
+	// Guard keeps the bodies of requests within the process's memory.
+	Guard Guard
+}
+
+// Guard reads the bodies of requests.
+type Guard interface {
+	// ReadRequest reads the body of a request to its end by a deadline. The caller releases the memory.
+	ReadRequest(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, *intake.Held, error)
 }
 
 // Kinds of requests, used as metric labels.
@@ -108,8 +117,10 @@
 	}
 	r.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { w.WriteHeader(http.StatusOK) })
 	r.GET("/readyz", s.ready)
-	r.NotFound = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		api.NewError(http.StatusNotFound, api.CodeNotFound, api.RunNo, "no such path").Write(w, time.Now())
+	r.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		intake.Refuse(w, r, func() {
+			api.NewError(http.StatusNotFound, api.CodeNotFound, api.RunNo, "no such path").Write(w, time.Now())
+		})
 	})
 	return r
 }
@@ -129,12 +140,16 @@
 	id        string
 	workspace *catalog.Workspace
 	arrived   time.Time
+	// bodyRead is true once the body has been read to its end, and held is the memory that it holds.
+	bodyRead bool
+	held     *intake.Held
 }
 
 // guard wraps a handler: it admits the request, has serve authenticate it and set its deadline, and writes the error response.
 func (s *Server) guard(kind string, next handler) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 		req := &request{http: r, params: p, id: uuid.NewString(), arrived: time.Now()}
+		defer func() { req.held.Release() }()
 		w.Header().Set(api.HeaderRequestID, req.id)
 		hasClaim := kind == kindCall && r.Header.Get(api.HeaderKey) != "" && r.Method != http.MethodGet
 		apiErr := s.backend.Admit(hasClaim)
@@ -147,7 +162,12 @@
 		}
 		if apiErr != nil {
 			apiErr.RequestID = req.id
-			apiErr.Write(w, time.Now())
+			write := func() { apiErr.Write(w, time.Now()) }
+			if req.bodyRead {
+				write()
+				return
+			}
+			intake.Refuse(w, r, write)
 		}
 	}
 }
@@ -186,19 +206,35 @@
 	return r.arrived.Add(time.Duration(seconds * float64(time.Second))), nil
 }
 
-func readBody(r *request) ([]byte, *api.Error) {
-	body, err := api.ReadBody(r.http.Body, r.http.ContentLength)
-	if errors.Is(err, api.ErrTooLarge) {
-		return nil, api.NewError(http.StatusRequestEntityTooLarge, api.CodeTooLarge, api.RunNo, "body is larger than %d bytes", api.MaxBodyBytes)
+// memoryRetryDelay is the Retry-After delay of a request that found no memory. A crowd that holds the memory is refused within this time.
+const memoryRetryDelay = time.Second
+
+// readBody reads the body within the process's memory, until the deadline of the request.
+func (s *Server) readBody(ctx context.Context, w http.ResponseWriter, r *request) ([]byte, *api.Error) {
+	deadline, _ := ctx.Deadline()
+	run := api.RunNo
+	if r.http.Header.Get(api.HeaderKey) != "" {
+		// An earlier attempt with the same key may have run.
+		run = api.RunUnknown
 	}
-	if err != nil {
-		return nil, api.NewError(http.StatusBadRequest, api.CodeBadRequest, api.RunNo, "%v", err)
+	body, held, err := s.cfg.Guard.ReadRequest(w, r.http, api.MaxBodyBytes, deadline)
+	switch {
+	case err == nil:
+		r.bodyRead, r.held = true, held
+		return body, nil
+	case errors.Is(err, intake.ErrTooLarge):
+		return nil, api.NewError(http.StatusRequestEntityTooLarge, api.CodeTooLarge, api.RunNo, "body is larger than %d bytes", api.MaxBodyBytes)
+	case errors.Is(err, intake.ErrNoMemory):
+		return nil, api.NewError(http.StatusServiceUnavailable, api.CodeOverloaded, run, "no memory for the body").
+			WithRetry(time.Now().Add(memoryRetryDelay))
+	case errors.Is(err, intake.ErrLate):
+		return nil, api.NewError(http.StatusRequestTimeout, api.CodeDeadline, run, "body incomplete at the deadline")
 	}
-	return body, nil
+	return nil, api.NewError(http.StatusBadRequest, api.CodeBadRequest, api.RunNo, "read body: %v", err)
 }
 
 func (s *Server) chat(ctx context.Context, w http.ResponseWriter, r *request) *api.Error {
-	body, apiErr := readBody(r)
+	body, apiErr := s.readBody(ctx, w, r)
 	if apiErr != nil {
 		return apiErr
 	}
@@ -261,7 +297,7 @@
 }
 
 func (s *Server) service(ctx context.Context, w http.ResponseWriter, r *request) *api.Error {
-	body, apiErr := readBody(r)
+	body, apiErr := s.readBody(ctx, w, r)
 	if apiErr != nil {
 		return apiErr
 	}
--- a/internal/transport/intake/body.go
+++ b/internal/transport/intake/body.go
@@ -2,6 +2,9 @@
 
 import (
 	"io"
+	"net/http"
+	"os"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -14,6 +17,8 @@
 	ErrTooLarge = errors.New("body too large")
 	// ErrNoMemory is returned for a body that finds no room, or that had to give way to others.
 	ErrNoMemory = errors.New("no memory for the body")
+	// ErrLate is returned for a body that isn't complete at its deadline.
+	ErrLate = errors.New("body late")
 )
 
 const (
@@ -45,6 +50,25 @@
 	return &Held{g, g.account.Open(u, evict)}
 }
 
+// interrupted is a read deadline in the past, which ends a read in progress.
+var interrupted = time.Unix(1, 0)
+
+// ReadRequest reads the body of a request to its end by a deadline. The caller releases the memory once it no longer needs the body; after an
+// error none is held. Errors wrap ErrTooLarge, ErrNoMemory, ErrLate or the error of the connection.
+func (g *Guard) ReadRequest(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, *Held, error) {
+	if r.ContentLength == 0 {
+		return nil, nil, nil
+	}
+	control := http.NewResponseController(w)
+	// An error shows with the first read.
+	_ = control.SetReadDeadline(deadline)
+	body, held, err := g.ReadBody(r.Body, r.ContentLength, limit, func() { _ = control.SetReadDeadline(interrupted) })
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = ErrLate
+	}
+	return body, held, err
+}
+
 // ReadBody reads a body to its end. The length is -1 if it isn't known. interrupt must end the read in progress when the body gives way to
 // others. The caller releases the memory once it no longer needs the body; after an error none is held.
 //
--- a/internal/transport/intake/conn.go
+++ b/internal/transport/intake/conn.go
@@ -144,13 +144,14 @@
 	return ctx
 }
 
-// maxDrainBytes bounds how much is read from a connection whose request was refused: twice the operators' usual limit of a body.
-const maxDrainBytes = 8 << 20
+// maxDrainBytes bounds how much is read from a connection whose request was refused: twice the largest body of the native edge, and four times
+// the operators' usual limit on the hosted one.
+const maxDrainBytes = 16 << 20
 
-// Drain reads and discards what a client still sends after the refusal of its request, until the client closes the connection or for at most
+// drain reads and discards what a client still sends after the refusal of its request, until the client closes the connection or for at most
 // the given time: closing a connection with unread bytes resets it, and the client would lose the refusal. The server must close the
-// connection afterwards, and nothing else may read from it. Drain does nothing if the context isn't that of a request on a guarded listener.
-func Drain(ctx context.Context, timeout time.Duration) {
+// connection afterwards, and nothing else may read from it. It does nothing if the context isn't that of a request on a guarded listener.
+func drain(ctx context.Context, timeout time.Duration) {
 	c, ok := ctx.Value(contextKey{}).(*conn)
 	if !ok {
 		return
--- a/internal/transport/intake/guard.go
+++ b/internal/transport/intake/guard.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,9 +22,6 @@
 	// bytesShare is the part of the process's memory that clients' data may take. The garbage collector needs about as much again, and the
 	// program itself the rest.
 	bytesShare = 5
-	// minBytes lets a request with a body of 4 MiB be served in the smallest process: while the body is copied for the last time, it takes 6 MiB
-	// of the share of bodies.
-	minBytes = 9 << 20
 )
 
 // Limits bound what a process holds for its clients.
@@ -32,14 +30,37 @@
 	Bytes       int64
 }
 
-// DefaultLimits derives limits from the process's memory in MB and its limit of descriptors.
-func DefaultLimits(memoryMB float64, descriptors uint64) Limits {
+// DefaultLimits derives limits from the process's memory in MB, its limit of descriptors, and the largest body that must be served when there
+// is no other: while a body is copied for the last time, it takes one and a half times its length of the share of bodies.
+func DefaultLimits(memoryMB float64, descriptors uint64, maxBody int64) Limits {
 	return Limits{
 		Connections: max(1, min(int(connectionsPerMB*memoryMB), int(min(descriptors, 1<<30)/descriptorShare))),
-		Bytes:       max(minBytes, int64(memoryMB*(1<<20))/bytesShare),
+		Bytes:       max(2*maxBody+1<<20, int64(memoryMB*(1<<20))/bytesShare),
 	}
 }
 
+// LimitsFor returns the limits that settings name or, where they are zero, the default ones for this process.
+func LimitsFor(memoryMB float64, connections int, buffersMB float64, maxBody int64) Limits {
+	l := DefaultLimits(memoryMB, maxDescriptors(), maxBody)
+	if connections > 0 {
+		l.Connections = connections
+	}
+	if buffersMB > 0 {
+		l.Bytes = int64(buffersMB * (1 << 20))
+	}
+	return l
+}
+
+// maxDescriptors returns the process's limit of descriptors.
+func maxDescriptors() uint64 {
+	const usual = 1024
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return usual
+	}
+	return limit.Cur
+}
+
 // Reasons for which connections are closed or requests refused.
 const (
 	reasonConnections = "connections"
