--- a/internal/metric/hosted.go
+++ b/internal/metric/hosted.go
@@ -69,9 +69,8 @@
 			[]string{"instance", "digest", "bounds"}),
 		Held:        prometheus.NewGaugeVec(gaugeOpts("held_bytes", "Bytes held for callers by use: headers, bodies, responses, streams, frames."), []string{"use"}),
 		Connections: prometheus.NewGauge(gaugeOpts("caller_connections", "Open connections of callers.")),
-		Intake: newCounterVec("intake_closed_total",
-			"Connections closed and requests refused to stay within limits: connections, not_accepted, headers, bodies.", "reason"),
-		Reloads: newCounterVec("settings_reloads_total", "Changed settings files by result: applied, invalid, needs_restart.", "result"),
+		Intake:      newIntakeCounter(),
+		Reloads:     newCounterVec("settings_reloads_total", "Changed settings files by result: applied, invalid, needs_restart.", "result"),
 
 		Evacuated:        prometheus.NewGaugeVec(gaugeOpts("zone_evacuated_seconds", "Time since a zone is known to be evacuated."), []string{"zone"}),
 		EvacuatedRunning: prometheus.NewGaugeVec(gaugeOpts("zone_running_requests", "Requests of this instance at endpoints of evacuated zones."), []string{"zone"}),
