--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -50,8 +50,6 @@
 	body, held, err := j.node.guard.ReadRequest(j.w, j.r, limit, deadline)
 	switch {
 	case err == nil:
-		// net/http goes on reading to notice that the caller leaves, and would take the end of the deadline for that.
-		_ = control.SetReadDeadline(time.Time{})
 		j.body, j.held, j.bodyRead = body, held, true
 		return nil
 	case errors.Is(err, intake.ErrTooLarge):
--- a/internal/transport/intake/body.go
+++ b/internal/transport/intake/body.go
@@ -63,7 +63,11 @@
 	// An error shows with the first read.
 	_ = control.SetReadDeadline(deadline)
 	body, held, err := g.ReadBody(r.Body, r.ContentLength, limit, func() { _ = control.SetReadDeadline(interrupted) })
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case err == nil:
+		// net/http goes on reading to notice that the client leaves, and would take the end of the deadline for that.
+		_ = control.SetReadDeadline(time.Time{})
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		err = ErrLate
 	}
 	return body, held, err
