Count peers' frames, and test slow readers

Cause: frames of peers were held outside the byte account, and no test covered clients that stop reading.

Change: frames over 4 KB count while they are handled; callers give way to them, and they are never refused. TestSlowReaders and TestCountedFrames are new.

--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -26,6 +26,8 @@
 	ReadReply(r io.Reader, length, limit int64) (body []byte, whole bool, held *intake.Held, err error)
 	// HoldStream counts bytes of a stream in progress. The caller releases them.
 	HoldStream(n int64) *intake.Held
+	// CountFrame counts the bytes of a peer's frame or, if n is negative, returns them.
+	CountFrame(n int64)
 	Used(u memory.Use) int64
 	Connections() int
 }
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -169,7 +169,9 @@
 // listen opens the port for peers.
 func (m *members) listen(secret []byte) {
 	n := m.node
-	network := peers.New(peers.Config{Name: n.cfg.Name, Incarnation: n.incarnation, Address: n.cfg.Peers, Secret: secret}, (*handler)(n))
+	network := peers.New(peers.Config{
+		Name: n.cfg.Name, Incarnation: n.incarnation, Address: n.cfg.Peers, Secret: secret, CountFrame: n.guard.CountFrame,
+	}, (*handler)(n))
 	if _, err := network.Listen(); err != nil {
 		// Without peers, every request is placed by this instance's own counts.
 		n.log.Warn(event.ListenerFailed, "failed to open the peer port; serving without peers", zap.Error(err))
--- a/internal/transport/intake/conn.go
+++ b/internal/transport/intake/conn.go
@@ -65,8 +65,8 @@
 	return c.guard.grow(c.headers, n)
 }
 
-// stallTimeout is how long a client may take none of the bytes that wait for it, and writeBytes is how many are offered to it at once: a
-// client that takes 1 KB/s isn't cut off.
+// stallTimeout is how long a client may take none of the bytes that wait for it, and writeBytes is how many are offered to it at once. The kernel
+// shows progress only once a part of its buffer is free again.
 const (
 	stallTimeout = 20 * time.Second
 	writeBytes   = 16 << 10
@@ -76,7 +76,7 @@
 func (c *conn) Write(b []byte) (int, error) {
 	written := 0
 	for {
-		if err := c.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
+		if err := c.SetWriteDeadline(time.Now().Add(c.guard.stall)); err != nil {
 			return written, err //nolint:wrapcheck // net/http checks the errors of connections.
 		}
 		n, err := c.Conn.Write(b[written:min(len(b), written+writeBytes)])
--- a/internal/transport/intake/guard.go
+++ b/internal/transport/intake/guard.go
@@ -28,6 +28,8 @@
 type Limits struct {
 	Connections int
 	Bytes       int64
+	// Stall is how long a client may take none of the bytes that wait for it. Zero stands for 20 s.
+	Stall time.Duration
 }
 
 // DefaultLimits derives limits from the process's memory in MB, its limit of descriptors, and the largest body that must be served when there
@@ -78,15 +80,36 @@
 type Guard struct {
 	// count counts connections that were closed and requests that were refused, by reason.
 	count func(reason string)
+	stall time.Duration
 
 	mu          sync.Mutex
 	account     *memory.Account
 	connections *memory.Connections
+	// frames is held for frames of peers.
+	frames *memory.Charge
 }
 
 // New returns a guard. count is called for each connection that is closed and each request that is refused, with one of Reasons.
 func New(l Limits, count func(reason string)) *Guard {
-	return &Guard{count: count, account: memory.NewAccount(l.Bytes), connections: memory.NewConnections(l.Connections)}
+	if l.Stall == 0 {
+		l.Stall = stallTimeout
+	}
+	g := &Guard{count: count, stall: l.Stall, account: memory.NewAccount(l.Bytes), connections: memory.NewConnections(l.Connections)}
+	g.frames = g.account.Open(memory.Frames, nil)
+	return g
+}
+
+// CountFrame counts the bytes of a peer's frame or, if n is negative, returns them. Frames aren't refused, but callers give way to them.
+func (g *Guard) CountFrame(n int64) {
+	g.mu.Lock()
+	var evicted []*memory.Charge
+	if n < 0 {
+		g.account.Shrink(g.frames, -n)
+	} else {
+		evicted = g.account.Take(g.frames, n)
+	}
+	g.mu.Unlock()
+	g.evict(evicted)
 }
 
 // Used returns the bytes held for a use.
--- a/internal/transport/intake/intake_test.go
+++ b/internal/transport/intake/intake_test.go
@@ -113,6 +113,14 @@
 			}
 			So(g.Used(memory.Bodies), ShouldEqual, 0)
 		})
+		Convey("counts peers' frames", func() {
+			g.CountFrame(1000)
+			g.CountFrame(500)
+			So(g.Used(memory.Frames), ShouldEqual, 1500)
+			g.CountFrame(-1000)
+			g.CountFrame(-500)
+			So(g.Used(memory.Frames), ShouldEqual, 0)
+		})
 		Convey("refuses a body that finds no room", func() {
 			_, _, err := g.ReadBody(bytes.NewReader(make([]byte, 1<<20)), -1, maxBody, func() {})
 			So(errors.Is(err, intake.ErrNoMemory), ShouldBeTrue)
@@ -214,3 +222,39 @@
 		})
 	})
 }
+
+// Guards against clients that take no answer and hold it for ever, and against a bound that cuts off slow clients for the length of an answer.
+func TestSlowReaders(t *testing.T) {
+	Convey("a server whose clients may stall for 500 ms", t, func() {
+		g := intake.New(intake.Limits{Connections: 9, Bytes: 1 << 20, Stall: 500 * time.Millisecond}, func(string) {})
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		const size = 4 << 20
+		failed := make(chan error, 2)
+		server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, err := w.Write(make([]byte, size))
+			failed <- err
+		})}
+		go func() { _ = server.Serve(g.Protect(inner, server)) }()
+		Reset(func() { _ = server.Close() })
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		So(err, ShouldBeNil)
+		Reset(func() { _ = conn.Close() })
+		_, err = io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
+		So(err, ShouldBeNil)
+
+		Convey("disconnects one that reads nothing", func() { So(<-failed, ShouldNotBeNil) })
+		Convey("serves one that reads for longer than that", func() {
+			total := 0
+			for b := make([]byte, size/20); ; time.Sleep(50 * time.Millisecond) {
+				n, err := io.ReadFull(conn, b)
+				total += n
+				if err != nil {
+					break
+				}
+			}
+			So(total, ShouldBeGreaterThan, size)
+			So(<-failed, ShouldBeNil)
+		})
+	})
+}
--- a/internal/transport/peers/network.go
+++ b/internal/transport/peers/network.go
@@ -37,8 +37,14 @@
 	Secret      []byte
 	// Blocked reports whether traffic with the named peer is blocked, for partition tests. If nil, no peer is blocked.
 	Blocked func(name string) bool
+	// CountFrame is called with the length of a large frame before it is handled, and with the negative length after. If nil, frames aren't
+	// counted.
+	CountFrame func(n int64)
 }
 
+// minCountedFrame is the shortest frame that is counted: those of placements are shorter, and far more frequent.
+const minCountedFrame = 4 << 10
+
 const (
 	dialTimeout = time.Second
 	// redialDelay is the minimum time between a failed attempt to connect to an address and the next one.
@@ -79,6 +85,9 @@
 	if cfg.Blocked == nil {
 		cfg.Blocked = func(string) bool { return false }
 	}
+	if cfg.CountFrame == nil {
+		cfg.CountFrame = func(int64) {}
+	}
 	return &Network{
 		cfg:       cfg,
 		id:        identity{name: cfg.Name, incarnation: cfg.Incarnation, secret: cfg.Secret},
@@ -178,6 +187,10 @@
 		}
 		go func() {
 			defer func() { <-n.callSlots }()
+			if size := int64(len(f.Body)); size >= minCountedFrame {
+				n.cfg.CountFrame(size)
+				defer n.cfg.CountFrame(-size)
+			}
 			n.handleFrame(ctx, c, f)
 		}()
 	}
--- a/internal/transport/peers/network_test.go
+++ b/internal/transport/peers/network_test.go
@@ -131,6 +131,27 @@
 	})
 }
 
+// Frames that are counted and not returned would leave no memory for callers in time.
+func TestCountedFrames(t *testing.T) {
+	Convey("a large frame is counted while it is handled, and a small one isn't", t, func() {
+		counts := make(chan int64, 10)
+		b := peers.New(peers.Config{
+			Name: "b", Incarnation: "b#1", Address: "127.0.0.1:0", Secret: []byte("secret"), CountFrame: func(n int64) { counts <- n },
+		}, answerer{})
+		address, err := b.Listen()
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		Reset(cancel)
+		go b.Run(ctx)
+		a, _ := startNetwork("a")
+		So(a.Call(ctx, "b", address, peer.KindPlace, peer.Empty{}, &peer.Empty{}), ShouldBeNil)
+		So(a.Call(ctx, "b", address, peer.KindPlace, make([]byte, 5000), &peer.Empty{}), ShouldBeNil)
+		size := <-counts
+		So(size, ShouldBeGreaterThanOrEqualTo, 5000)
+		So(<-counts, ShouldEqual, -size)
+	})
+}
+
 // shortListener fails a number of accepts for lack of descriptors.
 type shortListener struct {
 	net.Listener
