Tell the leader of requests that were placed without it once it answers again

Cause: an entry that the leader didn't answer in time places alone, and the leader, which stays the same, never heard of these requests. With processor time counted, more placements time out than without, and engines were still overfilled. Change: such requests are reported with the next answer of the leader.

--- a/internal/coordination/inflight/table.go
+++ b/internal/coordination/inflight/table.go
@@ -27,12 +27,15 @@
 //	event                                      response
 //	another instance becomes the leader        it is told of all running requests, and from then on of their progress
 //	the leader has lost what it was told       the same again
+//	requests were placed without the leader    it is told of them once it answers again
 //	a request ends while the leader is told    its end is sent once more afterwards, since it may have overtaken the report
 type Table struct {
 	runs map[uint64]*Run
 	// reporting is true while a report is on its way, and ended holds the requests that have ended meanwhile.
 	reporting bool
 	ended     []Run
+	// placedAlone is true if requests were placed by this instance since the last report began.
+	placedAlone bool
 }
 
 // NewTable returns an empty table.
@@ -41,8 +44,12 @@
 // Placed records a request that an owner has placed; an empty owner is this instance.
 func (t *Table) Placed(req *placement.Request, choice *placement.Choice, owner string) {
 	t.runs[req.ID.Number] = &Run{Request: *req, Choice: *choice, owners: []string{owner}}
+	t.placedAlone = t.placedAlone || owner == ""
 }
 
+// ReportDue reports whether a leader that is another instance has to be told of requests that were placed without it.
+func (t *Table) ReportDue() bool { return t.placedAlone && !t.reporting }
+
 // FirstEvent records a request's first event, and returns the instances that count the request.
 func (t *Table) FirstEvent(number uint64) []string {
 	r := t.runs[number]
@@ -72,7 +79,7 @@
 	if t.reporting {
 		return nil
 	}
-	t.reporting = true
+	t.reporting, t.placedAlone = true, false
 	list := make([]Run, 0, len(t.runs))
 	for _, r := range t.runs {
 		known := slices.Contains(r.owners, owner)
--- a/internal/coordination/inflight/table_test.go
+++ b/internal/coordination/inflight/table_test.go
@@ -38,6 +38,17 @@
 		Convey("are all reported to a leader that has lost what it knew", func() {
 			So(numbers(table.BeginReport("b", true)), ShouldResemble, []uint64{1, 2, 3})
 		})
+		Convey("that were placed without the leader are due to be reported, once", func() {
+			So(table.ReportDue(), ShouldBeTrue)
+			table.BeginReport("b", false)
+			table.EndReport()
+			So(table.ReportDue(), ShouldBeFalse)
+			place(4, "b")
+			So(table.ReportDue(), ShouldBeFalse)
+			place(5, "")
+			So(table.ReportDue(), ShouldBeTrue)
+			So(numbers(table.BeginReport("b", false)), ShouldResemble, []uint64{5})
+		})
 		Convey("are reported to one leader at a time", func() {
 			table.BeginReport("b", false)
 			So(table.BeginReport("c", false), ShouldBeNil)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -214,8 +214,8 @@
 	if err != nil {
 		return placement.Choice{}, err
 	}
-	if placed.ReportRunning {
-		n.wg.Go(func() { n.running.Report(n.background, name, true) })
+	if all := placed.ReportRunning; all || n.running.ReportDue() {
+		n.wg.Go(func() { n.running.Report(n.background, name, all) })
 	}
 	switch placed.Verdict {
 	case peer.VerdictPlaced:
--- a/internal/loadsync/reporter.go
+++ b/internal/loadsync/reporter.go
@@ -80,6 +80,13 @@
 	})
 }
 
+// ReportDue reports whether a leader that is another instance has to be told of requests that were placed without it.
+func (r *Reporter) ReportDue() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.ReportDue()
+}
+
 // Report tells a leader of the running requests that it hasn't placed and hasn't been told of. If it has lost what it knew, all is true.
 func (r *Reporter) Report(ctx context.Context, leader string, all bool) {
 	owner := leader
