--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -66,7 +66,8 @@
 	return changed
 }
 
-// activate puts a list into effect that was current at the instant readAt, and reports whether the set of usable endpoints changed; a nil list is one without changes.
+// activate puts a list into effect that was current at the instant readAt, and reports whether the set of usable endpoints changed; a nil list
+// is one without changes.
 func (d *discovery) activate(readAt clock.Instant, revision kv.Revision, list []*registration.Registration) bool {
 	n := d.node
 	d.mu.Lock()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -117,8 +117,8 @@
 	return peer.RunningReply{Adopted: adopted}
 }
 
-// placeReply returns the reply to a placement request that was received at an instant. With older weights it carries what is known here of the announcement of newer ones,
-// which may be more than the requesting instance knows.
+// placeReply returns the reply to a placement request that was received at an instant. With older weights it carries what is known here of the
+// announcement of newer ones, which may be more than the requesting instance knows.
 func (h *handler) placeReply(received clock.Instant, req *placement.Request, choice placement.Choice, err error) peer.PlaceReply {
 	reply := toPlaceReply(choice, err)
 	if reply.Verdict == peer.VerdictPlaced {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -306,9 +306,8 @@
 	maxWithdrawals = 8
 )
 
-// withdraw prepares a request for another placement after its endpoint has turned out to want no requests, or its zone is
-// evacuated or outside the allowed regions. That is no attempt, since nothing
-// was sent.
+// withdraw prepares a request for another placement after its endpoint has turned out to want no requests, or its zone is evacuated or outside
+// the allowed regions. That is no attempt, since nothing was sent.
 func (j *job) withdraw(ctx context.Context, choice *placement.Choice) *refusal {
 	n := j.node
 	n.log.Info(event.AttemptFailed, "placement withdrawn", zap.String("request", j.head.ID), zap.String("endpoint", choice.Endpoint),
--- a/internal/metric/hosted.go
+++ b/internal/metric/hosted.go
@@ -78,7 +78,8 @@
 			counterOpts("evacuation_withdrawals_total", "Placements given up before the request was sent, since the endpoint's zone is evacuated.")),
 	}
 	s.Registry.MustRegister(s.Requests, s.Latency, s.FirstEvent, s.Attempts, s.PromptTokens, s.Placements, s.StoreCalls, s.Orders, s.Dials,
-		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.Cold, s.ColdDeferred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.PredictedGap, s.Settings, s.Reloads,
+		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.Cold, s.ColdDeferred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.PredictedGap,
+		s.Settings, s.Reloads,
 		s.Evacuated, s.EvacuatedRunning, s.EvacuationWithdrawals, s.Held, s.Connections, s.Intake)
 	return s
 }
