Log where an adopted configuration came from, and what a relay distributes

310 names the source and the age of the data when it was adopted. The new 317 shows, each 5 s, what a relay has read, how long that took until the operator's items were in force, and how many replies with how many items and bytes it has sent. No decision reads these figures.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -63,6 +63,7 @@
 	TableUnconfirmed        Number = 314
 	StoreRestored           Number = 315
 	ZoneEvacuationChanged   Number = 316
+	UpdatesDistributed      Number = 317
 	RegistrationChanged     Number = 410
 	RegistrationInvalid     Number = 411
 	EndpointUnresponsive    Number = 412
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -100,8 +100,17 @@
 	return c.node.confirmation.SentAt()
 }
 
+// store is the source of items that this instance has read itself.
+const store = "store"
+
+// origin is where items come from: the store or a peer, and when its data was requested.
+type origin struct {
+	source string
+	readAt clock.Instant
+}
+
 // apply applies items that are newer than those held, and reports whether there were any.
-func (c *configuration) apply(items []kv.Item) bool {
+func (c *configuration) apply(from origin, items []kv.Item) bool {
 	schema := c.node.deps.Schema
 	// Read before anything is recorded.
 	announcedAfter := c.announcedAfter(clock.Now())
@@ -119,7 +128,7 @@
 		switch {
 		case item.Deleted:
 		case schema.IsConfiguration(item.Key):
-			c.adopt(item)
+			c.adopt(from, item)
 		case schema.IsTargetVersion(item.Key):
 			c.adoptTargetVersion(item, announcedAfter)
 		}
@@ -216,6 +225,7 @@
 		return nil
 	}
 	schema := c.node.deps.Schema
+	sent := clock.Now()
 	list, err := c.node.deps.Store.Watch(ctx, schema.OperatorPrefix(), after, historyWait)
 	c.node.countStoreCall("history", err)
 	if err != nil {
@@ -225,7 +235,7 @@
 	for _, item := range list.Items {
 		reached = reached || schema.IsConfiguration(item.Key) && item.Revision == until
 	}
-	c.apply(list.Items)
+	c.apply(origin{store, sent}, list.Items)
 	if !reached {
 		return fmt.Errorf("%w: history lacks revision %d", errHistoryGap, until.Number())
 	}
@@ -236,7 +246,7 @@
 }
 
 // adopt activates a newer configuration; an older or undecodable one changes nothing.
-func (c *configuration) adopt(item kv.Item) {
+func (c *configuration) adopt(from origin, item kv.Item) {
 	n := c.node
 	current := n.table.Load()
 	table, err := n.deps.Schema.Configuration(item)
@@ -267,7 +277,8 @@
 	n.metrics.TableVersion.Set(float64(table.Version))
 	size := table.Size()
 	n.log.Info(event.TableAdopted, "configuration adopted", zap.Uint64("table", table.Version), zap.Uint64("revision", item.Revision.Number()),
-		zap.Int("routes", size.Routes), zap.Int("keys", size.Keys), zap.Int("workspaces", size.Workspaces))
+		zap.Int("routes", size.Routes), zap.Int("keys", size.Keys), zap.Int("workspaces", size.Workspaces), zap.String("source", from.source),
+		zap.Int64("read_ms", clock.Now().Sub(from.readAt).Milliseconds()))
 }
 
 // recordUndecodable records a configuration that couldn't be decoded; the caller holds the lock. If it was written again to a restored store,
@@ -327,11 +338,11 @@
 }
 
 // applyRelayed applies what a relay knows of the operator's writes; its ages hold as of the given instant or later.
-func (c *configuration) applyRelayed(asOf clock.Instant, update *peer.SyncReply) {
+func (c *configuration) applyRelayed(relay string, asOf clock.Instant, update *peer.SyncReply) {
 	now := clock.Now()
 	// The relay applies what the operator wrote before it has read all registrations.
 	c.recordEra(now, max(kv.Revision(update.OperatorRevision).Era(), kv.Revision(update.RegistrationsRevision).Era()))
-	c.apply(fromPeerItems(update.OperatorItems))
+	c.apply(origin{relay, asOf.Add(-update.ConfirmAge)}, fromPeerItems(update.OperatorItems))
 	c.mu.Lock()
 	complete, outdated := kv.Revision(update.OperatorRevision) >= c.newest, c.outdated || now.Before(c.askBy)
 	if complete && !update.Uncertain {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -240,6 +240,16 @@
 	return m.lastLeaderRecord.Name
 }
 
+// bytesSent returns the bytes sent to peers since the start.
+func (m *members) bytesSent() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.network == nil {
+		return 0
+	}
+	return m.network.Traffic.BytesOut.Load()
+}
+
 // relayCandidates returns the names of the zone's instances with the widest links and, among these, the largest processor share.
 func (m *members) relayCandidates(zone string) []string {
 	m.mu.Lock()
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -55,6 +55,7 @@
 	poller        *storePoller
 	relay         *relay
 	catchUp       *catchUp
+	distribution  *distribution
 	leaderBackoff leaderBackoff
 	dispatchDelay *dispatchDelay
 	handOver      *handOver
@@ -93,6 +94,7 @@
 	n.follower = &follower{node: n}
 	n.relay = newRelay(n)
 	n.catchUp = newCatchUp(n)
+	n.distribution = &distribution{node: n}
 	n.poller = newStorePoller(n)
 	n.rollout = newWeightRollout(n)
 	n.dispatchDelay = newDispatchDelay(n)
@@ -128,7 +130,7 @@
 	for _, task := range []func(context.Context){
 		n.poller.run, n.members.renew, n.relay.run, n.catchUp.run, n.placer.run, n.leadership.run, n.follower.run, n.follower.freeStores,
 		n.follower.logUsage, n.rollout.run, n.blocks.run, n.watchReadiness, n.sweep,
-		n.dispatchDelay.run, n.handOver.run,
+		n.dispatchDelay.run, n.handOver.run, n.distribution.run,
 	} {
 		n.wg.Go(func() { task(background) })
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -209,7 +209,7 @@
 		}
 		return syncFailed
 	}
-	n.configuration.applyRelayed(asOf, &update)
+	n.configuration.applyRelayed(name, asOf, &update)
 	n.learnTargetVersions(asOf, name, update.TargetVersions)
 	n.discovery.applyRelayed(asOf, &update)
 	if update.SystemKeys != nil {
@@ -284,6 +284,7 @@
 	if !query.Eras {
 		removeEras(&update)
 	}
+	n.distribution.recordReply(&update)
 	return update
 }
 
--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -139,6 +139,7 @@
 	var items storeItems
 	var revision kv.Revision
 	var joinErr error
+	var front time.Duration
 	for after, applied := "", false; ; {
 		page, err := s.readPage(ctx, after)
 		if err != nil {
@@ -157,6 +158,7 @@
 			applied = true
 			// An entry that fails to register can serve nonetheless.
 			joinErr = s.applyFront(ctx, sent, revision, &items)
+			front = clock.Now().Sub(sent)
 		}
 		if after == "" {
 			break
@@ -167,6 +169,7 @@
 	}
 	n.discovery.applyListing(sent, revision, items.registrations)
 	n.relay.publish()
+	n.distribution.recordRead(front, clock.Now().Sub(sent))
 	return joinErr
 }
 
@@ -223,7 +226,7 @@
 	n.configuration.recordEra(clock.Now(), revision.Era())
 	// Evacuations come first: with a configuration that is in force, requests are sent.
 	changed := n.evacuations.applyListing(sent, revision, items.operator)
-	changed = n.configuration.apply(items.operator) || changed
+	changed = n.configuration.apply(origin{store, sent}, items.operator) || changed
 	s.confirmConfiguration(ctx, sent, items.operator)
 	if n.members.apply(revision, items.own) || changed {
 		n.relay.publish()
