Apply what a relay has read of the operator's though its registrations are outdated

A reply of a relay whose registrations were too old was dropped as a whole, with a configuration that had been read a moment before.

The operator's items, their confirmation, target versions and the system's keys each have their own age or revision and are applied first; the age of the registrations decides only whether the relay replaces reads of the entry's own. TestConfigurationDroppedWithOutdatedRegistrations failed before: the route wasn't in use after 6 s.

--- a/internal/gateway/busy_store_test.go
+++ b/internal/gateway/busy_store_test.go
@@ -9,8 +9,10 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/settings"
 	"gypsumvale/internal/standin/hosted"
+	"gypsumvale/internal/state/kv"
 )
 
 // Guards against entries that keep the store busy with their own reads, so that no relay can read it in time.
@@ -56,3 +58,32 @@
 		})
 	})
 }
+
+// Guards against a configuration that is dropped since the relay's registrations are outdated.
+func TestConfigurationDroppedWithOutdatedRegistrations(t *testing.T) {
+	Convey("an entry uses the configuration that its relay has read, though the relay has not read all registrations in time", t, func() {
+		s := startSite(1)
+		relay := s.addRelay()
+		at := func(number uint64) kv.Revision {
+			revision, err := kv.NewRevision(1, number)
+			So(err, ShouldBeNil)
+			return revision
+		}
+		relay.set(true, at(1000), at(1000))
+		time.Sleep(time.Second)
+		s.store.SetFault(hosted.StoreFault{Silent: true})
+		spec := defaultSpec()
+		spec.Version = 9
+		spec.Routes = append(spec.Routes, hosted.Route{
+			Name: "new", Hostname: testHost, PathPrefix: "/read/new/", Type: "idempotent", Backend: "llm", TimeoutMs: 2000, MaxAttempts: 1, Public: true,
+		})
+		s.putConfiguration(spec)
+		relay.set(true, at(1001), at(1000), peer.Item{Key: "op/config", Data: s.store.Value("op/config"), Revision: uint64(at(1001))})
+		relay.mu.Lock()
+		relay.reply.Age = time.Minute
+		relay.mu.Unlock()
+		eventually("the new route is in use", func() bool {
+			return strings.HasPrefix(s.call(s.entries[0], http.MethodGet, "/read/new/", "").header.Get("Response-Seal"), "llm")
+		})
+	})
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -214,6 +214,15 @@
 		// The relay has not read the store since it was restored from a copy.
 		return syncFailed
 	}
+	// What the operator wrote is read first, and may be current while the registrations are outdated.
+	n.configuration.applyRelayed(name, asOf, &update)
+	n.learnTargetVersions(asOf, name, update.TargetVersions)
+	if update.SystemKeys != nil {
+		n.members.apply(kv.Revision(update.Revision), fromPeerItems(update.SystemKeys))
+	}
+	r.mu.Lock()
+	r.lastRun, r.lastSeen = update.Run, update.Seen
+	r.mu.Unlock()
 	maxAge := r.limits().MaxAge(update.ReadsStore)
 	if update.Age > maxAge {
 		if update.ReadsStore {
@@ -221,14 +230,8 @@
 		}
 		return syncOutdated
 	}
-	n.configuration.applyRelayed(name, asOf, &update)
-	n.learnTargetVersions(asOf, name, update.TargetVersions)
 	n.discovery.applyRelayed(asOf, &update)
-	if update.SystemKeys != nil {
-		n.members.apply(kv.Revision(update.Revision), fromPeerItems(update.SystemKeys))
-	}
 	r.mu.Lock()
-	r.lastRun, r.lastSeen = update.Run, update.Seen
 	r.source.RecordData(asOf.Add(-update.Age), maxAge)
 	r.mu.Unlock()
 	return syncDone
