Answer 404 and 401 only by a configuration that is confirmed within its own bound

Callers got 404 for a route whose configuration was overdue, and don't come again after it: no code knew the bound within which a configuration has to be in force. A path without a route and an unknown key were judged by the bound for revocations (5 s), while a configuration may be due after 2 or 3 s (by reading; it turns each delay of the distribution into a false final answer).

Beyond it these callers get 503 with Retry-After; requests that the held configuration allows are served as before, since zones that are cut off go on serving. TestFinalAnswersOfUnconfirmedConfiguration failed before: 404 for 503.

--- a/internal/gateway/busy_store_test.go
+++ b/internal/gateway/busy_store_test.go
@@ -87,3 +87,27 @@
 		})
 	})
 }
+
+// Guards against answers that callers take as final from a configuration that should have been replaced by now.
+func TestFinalAnswersOfUnconfirmedConfiguration(t *testing.T) {
+	Convey("an entry that can't confirm its configuration within the time that a newer one may take", t, func() {
+		s := startSite(0)
+		e := s.addEntryWith(func(cfg *settings.Hosted) {
+			cfg.MaxApplyDelay, cfg.MaxLeavingDelay, cfg.MaxRevocationDelay = time.Second, time.Second, 10*time.Second
+		})
+		e.expectReady(true)
+		s.expectRefused(s.call(e, http.MethodGet, "/none/", ""), http.StatusNotFound, 0)
+		s.expectRefused(s.call(e, http.MethodGet, "/read/", "", "Credential", "unknown"), http.StatusUnauthorized, 0)
+		s.store.SetFault(hosted.StoreFault{Silent: true})
+		time.Sleep(e.cfg.MaxApplyDelay)
+		Convey("sends callers whose path or key it doesn't know away for a moment, and serves the others", func() {
+			for _, refused := range []response{
+				s.call(e, http.MethodGet, "/none/", ""), s.call(e, http.MethodGet, "/read/", "", "Credential", "unknown"),
+			} {
+				s.expectRefused(refused, http.StatusServiceUnavailable, 0)
+				So(refused.header.Get("Retry-After"), ShouldNotBeEmpty)
+			}
+			s.expectAnswered(s.call(e, http.MethodGet, "/read/", ""))
+		})
+	})
+}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -190,6 +190,12 @@
 	return n.confirmation.Age(now) < n.bounds.Load().MaxRevocationDelay-revocationMargin
 }
 
+// configurationComplete reports whether the configuration held here has everything that must be in force by now. If it hasn't, a newer one may
+// have the route or the key that it lacks.
+func (n *Node) configurationComplete(now clock.Instant) bool {
+	return n.confirmation.Age(now) < n.bounds.Load().MaxApplyDelay && n.configurationFresh(now)
+}
+
 func (n *Node) sweep(ctx context.Context) {
 	duty.Every(ctx, sweepPeriod, func(context.Context) {
 		now := clock.Now()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -134,8 +134,7 @@
 	path, _, _ := strings.Cut(j.target, "?")
 	j.route = j.table.Match(j.r.Host, path)
 	if j.route == nil {
-		if !n.configurationFresh(j.arrived) {
-			// A newer configuration may contain this route.
+		if !n.configurationComplete(j.arrived) {
 			return unavailable("configuration_unconfirmed", j.arrived.Add(shortRetryDelay))
 		}
 		return &refusal{http.StatusNotFound, "no_route", 0}
@@ -159,6 +158,9 @@
 	if !n.configurationFresh(now) {
 		return unavailable("configuration_unconfirmed", now.Add(shortRetryDelay))
 	}
+	if j.workspace == nil && !n.configurationComplete(now) {
+		return unavailable("configuration_unconfirmed", now.Add(shortRetryDelay))
+	}
 	if j.workspace == nil {
 		return &refusal{http.StatusUnauthorized, "unknown_key", 0}
 	}
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -153,7 +153,7 @@
 		Name: fmt.Sprintf("entry-%d", len(s.entries)), Zone: "plateau", Callers: freeAddress(), Readiness: freeAddress(), Peers: peers, Advertise: peers,
 		Store: s.server.Listener.Addr().String(), PrefillRate: 60000, MemoryMB: 128, CPUCores: 1,
 		Bounds: settings.Bounds{
-			MaxRevocationDelay: 1500 * time.Millisecond, MaxLeavingDelay: time.Second, StopTimeout: time.Second,
+			MaxRevocationDelay: 1500 * time.Millisecond, MaxApplyDelay: time.Second, MaxLeavingDelay: time.Second, StopTimeout: time.Second,
 			Lease: time.Second, OldWeightsGrace: 8 * time.Second, RetryShare: 0.2, RetryReserve: 1000, MaxLoads: 2,
 		},
 	}
--- a/internal/gateway/workspace.go
+++ b/internal/gateway/workspace.go
@@ -18,7 +18,8 @@
 //	from the configuration                            on a public route
 //	workspace: name, priority, isolation of its       not used: no Tenant-Id is sent, the route's own priority applies, there is no isolation
 //	cache; its name in the request's digest           key; a placement made with the workspace is given up, and the request placed anew
-//	no route for a path                               refused with 503 instead of 404, since a newer configuration may have the route
+//	no route for a path                               refused with 503 instead of 404, since a newer configuration may have the route; so is
+//	                                                  an unknown key, and both already once the configuration is older than its own bound
 //	route: public, service, kind, attempts, timeout,  used as it is: public routes stay available while the store is down
 //	targets of latency, priority
 //	limits of bodies and header sections, services    used as they are, for the same reason
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -66,6 +66,8 @@
 type Bounds struct {
 	// MaxRevocationDelay is the longest time for which a key may still be accepted after it was revoked.
 	MaxRevocationDelay time.Duration
+	// MaxApplyDelay is the longest time until a configuration is in force after it was written.
+	MaxApplyDelay time.Duration
 	// MaxLeavingDelay is the longest time for which an endpoint may still receive new requests after it announced that it is leaving.
 	MaxLeavingDelay time.Duration
 	// StopTimeout is the time from the platform's stop signal until it kills the process.
@@ -159,6 +161,7 @@
 		Store:     r.address("platform", "store"),
 		Bounds: Bounds{
 			MaxRevocationDelay: r.duration("bounds", "revocation", time.Second, time.Hour, 5*time.Second),
+			MaxApplyDelay:      r.duration("bounds", "apply", 200*time.Millisecond, time.Hour, 3*time.Second),
 			MaxLeavingDelay:    r.duration("bounds", "leaving", 200*time.Millisecond, time.Minute, 2*time.Second),
 			StopTimeout:        r.duration("bounds", "grace", time.Second, 10*time.Minute, 8*time.Second),
 			Lease:              r.duration("bounds", "lease", time.Second, time.Minute, 3*time.Second),
