Log the software version of endpoints, and which stream a request takes up

No decision reads these. Registrations without a version count as one that is unnamed. The digests of registrations stay as they are: a version changes only with a restart, and instances of earlier releases must get the same sums.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,6 +46,7 @@
 	j.barred, j.paused, j.lapsed = nil, false, false
 	j.trace, j.answer = upstream.Trace{}, exchange.Reply{}
 	endpoint := j.node.incarnationOf(choice)
+	j.software = j.node.discovery.software(choice.Endpoint)
 	defer j.node.evacuations.begin(choice)()
 	resp, err := j.send(watchedCtx, choice, endpoint)
 	if reason := withheld(err); reason != nil {
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -197,3 +197,13 @@
 	}
 	return started
 }
+
+// software returns the version of an endpoint's software, or an empty string if the endpoint isn't registered.
+func (d *discovery) software(id string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r := d.view.Registration(id); r != nil {
+		return r.Software
+	}
+	return ""
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -65,6 +65,8 @@
 	lastEvent    int64
 	firstByteAt  clock.Instant
 	choice       placement.Choice
+	// software is the software version of the endpoint of the last attempt.
+	software string
 	// owner is the instance that placed the request, empty for this one, and placedAt is when it did.
 	owner    string
 	placedAt clock.Instant
@@ -390,9 +392,12 @@
 	}
 	n.metrics.Requests.WithLabelValues(kind, result).Inc()
 	n.metrics.Latency.WithLabelValues(kind).Observe(now.Sub(j.arrived).Seconds())
-	fields := make([]zap.Field, 0, 20)
+	fields := make([]zap.Field, 0, 23)
 	if j.head != nil {
 		fields = append(fields, zap.String("request", j.head.ID))
+		if j.head.LastEvent > 0 {
+			fields = append(fields, zap.String("resumes", j.head.Resumes), zap.Int64("last_event", j.head.LastEvent))
+		}
 	}
 	fields = append(fields, zap.String("result", result), zap.String("reason", reason), zap.Int("status", status),
 		zap.String("route", routeName), zap.Int64("ms", now.Sub(j.arrived).Milliseconds()))
@@ -404,7 +409,7 @@
 	}
 	if j.choice.Endpoint != "" {
 		fields = append(fields, zap.String("endpoint", j.choice.Endpoint), zap.Int("sends", j.attempts.Sends()),
-			zap.Int("runs", j.attempts.Runs()), zap.Int("weights", j.choice.Version), zap.Int("prompt", j.placementReq.Prompt),
+			zap.Int("runs", j.attempts.Runs()), zap.Int("weights", j.choice.Version), zap.String("software", j.software), zap.Int("prompt", j.placementReq.Prompt),
 			zap.Int("shared", j.placementReq.SharedTokens()), zap.Int("cached", j.choice.Cached), zap.Int("fetched", j.choice.Fetched),
 			zap.Int64("waited_ms", max(0, j.placedAt.Sub(j.arrived).Milliseconds())), zap.Int("priority", j.placementReq.Priority),
 			zap.Int64("expected_ms", j.choice.Expected.Milliseconds()), zap.Int64("first_ms", max(0, j.firstByteAt.Sub(j.arrived).Milliseconds())))
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -31,6 +31,8 @@
 	Parts []prompt.Part
 	// LastEvent is the number of the last event that the caller has received, or zero.
 	LastEvent int64
+	// Resumes is the identifier of the attempt that brought the first event of the stream that this request goes on with, or empty.
+	Resumes string
 	// Header holds the headers that are forwarded to the endpoint unchanged.
 	Header http.Header
 }
--- a/internal/state/registration/registration.go
+++ b/internal/state/registration/registration.go
@@ -16,6 +16,9 @@
 	Slots   int
 	// Leaving endpoints finish the requests that they run and get no new ones.
 	Leaving bool
+	// Software is the version of the endpoint's software, SoftwareUnnamed if its registration names none, or empty if it comes from an instance of
+	// an earlier release. It isn't part of the digests, since it changes only with a restart, and earlier releases don't know it.
+	Software string `msgpack:",omitempty"`
 	// Versions maps each model that the endpoint runs to its weight version.
 	Versions map[string]int
 	// StartMilli is the time of the endpoint's start, in Unix milliseconds. A new value means that the endpoint has lost all earlier state.
@@ -26,6 +29,9 @@
 	Warmups int `msgpack:",omitempty"`
 }
 
+// SoftwareUnnamed is the Software of a registration that names none. All of these count as one version.
+const SoftwareUnnamed = "unnamed"
+
 // WarmupUnknown is the WarmupTime of a registration that doesn't name it.
 const WarmupUnknown time.Duration = -1
 
