Let an entry that has just started read the store without pauses

An entry isn't ready before it has read all registrations once, and its reads fail while 300 read at once; each failure was followed by a pause of 5 s. Ruled out: a state that lasts, since entries do come back. Pauses now begin with the first complete read.

--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -137,7 +137,8 @@
 	}
 	started := clock.Now()
 	whole, err := s.pollAll(ctx)
-	if whole || err != nil {
+	if (whole || err != nil) && s.node.discovery.loaded.Load() {
+		// An entry that has just started serves nothing before its first read of all pages.
 		now := clock.Now()
 		s.node.relay.recordOwnRead(now, now.Sub(started))
 	}
