Let a stream go on only at the software version that began it

Cause: nothing read the version in an endpoint's registration, nor which stream a request takes up, so that placement went by cost alone.

A stream is identified by the attempt that brought its first event. Where it began is known to the entry that sent it and to the leader that placed it; entries tell new leaders. What is still unknown is rejected at once as not run, without a time to come back; it is never joined.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -205,7 +205,7 @@
 	for _, s := range p.endpointList {
 		p.checks++
 		switch {
-		case s.version[req.Model] < oldest || contains(req.Avoid, s.ID) || p.excluded(s.Zone, req):
+		case s.version[req.Model] < oldest || contains(req.Avoid, s.ID) || p.unfit(s, req):
 		case p.barred(now, s, req):
 			busy = busy || q != nil && !p.leaves(now, s)
 		case p.refusesCold(now, s, req):
@@ -245,14 +245,14 @@
 // available reports whether an endpoint is usable, takes requests of the entry, is not in a zone that is evacuated, in no allowed region or seems
 // unreachable from the caller's, is warm or admits another request, and has not named a limit that the request would exceed.
 func (p *Pool) available(now clock.Instant, s *endpointState, req *Request) bool {
-	return s.usable(now) && !p.excluded(s.Zone, req) && !p.barred(now, s, req) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone) &&
+	return s.usable(now) && !p.unfit(s, req) && !p.barred(now, s, req) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone) &&
 		!p.refusesCold(now, s, req) && !p.exceedsLimit(now, s, req)
 }
 
 // evaluate estimates the time to the first event on one endpoint, and the cost by which endpoints are compared.
 func (p *Pool) evaluate(now clock.Instant, s *endpointState, req *Request, home string, known int, meanErrorRate float64) candidate {
 	p.evaluations++
-	c := Choice{Endpoint: s.ID, Address: s.Address, Zone: s.Zone, StartMilli: s.StartMilli}
+	c := Choice{Endpoint: s.ID, Address: s.Address, Zone: s.Zone, StartMilli: s.StartMilli, Software: s.Software}
 	if p.engine == nil || req.Model == "" {
 		return p.evaluatePlain(now, s, req, c, meanErrorRate)
 	}
--- a/internal/coordination/placement/notices.go
+++ b/internal/coordination/placement/notices.go
@@ -39,7 +39,7 @@
 	p.checks += uint64(len(p.endpointList))
 	first := clock.Instant(0)
 	for _, s := range p.endpointList {
-		if s.version[req.Model] < oldest || contains(req.Avoid, s.ID) || p.excluded(s.Zone, req) {
+		if s.version[req.Model] < oldest || contains(req.Avoid, s.ID) || p.unfit(s, req) {
 			continue
 		}
 		switch reason, until := p.notice(now, s, req.ID.Entry); {
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -202,6 +202,15 @@
 	return a.req
 }
 
+// Assigned returns the request of an assignment and the software version of its endpoint, or nil if it is unknown or has ended.
+func (p *Pool) Assigned(id AssignmentID) (req *Request, software string) {
+	a := p.assignments[id]
+	if a == nil {
+		return nil, ""
+	}
+	return a.req, a.endpoint.Software
+}
+
 // Outcome is the outcome of an assignment.
 type Outcome uint8
 
--- a/internal/coordination/placement/throttle.go
+++ b/internal/coordination/placement/throttle.go
@@ -113,7 +113,7 @@
 	p.checks += uint64(len(p.endpointList))
 	for _, s := range p.endpointList {
 		e := p.limit(now, s)
-		if e == nil || s.version[req.Model] < oldest || contains(req.Avoid, s.ID) || p.excluded(s.Zone, req) || p.barred(now, s, req) {
+		if e == nil || s.version[req.Model] < oldest || contains(req.Avoid, s.ID) || p.unfit(s, req) || p.barred(now, s, req) {
 			continue
 		}
 		if at := e.NextAt(now, p.limitAuthority(now, s, e, req)); first == 0 || at.Before(first) {
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -49,6 +49,12 @@
 	Deadline clock.Instant
 	// Uncoordinated is true if this pool sees only part of the load, so that entries have to make consistent choices without coordination.
 	Uncoordinated bool `msgpack:"Alone"`
+	// Stream identifies the stream that the request begins or takes up, if another endpoint may go on with it, or is zero. TakesUp is true if the
+	// caller has events of it already.
+	Stream  uint64 `msgpack:",omitempty"`
+	TakesUp bool   `msgpack:",omitempty"`
+	// Software is the only software version whose endpoints may run the request, since they have begun its stream, or empty.
+	Software string `msgpack:",omitempty"`
 	// WarmOnly is true if the request must not be placed on a cold endpoint, since its entry is too slow to use such placements in time.
 	WarmOnly bool `msgpack:",omitempty"`
 }
@@ -78,6 +84,8 @@
 	Zone string `msgpack:",omitempty"`
 	// StartMilli identifies the endpoint's incarnation; zero if the instance that chose doesn't tell.
 	StartMilli int64 `msgpack:",omitempty"`
+	// Software is the endpoint's software version; empty if the instance that chose doesn't tell.
+	Software string `msgpack:",omitempty"`
 	// Version is the weight version that the endpoint is believed to run; zero for plain services.
 	Version int
 	// CacheSpace names the cache space that the request may use.
@@ -112,6 +120,20 @@
 // ErrSuspected is returned for a request that can't wait while another one shows whether engines crash on a part that both have.
 var ErrSuspected = errors.New("another request with a suspected part is being tried")
 
+// OriginError is returned for a request that takes up a stream of which it isn't known at which software version it began.
+type OriginError struct {
+	// Learning is true if that may soon be known.
+	Learning bool
+}
+
+// Error describes the reason.
+func (e *OriginError) Error() string {
+	if e.Learning {
+		return "the software version that began the stream isn't known yet"
+	}
+	return "the software version that began the stream isn't known"
+}
+
 // Suspicions knows on which parts of prompts engines crash.
 type Suspicions interface {
 	// Check reports whether a request with some shared parts must not run, and otherwise which of the parts are suspected.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,7 +46,7 @@
 	j.barred, j.paused, j.lapsed = nil, false, false
 	j.trace, j.answer = upstream.Trace{}, exchange.Reply{}
 	endpoint := j.node.incarnationOf(choice)
-	j.software = j.node.discovery.software(choice.Endpoint)
+	j.software = j.node.discovery.software(choice)
 	defer j.node.evacuations.begin(choice)()
 	resp, err := j.send(watchedCtx, choice, endpoint)
 	if reason := withheld(err); reason != nil {
@@ -235,11 +235,27 @@
 // recordFirstEvent records that the answer has begun.
 func (j *job) recordFirstEvent() {
 	j.begun = true
+	j.recordOrigin()
 	j.node.recordSignOfLife(j.node.incarnationOf(&j.choice), j.sentAt)
 	j.node.clearParts(&j.placementReq)
 	j.node.placer.reportFirstEvent(&j.placementReq, j.owner)
 }
 
+// recordOrigin records at which software version the request's stream goes on from here, wherever its next event comes from.
+func (j *job) recordOrigin() {
+	if j.placementReq.Stream == 0 {
+		return
+	}
+	j.node.origins.record(&j.placementReq, j.software, true)
+	j.placementReq.Software = j.software
+	if j.software == "" {
+		j.placementReq.Software = unknownSoftware
+	}
+}
+
+// unknownSoftware is the software version of no endpoint: a stream that began at an endpoint of unknown version goes on nowhere else.
+const unknownSoftware = "\x00unknown"
+
 // impliesNotRun reports whether callers read a status as a guarantee that the request has not run.
 func impliesNotRun(status int) bool {
 	switch status {
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -103,14 +103,14 @@
 // store is the source of items that this instance has read itself.
 const store = "store"
 
-// origin is where items come from: the store or a peer, and when its data was requested.
-type origin struct {
+// provenance is where items come from: the store or a peer, and when its data was requested.
+type provenance struct {
 	source string
 	readAt clock.Instant
 }
 
 // apply applies items that are newer than those held, and reports whether there were any.
-func (c *configuration) apply(from origin, items []kv.Item) bool {
+func (c *configuration) apply(from provenance, items []kv.Item) bool {
 	schema := c.node.deps.Schema
 	// Read before anything is recorded.
 	announcedAfter := c.announcedAfter(clock.Now())
@@ -235,7 +235,7 @@
 	for _, item := range list.Items {
 		reached = reached || schema.IsConfiguration(item.Key) && item.Revision == until
 	}
-	c.apply(origin{store, sent}, list.Items)
+	c.apply(provenance{store, sent}, list.Items)
 	if !reached {
 		return fmt.Errorf("%w: history lacks revision %d", errHistoryGap, until.Number())
 	}
@@ -246,7 +246,7 @@
 }
 
 // adopt activates a newer configuration; an older or undecodable one changes nothing.
-func (c *configuration) adopt(from origin, item kv.Item) {
+func (c *configuration) adopt(from provenance, item kv.Item) {
 	n := c.node
 	current := n.table.Load()
 	table, err := n.deps.Schema.Configuration(item)
@@ -342,7 +342,7 @@
 	now := clock.Now()
 	// The relay applies what the operator wrote before it has read all registrations.
 	c.recordEra(now, max(kv.Revision(update.OperatorRevision).Era(), kv.Revision(update.RegistrationsRevision).Era()))
-	c.apply(origin{relay, asOf.Add(-update.ConfirmAge)}, fromPeerItems(update.OperatorItems))
+	c.apply(provenance{relay, asOf.Add(-update.ConfirmAge)}, fromPeerItems(update.OperatorItems))
 	c.mu.Lock()
 	complete, outdated := kv.Revision(update.OperatorRevision) >= c.newest, c.outdated || now.Before(c.askBy)
 	if complete && !update.Uncertain {
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"gypsumvale/internal/coordination/placement"
 	"gypsumvale/internal/coordination/registry"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/protocol/peer"
@@ -198,12 +199,18 @@
 	return started
 }
 
-// software returns the version of an endpoint's software, or an empty string if the endpoint isn't registered.
-func (d *discovery) software(id string) string {
+// registration returns the registration of an endpoint, or nil.
+func (d *discovery) registration(id string) *registration.Registration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if r := d.view.Registration(id); r != nil {
-		return r.Software
+	return d.view.Registration(id)
+}
+
+// software returns the software version of an endpoint that is registered with the incarnation of a choice, or an empty string.
+func (d *discovery) software(choice *placement.Choice) string {
+	r := d.registration(choice.Endpoint)
+	if r == nil || choice.StartMilli != 0 && choice.StartMilli != r.StartMilli {
+		return choice.Software
 	}
-	return ""
+	return r.Software
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -112,6 +112,7 @@
 
 // adoptRunning counts a peer's running requests as load.
 func (h *handler) adoptRunning(from peer.Hello, msg *peer.RunningReport) peer.RunningReply {
+	h.origins.recordReported(msg.Streams)
 	adopted := h.placer.AdoptRunning(from.Incarnation, msg.Runs)
 	h.log.Info(event.RunningReported, "running requests adopted", zap.String("entry", from.Name), zap.Int("running", len(msg.Runs)),
 		zap.Int("adopted", adopted))
@@ -132,6 +133,7 @@
 // toPlaceReply converts the result of a placement to a message.
 func toPlaceReply(choice placement.Choice, err error) peer.PlaceReply {
 	var overload *placement.OverloadError
+	var unknown *placement.OriginError
 	switch {
 	case err == nil:
 		return peer.PlaceReply{Verdict: peer.VerdictPlaced, Choice: choice}
@@ -146,6 +148,8 @@
 		return peer.PlaceReply{Verdict: peer.VerdictNoEndpoint, ZonesEvacuated: errors.Is(err, placement.ErrZonesEvacuated)}
 	case errors.Is(err, placement.ErrBlocked):
 		return peer.PlaceReply{Verdict: peer.VerdictBlocked}
+	case errors.As(err, &unknown):
+		return peer.PlaceReply{Verdict: peer.VerdictOriginUnknown, Learning: unknown.Learning}
 	}
 	return peer.PlaceReply{Verdict: peer.VerdictNotOwner}
 }
@@ -237,6 +241,8 @@
 		return placement.Choice{}, placement.ErrNoEndpoint
 	case peer.VerdictBlocked:
 		return placement.Choice{}, placement.ErrBlocked
+	case peer.VerdictOriginUnknown:
+		return placement.Choice{}, &placement.OriginError{Learning: placed.Learning}
 	case peer.VerdictOverloaded:
 		return placement.Choice{}, &placement.OverloadError{
 			RetryAt: clock.Now().Add(placed.RetryAfter), Expected: placed.Expected, Paused: placed.Paused, Limited: placed.Limited,
--- a/internal/gateway/leadership.go
+++ b/internal/gateway/leadership.go
@@ -95,6 +95,12 @@
 	return l.fence, l.soleFrom, l.renewedAt.Add(leaderTTL)
 }
 
+// hasLedFor reports whether this instance has been the only leader for some time.
+func (l *leadership) hasLedFor(now clock.Instant, d time.Duration) bool {
+	_, since, _ := l.term()
+	return l.holdsLease(now) && now.Sub(since) >= d
+}
+
 func (l *leadership) run(ctx context.Context) {
 	duty.Every(ctx, electionPeriod, l.step)
 	l.release()
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -40,6 +40,7 @@
 	guard        callerGuard
 	placer       *placer
 	running      *loadsync.Reporter
+	origins      *origins
 	suspects     *suspects
 	notices      *notices
 	evacuations  *evacuations
@@ -79,7 +80,8 @@
 	n.upstreams = upstream.NewPool(n.metrics.Dials.Inc)
 	n.guard = newGuard(cfg, n.countIntake)
 	n.placer = newPlacer(n)
-	n.running = loadsync.New(cfg.Name, n.incarnation, log, n, n.placer)
+	n.origins = newOrigins(n)
+	n.running = loadsync.New(cfg.Name, n.incarnation, log, n, n.placer, n.origins)
 	n.suspects = newSuspects(cfg.Zone)
 	n.notices = newNotices(n)
 	n.evacuations = newEvacuations(n)
@@ -130,7 +132,7 @@
 	for _, task := range []func(context.Context){
 		n.poller.run, n.members.renew, n.relay.run, n.catchUp.run, n.placer.run, n.leadership.run, n.follower.run, n.follower.freeStores,
 		n.follower.logUsage, n.rollout.run, n.blocks.run, n.watchReadiness, n.sweep,
-		n.dispatchDelay.run, n.handOver.run, n.distribution.run,
+		n.dispatchDelay.run, n.handOver.run, n.distribution.run, n.origins.run,
 	} {
 		n.wg.Go(func() { task(background) })
 	}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -179,6 +179,7 @@
 }
 
 func (p *placer) applyEngineUpdates(c followedCache, updates *placement.CacheUpdate) {
+	p.node.origins.recordReads(c, updates.Events)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pool(c.service).ApplyCacheUpdate(clock.Now(), c.name, updates)
@@ -234,6 +235,7 @@
 
 // setEndpoints sets the endpoints as registered at the instant readAt.
 func (p *placer) setEndpoints(readAt clock.Instant, byService map[string][]*registration.Registration) {
+	p.node.origins.observe(byService)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.confirmedAt.Store(0)
@@ -256,8 +258,8 @@
 	// With its own number, a placement that was withdrawn and another one of the same request can't be taken for each other.
 	req.ID.Number = p.nextNumber()
 	leader := ""
-	if req.Model != "" || p.limits(req.Service) {
-		// Only the leader knows what all instances send to an endpoint that has named a limit.
+	if req.Model != "" || p.limits(req.Service) || req.TakesUp {
+		// Only the leader knows what all instances send to an endpoint that has named a limit, and where streams of other instances began.
 		leader = n.members.owner()
 	}
 	switch {
@@ -280,12 +282,16 @@
 		if !errors.Is(err, errNoOwner) {
 			n.leaderBackoff.record(leader, now, true)
 			n.metrics.Placements.WithLabelValues("peer").Inc()
-			if err != nil || !p.replaced(req, &choice) {
+			reason := "leader chose weights that have been replaced"
+			if err == nil && !goesOn(req, &choice) {
+				// A leader of an earlier release knows no software versions.
+				reason = "leader chose an endpoint that may not go on with the stream"
+			} else if err != nil || !p.replaced(req, &choice) {
 				return choice, leader, err
 			}
 			p.reportEnd(req, leader, assignmentEnd{outcome: placement.OutcomeWithdrawn})
-			n.log.Info(event.PlacementOwnerChanged, "leader chose weights that have been replaced", zap.String("leader", leader),
-				zap.String("endpoint", choice.Endpoint), zap.Int("weights", choice.Version))
+			n.log.Info(event.PlacementOwnerChanged, reason, zap.String("leader", leader), zap.String("endpoint", choice.Endpoint),
+				zap.Int("weights", choice.Version), zap.String("software", choice.Software))
 		} else if ctx.Err() == nil {
 			n.leaderBackoff.record(leader, now, false)
 			n.log.Info(event.PlacementOwnerChanged, "leader did not place the request", zap.String("leader", leader), zap.Error(err))
@@ -297,11 +303,22 @@
 	return choice, "", err
 }
 
+// goesOn reports whether the endpoint of a leader's choice may go on with the request's stream.
+func goesOn(req *placement.Request, choice *placement.Choice) bool {
+	if req.Software == "" {
+		return !req.TakesUp || choice.Software != ""
+	}
+	return choice.Software == req.Software
+}
+
 // placeLocally selects an endpoint from the state known here.
 func (p *placer) placeLocally(req *placement.Request) (placement.Choice, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Now()
+	if err := p.node.origins.resolve(req); err != nil {
+		return placement.Choice{}, fmt.Errorf("place on %s: %w", req.Service, err)
+	}
 	pool := p.pool(req.Service)
 	if !req.Uncoordinated {
 		pool.SetOwner(now, p.node.leadership.holdsLease(now))
@@ -500,6 +517,9 @@
 	now := clock.Now()
 	pool := p.pool(req.Service)
 	var cleared []string
+	if placed, software := pool.Assigned(req.ID); placed != nil {
+		p.node.origins.record(placed, software, false)
+	}
 	if placed := pool.FirstEvent(now, req.ID); placed != nil {
 		cleared = p.node.suspects.recordAnswer(placed.Service, prompt.IDs(placed.SharedParts()), now)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,6 +12,7 @@
 
 	"gypsumvale/internal/coordination/placement"
 	"gypsumvale/internal/coordination/retry"
+	"gypsumvale/internal/duty"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/protocol/exchange"
 	"gypsumvale/internal/protocol/peer"
@@ -198,6 +199,8 @@
 	}
 	j.placementReq.AllowedRegions = regions
 	j.placementReq.Service = j.service
+	j.placementReq.Stream = streamOf(j.route, j.head.ID, j.head.Resumes)
+	j.placementReq.TakesUp = j.placementReq.Stream != 0 && (j.head.LastEvent > 0 || j.head.Resumes != "")
 	if s := j.table.Services[j.service]; s != nil && s.Engine != nil && j.route.HasPrompt {
 		j.placementReq.Model = j.head.Model
 		j.placementReq.Parts = j.head.Parts
@@ -218,12 +221,23 @@
 	return nil
 }
 
+// place places the request. A take-up waits for a moment while a new leader learns where its stream began.
+func (j *job) place(ctx context.Context) (placement.Choice, string, error) {
+	for {
+		choice, owner, err := j.node.placer.place(ctx, &j.placementReq, j.withdrawals > maxGrantsWithdrawn)
+		var unknown *placement.OriginError
+		if !errors.As(err, &unknown) || !unknown.Learning || clock.Now().Sub(j.arrived) > originWait || !duty.Sleep(ctx, originRetryPause) {
+			return choice, owner, err
+		}
+	}
+}
+
 // run makes attempts until one returns the answer, or no further attempt is allowed.
 func (j *job) run() {
 	ctx, cancel := context.WithTimeout(j.r.Context(), max(0, j.deadline.Sub(j.arrived)))
 	defer cancel()
 	for {
-		choice, owner, err := j.node.placer.place(ctx, &j.placementReq, j.withdrawals > maxGrantsWithdrawn)
+		choice, owner, err := j.place(ctx)
 		if err != nil {
 			j.fail(ctx, j.refusalOf(err))
 			return
@@ -346,7 +360,13 @@
 
 func (j *job) refusalOf(err error) *refusal {
 	var overload *placement.OverloadError
+	var unknown *placement.OriginError
 	switch {
+	case errors.As(err, &unknown) && unknown.Learning:
+		return unavailable("stream_origin_unknown", clock.Now().Add(shortRetryDelay))
+	case errors.As(err, &unknown):
+		// No later attempt can go on with the stream either.
+		return unavailable("stream_origin_unknown", 0)
 	case errors.As(err, &overload) && overload.Paused:
 		return unavailable("endpoints_paused", overload.RetryAt)
 	case errors.As(err, &overload) && overload.Limited:
--- a/internal/gateway/running.go
+++ b/internal/gateway/running.go
@@ -38,6 +38,9 @@
 		if p.pool(req.Service).Adopt(now, req, &runs[i].Choice, runs[i].Begun) {
 			adopted++
 		}
+		if runs[i].Begun {
+			p.node.origins.record(req, runs[i].Choice.Software, false)
+		}
 	}
 	return adopted
 }
--- /dev/null
+++ b/internal/gateway/software_versions_test.go
@@ -0,0 +1,142 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumvale/internal/standin/hosted"
+)
+
+// brokenStream is a stream of which the caller has got some events.
+type brokenStream struct {
+	id, parts string
+	lastEvent int
+	// software is the version of the endpoint that sent the first event.
+	software string
+}
+
+// softwareOf returns the software version of an endpoint of startVersions.
+func softwareOf(endpoint string) string {
+	software, _, _ := strings.Cut(strings.TrimPrefix(endpoint, "llm-"), "-")
+	return software
+}
+
+// startVersions starts a site whose engines run two software versions, two engines each.
+func startVersions(entryCount int) *site {
+	s := newSite()
+	s.putConfiguration(defaultSpec())
+	for _, software := range []string{"v1", "v2"} {
+		for i := range 2 {
+			s.addEndpoint(hosted.EndpointConfig{
+				ID: fmt.Sprintf("llm-%s-%d", software, i), Service: "llm", Model: testModel, Version: 1, Software: software, Events: 6,
+				Work: 5 * time.Millisecond,
+			})
+		}
+	}
+	for range entryCount {
+		s.addEntry()
+	}
+	for _, e := range s.entries {
+		e.expectReady(true)
+	}
+	return s
+}
+
+// breakStreams begins streams at an entry that are broken off after three events.
+func (s *site) breakStreams(e *entry, count int) []brokenStream {
+	s.eachEndpoint(hosted.EndpointFault{CutAfter: 3})
+	var broken []brokenStream
+	for i := range count {
+		parts := fmt.Sprintf("a1:600,own%d:100", i)
+		a := s.call(e, http.MethodPost, "/redraft/", "plan", "Prompt-Prefix", parts)
+		So(a.body, ShouldEqual, hosted.Stream(3))
+		broken = append(broken, brokenStream{a.id, parts, 3, softwareOf(s.runs(a.id)[0].Endpoint)})
+	}
+	s.eachEndpoint(hosted.EndpointFault{})
+	return broken
+}
+
+// takeUp takes broken streams up at an entry, and returns how many went on at the version that began them, and at another one.
+func (s *site) takeUp(e *entry, broken []brokenStream) (wentOn, joined int) {
+	for _, b := range broken {
+		a := s.call(e, http.MethodPost, "/redraft/", "plan", "Prompt-Prefix", b.parts, "Resumes", b.id, "Last-Event-Id", strconv.Itoa(b.lastEvent))
+		for _, run := range s.runs(a.id) {
+			if softwareOf(run.Endpoint) != b.software {
+				joined++
+			}
+		}
+		if a.complete && a.status == http.StatusOK {
+			So(a.body, ShouldEqual, hosted.Event(4)+hosted.Event(5)+hosted.Event(6))
+			wentOn++
+		}
+	}
+	return wentOn, joined
+}
+
+func TestStreamJoinedFromTwoVersions(t *testing.T) {
+	const streams = 24
+	Convey("streams of engines with two software versions", t, func() {
+		s := startVersions(2)
+		Convey("go on at the version that began them, within one answer", func() {
+			s.endpoints[0].SetFault(hosted.EndpointFault{CutAfter: 3})
+			s.endpoints[2].SetFault(hosted.EndpointFault{CutAfter: 3})
+			joined := 0
+			for range streams {
+				a := s.call(s.entries[0], http.MethodPost, "/redraft/", "plan")
+				runs := s.runs(a.id)
+				for _, run := range runs {
+					if softwareOf(run.Endpoint) != softwareOf(runs[0].Endpoint) {
+						joined++
+					}
+				}
+			}
+			So(joined, ShouldEqual, 0)
+		})
+		Convey("go on there if their callers take them up at another entry", func() {
+			wentOn, joined := s.takeUp(s.entries[1], s.breakStreams(s.entries[0], streams))
+			So(joined, ShouldEqual, 0)
+			So(wentOn, ShouldEqual, streams)
+		})
+		Convey("go on there after all entries were restarted", func() {
+			broken := s.breakStreams(s.entries[0], streams)
+			for _, e := range s.entries {
+				e.stop()
+			}
+			e := s.addEntry()
+			e.expectReady(true)
+			wentOn, joined := s.takeUp(e, broken)
+			So(joined, ShouldEqual, 0)
+			So(wentOn, ShouldBeGreaterThan, streams/2)
+		})
+		Convey("are rejected if no endpoint of that version is left, also after all entries were restarted", func() {
+			broken := s.breakStreams(s.entries[0], streams)
+			for _, endpoint := range s.endpoints[:2] {
+				endpoint.Stop()
+				s.store.Delete("servers/" + endpoint.ID())
+			}
+			left := 0
+			for _, b := range broken {
+				if b.software == "v2" {
+					left++
+				}
+			}
+			time.Sleep(s.entries[0].cfg.MaxLeavingDelay)
+			wentOn, joined := s.takeUp(s.entries[1], broken)
+			So(joined, ShouldEqual, 0)
+			So(wentOn, ShouldEqual, left)
+			for _, e := range s.entries {
+				e.stop()
+			}
+			e := s.addEntry()
+			e.expectReady(true)
+			_, joined = s.takeUp(e, broken)
+			So(joined, ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -281,7 +281,7 @@
 	n.configuration.recordEra(clock.Now(), revision.Era())
 	// Evacuations come first: with a configuration that is in force, requests are sent.
 	changed := n.evacuations.applyListing(sent, revision, items.operator)
-	changed = n.configuration.apply(origin{store, sent}, items.operator) || changed
+	changed = n.configuration.apply(provenance{store, sent}, items.operator) || changed
 	s.confirmConfiguration(ctx, sent, items.operator)
 	if ownRead {
 		s.ownKeysReadAt = sent
--- a/internal/loadsync/reporter.go
+++ b/internal/loadsync/reporter.go
@@ -29,6 +29,12 @@
 	AdoptRunning(entry string, runs []peer.RunningRequest) int
 }
 
+// Streams knows where the streams of this instance began.
+type Streams interface {
+	// Streams returns those that may be taken up.
+	Streams() []peer.StreamOrigin
+}
+
 // reportTimeout bounds the call with all running requests: some tens of KB to a leader that gets as many from all instances at once.
 const reportTimeout = 500 * time.Millisecond
 
@@ -38,14 +44,17 @@
 	log               *event.Log
 	peers             Peers
 	adopter           Adopter
+	streams           Streams
 
 	mu    sync.Mutex
 	table *inflight.Table
 }
 
 // New returns a reporter for the instance with a name and an incarnation.
-func New(name, incarnation string, log *event.Log, peers Peers, adopter Adopter) *Reporter {
-	return &Reporter{name: name, incarnation: incarnation, log: log, peers: peers, adopter: adopter, table: inflight.NewTable()}
+func New(name, incarnation string, log *event.Log, peers Peers, adopter Adopter, streams Streams) *Reporter {
+	return &Reporter{
+		name: name, incarnation: incarnation, log: log, peers: peers, adopter: adopter, streams: streams, table: inflight.NewTable(),
+	}
 }
 
 // Placed records a request that an owner has placed; an empty owner is this instance. Only prompts for engines are tracked: calls to plain
@@ -126,7 +135,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var reply peer.RunningReply
-	err := r.peers.CallPeer(ctx, leader, peer.KindRunning, peer.RunningReport{Runs: list}, &reply)
+	err := r.peers.CallPeer(ctx, leader, peer.KindRunning, peer.RunningReport{Runs: list, Streams: r.streams.Streams()}, &reply)
 	return reply.Adopted, err
 }
 
--- a/internal/loadsync/reporter_test.go
+++ b/internal/loadsync/reporter_test.go
@@ -43,11 +43,16 @@
 	return len(runs)
 }
 
+// noStreams has no streams to tell.
+type noStreams struct{}
+
+func (noStreams) Streams() []peer.StreamOrigin { return nil }
+
 // Guards against load that a leader counts until its deadline: a request that ends while the leader is told of it, or while the answer is lost.
 func TestRequestEndsWhileLeaderIsTold(t *testing.T) {
 	Convey("a reporter", t, func() {
 		peers, adopter := &fakePeers{}, &fakeAdopter{}
-		r := loadsync.New("self", "self-1", event.Discard(), peers, adopter)
+		r := loadsync.New("self", "self-1", event.Discard(), peers, adopter, noStreams{})
 		place := func(number uint64, model, owner string) {
 			r.Placed(&placement.Request{ID: placement.AssignmentID{Number: number}, Model: model}, &placement.Choice{}, owner)
 		}
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -56,6 +56,8 @@
 	VerdictNotOwner
 	// VerdictBlocked means that engines crash on parts of the prompt.
 	VerdictBlocked
+	// VerdictOriginUnknown means that it isn't known at which software version the stream began that the request takes up.
+	VerdictOriginUnknown
 )
 
 // AwaitPlacement waits for the result of a queued placement request. It has the same reply as the placement request itself.
@@ -85,6 +87,8 @@
 	Held time.Duration `msgpack:",omitempty"`
 	// ZonesEvacuated is true if there is no endpoint since the zones of all are evacuated.
 	ZonesEvacuated bool `msgpack:",omitempty"`
+	// Learning is true if the origin of a stream may soon be known.
+	Learning bool `msgpack:",omitempty"`
 	// ReportRunning is true if the replying instance doesn't know the running requests that others have placed for the requesting one.
 	ReportRunning bool `msgpack:",omitempty"`
 }
@@ -92,6 +96,16 @@
 // RunningReport tells a leader of the sender's running requests that other instances have placed.
 type RunningReport struct {
 	Runs []RunningRequest
+	// Streams are those that the sender has sent to its callers, running or broken off.
+	Streams []StreamOrigin `msgpack:",omitempty"`
+}
+
+// StreamOrigin tells at which software version a stream began.
+type StreamOrigin struct {
+	Stream            uint64
+	Service, Software string
+	// Left is for how much longer the stream may be taken up.
+	Left time.Duration
 }
 
 // RunningRequest is a request that runs at an endpoint. Deadline is the time that remains.
--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -28,6 +28,8 @@
 	Service string
 	Zone    string
 	Slots   int
+	// Software is the version of the endpoint's software; empty stands for v1.
+	Software string
 	// Model is empty for plain services.
 	Model   string
 	Version int
@@ -163,6 +165,8 @@
 	arrivals         []time.Time
 	calls            int
 	runs             []Run
+	// cacheEvents holds what the cache has added, one event for each part of each run.
+	cacheEvents [][]any
 	// refused holds the requests that RepeatRefusals has rejected.
 	refused map[string]bool
 	// leaving is true once the endpoint has begun to leave, and draining once it registers as leaving.
@@ -185,6 +189,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("start endpoint: %w", err)
 	}
+	if cfg.Software == "" {
+		cfg.Software = "v1"
+	}
 	if cfg.Advertise == "" {
 		cfg.Advertise = listener.Addr().String()
 	}
@@ -224,6 +231,9 @@
 	_ = e.register()
 }
 
+// ID returns the identifier of the endpoint.
+func (e *Endpoint) ID() string { return e.cfg.ID }
+
 // Address returns the address that the endpoint registers.
 func (e *Endpoint) Address() string { return e.cfg.Advertise }
 
@@ -251,7 +261,7 @@
 		ColdLeftMs, Sequence            int
 		Models                          []model
 		Born                            int64 `json:"born"`
-	}{e.cfg.Service, e.Address(), e.cfg.Zone, "v1", e.cfg.Slots, state, int(max(0, time.Until(warmAt)).Milliseconds()), 1, models, startedMilli})
+	}{e.cfg.Service, e.Address(), e.cfg.Zone, e.cfg.Software, e.cfg.Slots, state, int(max(0, time.Until(warmAt)).Milliseconds()), 1, models, startedMilli})
 }
 
 // Leave makes the endpoint state in its answers that it leaves, and registers it as leaving. It continues to serve requests.
@@ -472,9 +482,15 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	select {
-	case <-time.After(time.Duration(wait) * time.Millisecond):
-	case <-r.Context().Done():
+	since, err := strconv.Atoi(r.URL.Query().Get("Since"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	added := e.eventsAfter(since)
+	for deadline := time.Now().Add(time.Duration(wait) * time.Millisecond); len(added) == 0 && time.Now().Before(deadline) && r.Context().Err() == nil; {
+		time.Sleep(cacheEventPause)
+		added = e.eventsAfter(since)
 	}
 	wire.Reply(w, http.StatusOK, struct {
 		Epoch, Next int64
@@ -482,7 +498,28 @@
 		Events      [][]any
 		ClockMs     int64 `json:"clock_ms"`
 		Born        int64 `json:"born"`
-	}{1, 0, false, [][]any{}, time.Now().UnixMilli(), e.started()})
+	}{1, int64(since + len(added)), false, added, time.Now().UnixMilli(), e.started()})
+}
+
+// cacheEventPause is the interval at which a call for cache events looks for new ones.
+const cacheEventPause = 20 * time.Millisecond
+
+// addToCache records that the endpoint has read the parts of a prompt; the caller holds the lock.
+func (e *Endpoint) addToCache(r *http.Request) {
+	for _, part := range strings.Split(r.Header.Get("Prompt-Prefix"), ",") {
+		id, text, ok := strings.Cut(part, ":")
+		tokens, err := strconv.Atoi(text)
+		if !ok || err != nil {
+			continue
+		}
+		e.cacheEvents = append(e.cacheEvents, []any{len(e.cacheEvents) + 1, "+", r.Header.Get("Cache-Salt"), id, tokens, e.cfg.Model})
+	}
+}
+
+func (e *Endpoint) eventsAfter(number int) [][]any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([][]any{}, e.cacheEvents[min(number, len(e.cacheEvents)):]...)
 }
 
 // started returns the start time in milliseconds since the Unix epoch.
--- a/internal/state/route/table.go
+++ b/internal/state/route/table.go
@@ -5,6 +5,7 @@
 	"net"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -22,6 +23,8 @@
 	byHost     map[string][]*Route
 	byKey      map[string]*Workspace
 	workspaces int
+	// longestStream is the longest timeout of a route with streams.
+	longestStream time.Duration
 }
 
 // TableParts holds the parts of a configuration from which a table is built.
@@ -54,6 +57,9 @@
 		}
 		host := normalizeHost(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		if r.Kind == Stream {
+			t.longestStream = max(t.longestStream, r.Timeout)
+		}
 	}
 	for _, routes := range t.byHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
@@ -124,3 +130,6 @@
 	}
 	return strings.ToLower(host)
 }
+
+// LongestStream returns the longest timeout of a route with streams.
+func (t *Table) LongestStream() time.Duration { return t.longestStream }
