Send a take-up to the service of a traffic split that began its stream

Cause: the service is picked by the request's own identifier. Any entry can derive the service again from the attempt that Resumes names, so it picks by that; nothing is stored. If the operator has moved the route since, the stream is rejected at once.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -186,7 +186,7 @@
 	if n.suspects.blocked(j.digest) {
 		return &refusal{http.StatusInternalServerError, "crashes_endpoints", 0}
 	}
-	j.service = j.route.Pick(xxhash.Sum64String(j.head.ID))
+	j.service = j.route.Pick(xxhash.Sum64String(j.streamID()))
 	if j.service == "" {
 		return unavailable("no_service", j.arrived.Add(shortRetryDelay))
 	}
@@ -221,6 +221,14 @@
 	return nil
 }
 
+// streamID returns the identifier of the attempt that began the request's stream: the service that it was sent to goes on with it.
+func (j *job) streamID() string {
+	if j.head.Resumes != "" {
+		return j.head.Resumes
+	}
+	return j.head.ID
+}
+
 // place places the request. A take-up waits for a moment while a new leader learns where its stream began.
 func (j *job) place(ctx context.Context) (placement.Choice, string, error) {
 	for {
--- a/internal/gateway/software_versions_test.go
+++ b/internal/gateway/software_versions_test.go
@@ -140,3 +140,26 @@
 		})
 	})
 }
+
+// Guards against a stream that goes on at another service of its route's traffic split.
+func TestStreamTakenUpAtAnotherService(t *testing.T) {
+	Convey("streams on a route that is split between two services go on at the one that began them", t, func() {
+		s := newSite()
+		spec := defaultSpec()
+		spec.Routes[2].Backend = ""
+		spec.Routes[2].TrafficSplit = []hosted.RouteTarget{{Backend: "llm", Weight: 1}, {Backend: "other", Weight: 1}}
+		spec.Services = append(spec.Services, hosted.EngineService("other", testModel, 16))
+		s.putConfiguration(spec)
+		for _, service := range []string{"llm", "other"} {
+			s.addEndpoint(hosted.EndpointConfig{
+				ID: "llm-" + service + "-0", Service: service, Model: testModel, Version: 1, Events: 6, Work: 5 * time.Millisecond,
+			})
+		}
+		e := s.addEntry()
+		e.expectReady(true)
+		const streams = 12
+		wentOn, joined := s.takeUp(e, s.breakStreams(e, streams))
+		So(joined, ShouldEqual, 0)
+		So(wentOn, ShouldEqual, streams)
+	})
+}
--- a/internal/standin/hosted/configuration.go
+++ b/internal/standin/hosted/configuration.go
@@ -7,6 +7,14 @@
 	MaxAttempts                                    int
 	Public, Sticky, Resumable                      bool
 	AllowedRegions                                 []string
+	// TrafficSplit replaces Backend.
+	TrafficSplit []RouteTarget `json:",omitempty"`
+}
+
+// RouteTarget is a service that gets a share of a route's requests.
+type RouteTarget struct {
+	Backend string
+	Weight  int
 }
 
 // Configuration is the site configuration that an operator stores under op/config.
