Ask a relay for software versions that registrations of an earlier release lack

While a site is upgraded, an entry may hold registrations that an instance of the earlier release has relayed without software versions. The digests don't cover versions, so that nothing would bring them once all instances are upgraded: a leader without them rejects all take-ups (by reading). A relay now says that it names versions, and a follower whose registrations lack them asks for the complete list once. Shown by registry.TestCatalog.

--- a/internal/coordination/registry/catalog.go
+++ b/internal/coordination/registry/catalog.go
@@ -78,6 +78,16 @@
 	return list
 }
 
+// LacksSoftware reports whether an instance of an earlier release has sent registrations without the endpoints' software versions.
+func (c *Catalog) LacksSoftware() bool {
+	for _, e := range c.entries {
+		if e.registration.Software == "" {
+			return true
+		}
+	}
+	return false
+}
+
 // Replace replaces all registrations by a complete list that was read from the store, and reports whether anything changed.
 func (c *Catalog) Replace(list []*registration.Registration) bool {
 	for _, r := range list {
@@ -161,7 +171,7 @@
 	digest := r.Digest()
 	held := c.entries[r.ID]
 	if held != nil {
-		if held.digest == digest {
+		if held.digest == digest && (held.registration.Software != "" || r.Software == "") {
 			return
 		}
 		c.sum ^= held.baseDigest
--- a/internal/coordination/registry/catalog_test.go
+++ b/internal/coordination/registry/catalog_test.go
@@ -57,6 +57,25 @@
 			So(small.Since(since).Complete, ShouldBeTrue)
 		})
 	})
+	Convey("a catalog that an instance of an earlier release has filled, without software versions", t, func() {
+		c := catalogOf(endpoint(0, 8), endpoint(1, 8))
+		So(c.LacksSoftware(), ShouldBeTrue)
+		named := catalogOf(endpoint(0, 8), endpoint(1, 8))
+		for _, r := range named.List() {
+			r.Software = "v1"
+		}
+		Convey("takes the versions over with the complete list, whose digest is the same", func() {
+			all := named.Since(0)
+			So(c.Apply(&all), ShouldBeTrue)
+			So(c.LacksSoftware(), ShouldBeFalse)
+			So(c.List()[0].Software, ShouldEqual, "v1")
+			Convey("and keeps them when a list comes without", func() {
+				without := catalogOf(endpoint(0, 8), endpoint(1, 8)).Since(0)
+				So(c.Apply(&without), ShouldBeTrue)
+				So(c.LacksSoftware(), ShouldBeFalse)
+			})
+		})
+	})
 	Convey("a catalog whose endpoint becomes cold", t, func() {
 		read := func(left time.Duration) *registration.Registration {
 			r := endpoint(0, 8)
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -32,6 +32,9 @@
 	// changeSource is the incarnation of the relay whose changes are applied, and changeNumber is the number of the last one.
 	changeSource string
 	changeNumber uint64
+	// wantsAll is true if the next query has to ask for all registrations, since those held come from an earlier release and lack the software
+	// versions that the relay can name.
+	wantsAll bool
 }
 
 func newDiscovery(n *Node) *discovery {
@@ -142,6 +145,9 @@
 	defer d.mu.Unlock()
 	query.RegistrationsDigest, query.Source, query.Number = d.catalog.Sum(), d.changeSource, d.changeNumber
 	query.WarmupDigest = d.catalog.WarmupSum()
+	if d.wantsAll {
+		query.RegistrationsDigest, query.Number = 0, 0
+	}
 }
 
 // applyRelayed applies what a relay knows of the registrations; its ages hold as of the given instant or later. The store's revision
@@ -165,6 +171,7 @@
 		}
 		list = d.catalog.List()
 	}
+	d.wantsAll = update.NamesSoftware && d.catalog.LacksSoftware()
 	d.mu.Unlock()
 	d.activate(readAt, revision, list)
 	d.confirm(readAt)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -273,7 +273,7 @@
 	r.mu.Unlock()
 	now := clock.Now()
 	update := peer.SyncReply{
-		Ready: n.table.Load() != nil && n.discovery.loaded.Load(), Run: n.incarnation, Seen: seen,
+		Ready: n.table.Load() != nil && n.discovery.loaded.Load(), Run: n.incarnation, Seen: seen, NamesSoftware: true,
 		Delay: now.Sub(receivedAt), ConfirmAge: n.confirmation.Age(now), TargetVersions: n.placer.sharedTargets(now, true),
 		Evacuated: n.evacuations.forPeer(now),
 	}
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -190,6 +190,8 @@
 	// and Seen belong.
 	Changes *registry.Changes
 	Run     string
+	// NamesSoftware is true if registrations are sent with the endpoints' software versions, which those of an earlier release lack.
+	NamesSoftware bool `msgpack:",omitempty"`
 	// Age is the age of the oldest data in the reply.
 	Age time.Duration
 	// ReadsStore is true if the replying instance reads everything from the store itself and its last store call succeeded.
