Native edge: give no final answer for what a configuration lacks that may be outdated

Callers got 404 and 401 for deployments, services and keys that a newer configuration may have, while the instance couldn't reach the platform, and don't come again after these. The instance knows that it may be behind (possiblyBehind); it now answers 503, not run, to come back after 1 s. Instances that follow a watcher of their zone don't know it and answer as before.

--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -63,6 +63,18 @@
 	b.metrics.Requests.WithLabelValues(kind, code).Inc()
 }
 
+// NotFound returns the error for a caller that names what the configuration lacks. While the platform can't be reached, a newer configuration may
+// have it.
+func (b *callerBackend) NotFound(apiErr *api.Error) *api.Error { return (*Node)(b).notFound(apiErr) }
+
+func (n *Node) notFound(apiErr *api.Error) *api.Error {
+	if !n.watcher.possiblyBehind.Load() {
+		return apiErr
+	}
+	return api.NewError(http.StatusServiceUnavailable, api.CodePlatform, api.RunNo, "%s; the configuration may be out of date", apiErr.Message).
+		WithRetry(time.Now().Add(time.Second))
+}
+
 // WorkspaceByKey returns the workspace that a bearer key belongs to, or nil.
 func (b *callerBackend) WorkspaceByKey(key string) *catalog.Workspace {
 	return b.follower.Current().WorkspaceByKey(key)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -24,7 +24,7 @@
 func (n *Node) Call(ctx context.Context, c *caller.Call) (*caller.Answer, *api.Error) {
 	s := n.follower.Current().Services[c.Service]
 	if s == nil {
-		return nil, api.NewError(http.StatusNotFound, api.CodeUnknownService, api.RunNo, "no service %.64q", c.Service)
+		return nil, n.notFound(api.NewError(http.StatusNotFound, api.CodeUnknownService, api.RunNo, "no service %.64q", c.Service))
 	}
 	if !c.Workspace.AllowsService(s.Name) {
 		return nil, api.NewError(http.StatusForbidden, api.CodeForbidden, api.RunNo, "workspace may not use service %s", s.Name)
--- a/internal/entry/prompt.go
+++ b/internal/entry/prompt.go
@@ -91,7 +91,7 @@
 func (n *Node) newJob(ctx context.Context, p *caller.Prompt, s caller.Sink) (*job, *api.Error) {
 	d := n.follower.Current().Deployments[p.Request.Model]
 	if d == nil {
-		return nil, api.NewError(http.StatusNotFound, api.CodeUnknownDeployment, api.RunNo, "no deployment %.64q", p.Request.Model)
+		return nil, n.notFound(api.NewError(http.StatusNotFound, api.CodeUnknownDeployment, api.RunNo, "no deployment %.64q", p.Request.Model))
 	}
 	if !p.Workspace.Allows(d.Name) {
 		return nil, api.NewError(http.StatusForbidden, api.CodeForbidden, api.RunNo, "workspace may not use deployment %s", d.Name)
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -77,6 +77,9 @@
 	// Finish ends a request that Admit admitted. apiErr is nil if it succeeded.
 	Finish(kind string, apiErr *api.Error)
 	WorkspaceByKey(key string) *catalog.Workspace
+	// NotFound returns the error for a caller that names what the configuration lacks: the given one, or that the configuration may be out of
+	// date.
+	NotFound(apiErr *api.Error) *api.Error
 	Prompt(ctx context.Context, p *Prompt, s Sink) (*Completion, *api.Error)
 	Call(ctx context.Context, c *Call) (*Answer, *api.Error)
 }
@@ -181,7 +184,11 @@
 		r.workspace = s.backend.WorkspaceByKey(key)
 	}
 	if r.workspace == nil {
-		return api.NewError(http.StatusUnauthorized, api.CodeUnauthorized, api.RunNo, "bearer key missing or unknown")
+		unauthorized := api.NewError(http.StatusUnauthorized, api.CodeUnauthorized, api.RunNo, "bearer key missing or unknown")
+		if !found {
+			return unauthorized
+		}
+		return s.backend.NotFound(unauthorized)
 	}
 	deadline, apiErr := s.deadline(r)
 	if apiErr != nil {
