--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -227,28 +227,34 @@
 	for i := range limits {
 		n.recordReportedLimit(&limits[i])
 	}
+	if placed.Verdict != peer.VerdictPlaced {
+		return placement.Choice{}, placementError(&placed)
+	}
+	if len(placed.TargetVersions) > 0 {
+		n.learnTargetVersions(sent, name, placed.TargetVersions)
+	}
+	recordGranted(&placed.Choice, sent, placed.Held)
+	return placed.Choice, nil
+}
+
+// placementError returns the error for a leader's verdict that isn't a placement.
+func placementError(placed *peer.PlaceReply) error {
 	switch placed.Verdict {
-	case peer.VerdictPlaced:
-		if len(placed.TargetVersions) > 0 {
-			n.learnTargetVersions(sent, name, placed.TargetVersions)
-		}
-		recordGranted(&placed.Choice, sent, placed.Held)
-		return placed.Choice, nil
 	case peer.VerdictNoEndpoint:
 		if placed.ZonesEvacuated {
-			return placement.Choice{}, placement.ErrZonesEvacuated
+			return placement.ErrZonesEvacuated
 		}
-		return placement.Choice{}, placement.ErrNoEndpoint
+		return placement.ErrNoEndpoint
 	case peer.VerdictBlocked:
-		return placement.Choice{}, placement.ErrBlocked
+		return placement.ErrBlocked
 	case peer.VerdictOriginUnknown:
-		return placement.Choice{}, &placement.OriginError{Learning: placed.Learning}
+		return &placement.OriginError{Learning: placed.Learning}
 	case peer.VerdictOverloaded:
-		return placement.Choice{}, &placement.OverloadError{
+		return &placement.OverloadError{
 			RetryAt: clock.Now().Add(placed.RetryAfter), Expected: placed.Expected, Paused: placed.Paused, Limited: placed.Limited,
 		}
 	}
-	return placement.Choice{}, errNoOwner
+	return errNoOwner
 }
 
 // errNoOwner is returned when the leader is unreachable or no longer leads.
