--- /dev/null
+++ b/internal/coordination/origin/origin_test.go
@@ -0,0 +1,141 @@
+package origin_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumvale/internal/coordination/origin"
+	"gypsumvale/internal/state/clock"
+)
+
+const (
+	now    = clock.Instant(time.Hour)
+	within = 20 * time.Second
+)
+
+var wall = time.UnixMilli(1_700_000_000_000)
+
+func serving(versions ...string) map[string]map[string]bool {
+	present := make(map[string]bool)
+	for _, v := range versions {
+		present[v] = true
+	}
+	return map[string]map[string]bool{"llm": present}
+}
+
+func TestTable(t *testing.T) {
+	Convey("a stream's origin stays what it was first, for as long as the stream may be taken up", t, func() {
+		table := origin.NewTable()
+		table.Record(1, origin.Origin{Service: "llm", Software: "v1", Until: now, Own: true})
+		table.Record(1, origin.Origin{Service: "llm", Software: "v2", Until: now.Add(time.Second)})
+		held, ok := table.Lookup(1)
+		So(ok, ShouldBeTrue)
+		So(held.Software, ShouldEqual, "v1")
+		So(table.Own(), ShouldContainKey, uint64(1))
+		table.Sweep(now.Add(time.Second))
+		_, ok = table.Lookup(1)
+		So(ok, ShouldBeTrue)
+		table.Sweep(now.Add(time.Second + 1))
+		_, ok = table.Lookup(1)
+		So(ok, ShouldBeFalse)
+	})
+}
+
+func TestReaders(t *testing.T) {
+	Convey("the version that has read the last part of a prompt", t, func() {
+		readers := origin.NewReaders()
+		Convey("isn't known before any has", func() {
+			_, ok := readers.Lookup(1)
+			So(ok, ShouldBeFalse)
+		})
+		Convey("is known while only one has, for half a minute", func() {
+			readers.Record(now, 1, "v1")
+			readers.Record(now.Add(time.Second), 1, "v1")
+			version, ok := readers.Lookup(1)
+			So(ok, ShouldBeTrue)
+			So(version, ShouldEqual, "v1")
+			readers.Record(now.Add(30*time.Second), 2, "v1")
+			_, ok = readers.Lookup(1)
+			So(ok, ShouldBeTrue)
+		})
+		Convey("isn't once several have, whichever reads it again", func() {
+			readers.Record(now, 1, "v1")
+			readers.Record(now.Add(30*time.Second), 1, "v2")
+			readers.Record(now.Add(31*time.Second), 1, "v2")
+			_, ok := readers.Lookup(1)
+			So(ok, ShouldBeFalse)
+		})
+	})
+}
+
+func TestHistory(t *testing.T) {
+	Convey("the only version of a service", t, func() {
+		h := origin.NewHistory()
+		sole := func(at clock.Instant) string {
+			version, ok := h.Sole(at, wall.Add(at.Sub(now)), "llm", within)
+			if !ok {
+				return ""
+			}
+			return version
+		}
+		Convey("isn't known to an instance that has just started, without a record", func() {
+			h.Observe(now, serving("v1"))
+			So(sole(now.Add(within-1)), ShouldBeEmpty)
+			So(sole(now.Add(within)), ShouldEqual, "v1")
+		})
+		Convey("is known at once by the record", func() {
+			h.SetRecorded(map[string]origin.Versions{"llm": {"v1": 0}})
+			h.Observe(now, serving("v1"))
+			So(sole(now), ShouldEqual, "v1")
+		})
+		Convey("is none while the one before may have begun streams that go on", func() {
+			h.SetRecorded(map[string]origin.Versions{"llm": {"v1": wall.Add(-within / 2).UnixMilli(), "v2": 0}})
+			h.Observe(now, serving("v2"))
+			So(sole(now), ShouldBeEmpty)
+			So(sole(now.Add(within/2)), ShouldEqual, "v2")
+		})
+		Convey("is none if the record has one in service that isn't seen", func() {
+			h.SetRecorded(map[string]origin.Versions{"llm": {"v1": 0, "v2": 0}})
+			h.Observe(now, serving("v2"))
+			So(sole(now.Add(time.Hour)), ShouldBeEmpty)
+		})
+		Convey("is none for a while after another was seen here, whatever the record says", func() {
+			h.SetRecorded(map[string]origin.Versions{"llm": {"v2": 0}})
+			h.Observe(now, serving("v1", "v2"))
+			h.Observe(now.Add(time.Second), serving("v2"))
+			So(sole(now.Add(time.Second+within-1)), ShouldBeEmpty)
+			So(sole(now.Add(time.Second+within)), ShouldEqual, "v2")
+		})
+	})
+	Convey("the record is due", t, func() {
+		h := origin.NewHistory()
+		h.Observe(now, serving("v1"))
+		due, changed := h.Due(now, wall)
+		So(changed, ShouldBeTrue)
+		So(due, ShouldResemble, map[string]origin.Versions{"llm": {"v1": 0}})
+		h.SetRecorded(due)
+		Convey("not while nothing changes", func() {
+			_, changed := h.Due(now.Add(time.Hour), wall.Add(time.Hour))
+			So(changed, ShouldBeFalse)
+		})
+		Convey("when a version comes and when one leaves", func() {
+			h.Observe(now, serving("v1", "v2"))
+			due, changed = h.Due(now, wall)
+			So(changed, ShouldBeTrue)
+			h.SetRecorded(due)
+			h.Observe(now, serving("v2"))
+			due, changed = h.Due(now, wall)
+			So(changed, ShouldBeTrue)
+			So(due, ShouldResemble, map[string]origin.Versions{"llm": {"v1": wall.UnixMilli(), "v2": 0}})
+		})
+		Convey("also for one that came and left before the first record", func() {
+			h.SetRecorded(nil)
+			h.Observe(now, serving("v2"))
+			due, changed = h.Due(now.Add(time.Second), wall)
+			So(changed, ShouldBeTrue)
+			So(due["llm"], ShouldResemble, origin.Versions{"v1": wall.Add(-time.Second).UnixMilli(), "v2": 0})
+		})
+	})
+}
