Tell registrars of streams while several software versions are in service

While several versions are in service, the instance that has placed a stream tells three registrars, chosen by rank, once in 0.1 s; an entry that doesn't know a stream asks them, and places the take-up alone. With one version nothing is sent. The new part of TestStreamJoinedFromTwoVersions holds the leader's placement; it was written with the change and not run without it.

--- a/internal/coordination/origin/history.go
+++ b/internal/coordination/origin/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"gypsumvale/internal/state/clock"
@@ -47,6 +48,11 @@
 	h.present = present
 }
 
+// Services returns the services that have endpoints.
+func (h *History) Services() []string {
+	return slices.Collect(maps.Keys(h.present))
+}
+
 // SetRecorded sets what the store has on record, or nil if it has nothing.
 func (h *History) SetRecorded(recorded map[string]Versions) { h.recorded = recorded }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -246,7 +246,7 @@
 	if j.placementReq.Stream == 0 {
 		return
 	}
-	j.node.origins.record(&j.placementReq, j.software, true)
+	j.node.origins.record(&j.placementReq, j.software, true, false)
 	j.placementReq.Software = j.software
 	if j.software == "" {
 		j.placementReq.Software = unknownSoftware
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -25,5 +25,8 @@
 	return n.guard.Protect(l, server)
 }
 
+// Leads reports whether a node is the leader.
+func Leads(n *Node) bool { return n.leadership.holdsLease(clock.Now()) }
+
 // KnowsLeader reports whether a node knows which instance leads.
 func KnowsLeader(n *Node) bool { return n.members.owner() != "" }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -51,6 +51,10 @@
 		return record(body, func(m *peer.PartsCleared) { h.suspects.recordAnswer(m.Service, m.Parts, clock.Now().Add(-m.Age)) })
 	case peer.KindRunning:
 		return answer(body, func(m *peer.RunningReport) any { return h.adoptRunning(from, m) })
+	case peer.KindStreamOrigins:
+		return record(body, func(m *peer.StreamOrigins) { h.origins.recordReported(m.Streams) })
+	case peer.KindFindOrigin:
+		return answer(body, func(m *peer.FindOrigin) any { return h.origins.serveFind(m.Stream) })
 	case peer.KindHandOver:
 		return record(body, func(m *peer.HandOver) { h.leadership.invite(from.Name, m.Count) })
 	case peer.KindEndpointNotice:
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"gypsumvale/internal/coordination/origin"
 	"gypsumvale/internal/coordination/placement"
+	"gypsumvale/internal/coordination/rank"
 	"gypsumvale/internal/duty"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/protocol/peer"
@@ -35,6 +37,15 @@
 	lateNotice    = 5 * time.Second
 	// learningTime is how long a new leader may need until entries have told it of their streams, and engines of their caches.
 	learningTime = 3 * time.Second
+	// originRegistrars is how many instances are told of streams while several versions are in service: enough that one of them is probably left
+	// when a third of all instances, the leader among them, fail at once. They are told once in registerPeriod.
+	originRegistrars = 3
+	registerPeriod   = 100 * time.Millisecond
+	// findTimeout bounds the query of a registrar, and findPause is the pause between two queries for one request.
+	findTimeout = 100 * time.Millisecond
+	findPause   = 400 * time.Millisecond
+	// maxRegistered bounds the streams in one message, and those that wait for it.
+	maxRegistered = 2048
 	// originWait bounds how long a take-up waits for that, and originRetryPause is the pause between two attempts to place it.
 	originWait       = 2500 * time.Millisecond
 	originRetryPause = 100 * time.Millisecond
@@ -45,6 +56,8 @@
 //	known from                                    lost with
 //	the entry that sent the stream's first event  that entry; it tells new leaders
 //	the leader that placed the stream             that leader
+//	its registrars, chosen by rank, while several   all of them
+//	versions are in service
 //	the versions in service, if only one was      nothing: the store has them on record
 //	the caches of engines: which version has      the engines, or their memory
 //	read the last part of the prompt
@@ -57,6 +70,10 @@
 	history *origin.History
 	// recordedAt is the revision of the record in the store, zero if there is none.
 	recordedAt kv.Revision
+	// several holds the services at which streams may have begun at several versions, as of the last sweep.
+	several map[string]bool
+	// unregistered holds the streams that this instance has placed and not told the registrars of.
+	unregistered []peer.StreamOrigin
 }
 
 func newOrigins(n *Node) *origins {
@@ -74,14 +91,72 @@
 	return max(1, xxhash.Sum64String(id))
 }
 
-// record records that a stream began, or goes on, at an endpoint of a software version.
-func (o *origins) record(req *placement.Request, software string, own bool) {
+// record records that a stream began, or goes on, at an endpoint of a software version. own is true if this instance sends it to its caller, and
+// placed if it has chosen the endpoint.
+func (o *origins) record(req *placement.Request, software string, own, placed bool) {
 	if req.Stream == 0 || software == "" {
 		return
 	}
+	until := req.Deadline.Add(lateTakeUp)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Record(req.Stream, origin.Origin{Service: req.Service, Software: software, Until: req.Deadline.Add(lateTakeUp), Own: own})
+	o.table.Record(req.Stream, origin.Origin{Service: req.Service, Software: software, Until: until, Own: own})
+	if placed && o.several[req.Service] && len(o.unregistered) < maxRegistered {
+		o.unregistered = append(o.unregistered, peer.StreamOrigin{
+			Stream: req.Stream, Service: req.Service, Software: software, Left: until.Sub(clock.Now()),
+		})
+	}
+}
+
+// registrars returns the instances that are told of streams; all instances choose the same ones.
+func (o *origins) registrars() []string {
+	names := append(o.node.members.peerNames(), o.node.cfg.Name)
+	list := rank.Top("origins", names, originRegistrars)
+	return slices.DeleteFunc(list, func(name string) bool { return name == o.node.cfg.Name })
+}
+
+// register tells the registrars of the streams that this instance has placed.
+func (o *origins) register(ctx context.Context) {
+	duty.Every(ctx, registerPeriod, func(context.Context) {
+		o.mu.Lock()
+		streams := o.unregistered
+		o.unregistered = nil
+		o.mu.Unlock()
+		if len(streams) == 0 {
+			return
+		}
+		for _, name := range o.registrars() {
+			o.node.notify(name, peer.KindStreamOrigins, peer.StreamOrigins{Streams: streams})
+		}
+	})
+}
+
+// serveFind answers a query for the origin of a stream.
+func (o *origins) serveFind(stream uint64) peer.FindOriginReply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known, _ := o.table.Lookup(stream)
+	return peer.FindOriginReply{Service: known.Service, Software: known.Software}
+}
+
+// find asks the registrars where a request's stream began, and records it if one of them knows.
+func (o *origins) find(ctx context.Context, req *placement.Request) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	var queries sync.WaitGroup
+	for _, name := range o.registrars() {
+		queries.Go(func() {
+			var reply peer.FindOriginReply
+			// A registrar that is gone, or is of an earlier release, knows nothing.
+			if err := o.node.CallPeer(ctx, name, peer.KindFindOrigin, peer.FindOrigin{Stream: req.Stream}, &reply); err != nil || reply.Software == "" {
+				return
+			}
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			o.table.Record(req.Stream, origin.Origin{Service: reply.Service, Software: reply.Software, Until: req.Deadline.Add(lateTakeUp)})
+		})
+	}
+	queries.Wait()
 }
 
 // recordReported records the streams of an entry.
@@ -208,9 +283,7 @@
 
 func (o *origins) run(ctx context.Context) {
 	duty.Every(ctx, versionsPeriod, func(ctx context.Context) {
-		o.mu.Lock()
-		o.table.Sweep(clock.Now())
-		o.mu.Unlock()
+		o.sweep()
 		if !o.node.leadership.holdsLease(clock.Now()) || !o.node.discovery.loaded.Load() {
 			return
 		}
@@ -220,6 +293,20 @@
 	})
 }
 
+// sweep drops old streams, and determines which services have several versions.
+func (o *origins) sweep() {
+	now, within := clock.Now(), o.streamTime()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Sweep(now)
+	o.several = make(map[string]bool)
+	for _, service := range o.history.Services() {
+		if _, sole := o.history.Sole(now, time.Now(), service, within); !sole {
+			o.several[service] = true
+		}
+	}
+}
+
 // publish writes the record of versions once these have changed, which takes a few writes for each release.
 func (o *origins) publish(ctx context.Context) error {
 	o.mu.Lock()
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -255,6 +255,9 @@
 	n := p.node
 	now := clock.Now()
 	req.Uncoordinated = false
+	if err := n.origins.resolve(req); isFinal(err) {
+		return placement.Choice{}, "", err
+	}
 	// With its own number, a placement that was withdrawn and another one of the same request can't be taken for each other.
 	req.ID.Number = p.nextNumber()
 	leader := ""
@@ -303,6 +306,12 @@
 	return choice, "", err
 }
 
+// isFinal reports whether an error says that it won't be known where a stream began, whomever is asked.
+func isFinal(err error) bool {
+	var unknown *placement.OriginError
+	return errors.As(err, &unknown) && !unknown.Learning
+}
+
 // goesOn reports whether the endpoint of a leader's choice may go on with the request's stream.
 func goesOn(req *placement.Request, choice *placement.Choice) bool {
 	if req.Software == "" {
@@ -518,7 +527,7 @@
 	pool := p.pool(req.Service)
 	var cleared []string
 	if placed, software := pool.Assigned(req.ID); placed != nil {
-		p.node.origins.record(placed, software, false)
+		p.node.origins.record(placed, software, false, true)
 	}
 	if placed := pool.FirstEvent(now, req.ID); placed != nil {
 		cleared = p.node.suspects.recordAnswer(placed.Service, prompt.IDs(placed.SharedParts()), now)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -229,12 +229,23 @@
 	return j.head.ID
 }
 
-// place places the request. A take-up waits for a moment while a new leader learns where its stream began.
+// place places the request. If it isn't known where the stream began that it takes up, the registrars are asked, and the request waits for a moment
+// while a new leader learns it.
 func (j *job) place(ctx context.Context) (placement.Choice, string, error) {
+	var nextFind clock.Instant
 	for {
 		choice, owner, err := j.node.placer.place(ctx, &j.placementReq, j.withdrawals > maxGrantsWithdrawn)
 		var unknown *placement.OriginError
-		if !errors.As(err, &unknown) || !unknown.Learning || clock.Now().Sub(j.arrived) > originWait || !duty.Sleep(ctx, originRetryPause) {
+		now := clock.Now()
+		if !errors.As(err, &unknown) || !unknown.Learning || now.Sub(j.arrived) > originWait {
+			return choice, owner, err
+		}
+		if !now.Before(nextFind) {
+			j.node.origins.find(ctx, &j.placementReq)
+			nextFind = now.Add(findPause)
+			continue
+		}
+		if !duty.Sleep(ctx, originRetryPause) {
 			return choice, owner, err
 		}
 	}
--- a/internal/gateway/running.go
+++ b/internal/gateway/running.go
@@ -39,7 +39,7 @@
 			adopted++
 		}
 		if runs[i].Begun {
-			p.node.origins.record(req, runs[i].Choice.Software, false)
+			p.node.origins.record(req, runs[i].Choice.Software, false, false)
 		}
 	}
 	return adopted
--- a/internal/gateway/software_versions_test.go
+++ b/internal/gateway/software_versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"gypsumvale/internal/gateway"
 	"gypsumvale/internal/standin/hosted"
 )
 
@@ -103,6 +105,28 @@
 			So(joined, ShouldEqual, 0)
 			So(wentOn, ShouldEqual, streams)
 		})
+		Convey("go on there if the leader that placed them doesn't answer", func() {
+			for range 2 {
+				s.addEntry().expectReady(true)
+			}
+			var leader *entry
+			eventually("an entry leads", func() bool {
+				for _, e := range s.entries {
+					if gateway.Leads(e.node) {
+						leader = e
+					}
+				}
+				return leader != nil
+			})
+			others := slices.DeleteFunc(slices.Clone(s.entries), func(e *entry) bool { return e == leader })
+			broken := s.breakStreams(others[0], streams)
+			time.Sleep(300 * time.Millisecond)
+			release := gateway.HoldPlacement(leader.node)
+			wentOn, joined := s.takeUp(others[1], broken)
+			release()
+			So(joined, ShouldEqual, 0)
+			So(wentOn, ShouldEqual, streams)
+		})
 		Convey("go on there after all entries were restarted", func() {
 			broken := s.breakStreams(s.entries[0], streams)
 			for _, e := range s.entries {
--- a/internal/protocol/peer/frame.go
+++ b/internal/protocol/peer/frame.go
@@ -55,6 +55,8 @@
 	KindEndpointNotice
 	KindRunning
 	KindCrashRetraction
+	KindStreamOrigins
+	KindFindOrigin
 )
 
 var kindNames = [...]string{
@@ -65,7 +67,7 @@
 	KindPlace: "place", KindAssignmentUpdate: "use", KindAwaitPlacement: "await", KindSync: "sync", KindCatchUp: "catchup",
 	KindPartsCleared: "cleared", KindSuccessor: "successor", KindHandOver: "handover", KindEndpointNotice: "notice",
 	KindRunning:         "running",
-	KindCrashRetraction: "retract",
+	KindCrashRetraction: "retract", KindStreamOrigins: "origins", KindFindOrigin: "findorigin",
 }
 
 // String returns the label used in metrics, or "unknown".
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -108,6 +108,21 @@
 	Left time.Duration
 }
 
+// StreamOrigins tells a registrar of streams that have begun.
+type StreamOrigins struct {
+	Streams []StreamOrigin
+}
+
+// FindOrigin asks a registrar where a stream began.
+type FindOrigin struct {
+	Stream uint64
+}
+
+// FindOriginReply is the reply with an empty Software if that isn't known.
+type FindOriginReply struct {
+	Service, Software string `msgpack:",omitempty"`
+}
+
 // RunningRequest is a request that runs at an endpoint. Deadline is the time that remains.
 type RunningRequest struct {
 	Request placement.Request
