Queue take-ups of streams before other requests of their priority

Their callers lose what they have got, and the engines' work on it is lost too, so that they go first within their priority; more urgent requests still go before them. placement.TestQueue shows the order.

--- a/internal/coordination/placement/pool_test.go
+++ b/internal/coordination/placement/pool_test.go
@@ -242,6 +242,39 @@
 			}
 			So(order, ShouldResemble, []string{"on time", "after", "late", "less urgent"})
 		})
+		Convey("requests that take up a stream go before others of their priority, also when they are late", func() {
+			urgent, fresh, takeUp := newRequest("urgent", 4000), newRequest("fresh", 4000), newRequest("take-up", 4000)
+			urgent.Priority, fresh.Priority, takeUp.Priority = 0, 1, 1
+			takeUp.TakesUp, takeUp.TargetDeadline, fresh.TargetDeadline = true, start.Add(100*time.Millisecond), start.Add(2*time.Second)
+			for _, req := range []*placement.Request{fresh, takeUp, urgent} {
+				expectError(p, start, req, placement.ErrQueued)
+			}
+			So(p.ProcessQueue(start.Add(150*time.Millisecond)), ShouldBeEmpty)
+			answer(p, start.Add(700*time.Millisecond), first)
+			var order []string
+			for _, g := range p.ProcessQueue(start.Add(700 * time.Millisecond)) {
+				order = append(order, g.Request.Parts[0].ID)
+			}
+			So(order, ShouldResemble, []string{"urgent", "take-up", "fresh"})
+		})
+		Convey("requests that must go on at one software version are placed there only", func() {
+			versions := endpoints(3)
+			for i, software := range []string{"v1", "v2", "v1"} {
+				versions[i].Software = software
+			}
+			p.SetEndpoints(versions)
+			for i := range 4 {
+				req := newRequest(string(rune('b'+i)), 500)
+				req.Software = "v2"
+				c, err := p.PlaceNow(start, req)
+				So(err, ShouldBeNil)
+				So(c.Endpoint, ShouldEqual, "e01")
+				So(c.Software, ShouldEqual, "v2")
+			}
+			gone := newRequest("gone", 500)
+			gone.Software = "v0"
+			expectError(p, start, gone, placement.ErrNoEndpoint)
+		})
 		Convey("a queued request is not granted an endpoint that was removed, even if an assignment ends there", func() {
 			expectError(p, start, newRequest("b", 9000), placement.ErrQueued)
 			p.SetEndpoints(endpoints(2)[1:])
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -69,6 +69,7 @@
 //	peak load, the queue outlasts the target  those that can still meet their targets go before those of their priority that can't
 //	backlog longer than callers will wait     rejected at once, with a time to retry when the backlog has shrunk
 //	all engines want a pause from the entry   queued if the first pause ends in time, else rejected with its end, spread over half of it
+//	callers take up streams that broke off    they go before others of their priority, which lose less if they are rejected
 //	some engines name limits                  placed on the others; on these at the rates that they name
 //	all engines name limits                   queued if its turn comes in time at these rates, else rejected at once
 func (p *Pool) Place(now clock.Instant, req *Request) (Choice, error) {
@@ -83,7 +84,7 @@
 	}
 	p.paced = p.paced || p.gapTarget(req) > 0
 	q := &queuedRequest{req: req, uniqueTokens: req.uniqueTokens()}
-	if req.TargetDeadline != 0 {
+	if req.TargetDeadline != 0 && !req.TakesUp {
 		q.lateAt = now.Add(time.Duration(maxWaitShare * float64(req.TargetDeadline.Sub(now))))
 	}
 	if !p.queuedAhead(req) {
@@ -132,13 +133,26 @@
 	return ahead > 0
 }
 
+// rank orders the requests of a priority: those that take up a stream, whose callers would lose what they have got of it, then those that can
+// still meet their targets, then the others.
+func (q *queuedRequest) rank() int {
+	switch {
+	case q.req.TakesUp:
+		return 0
+	case !q.late:
+		return 1
+	}
+	return 2
+}
+
 // queuePosition returns how many queued requests are more urgent than a new one, and how many go before it: those and the ones of its
-// priority that can still meet their targets.
+// priority that aren't behind it by rank.
 func (p *Pool) queuePosition(req *Request) (moreUrgent, ahead int) {
+	rank := (&queuedRequest{req: req}).rank()
 	moreUrgent = sort.Search(len(p.queue), func(i int) bool { return p.queue[i].req.Priority >= req.Priority })
 	ahead = sort.Search(len(p.queue), func(i int) bool {
 		q := p.queue[i]
-		return q.req.Priority > req.Priority || q.req.Priority == req.Priority && q.late
+		return q.req.Priority > req.Priority || q.req.Priority == req.Priority && q.rank() > rank
 	})
 	return moreUrgent, ahead
 }
@@ -146,12 +160,17 @@
 // expectedWait returns how long a request would wait behind those that go before it.
 func (p *Pool) expectedWait(now clock.Instant, req *Request) time.Duration {
 	tokens, rate := p.prefillBacklog(now, req)
+	moreUrgent, ahead := p.queuePosition(req)
 	for priority, queued := range p.queuedTokens {
-		if priority <= req.Priority {
+		if priority < req.Priority || priority == req.Priority && !req.TakesUp {
 			tokens += queued
 		}
 	}
-	moreUrgent, ahead := p.queuePosition(req)
+	if req.TakesUp {
+		for _, q := range p.queue[moreUrgent:ahead] {
+			tokens += q.uniqueTokens
+		}
+	}
 	return max(prefillTime(tokens, rate), p.slotRates(now, req.Priority).wait(moreUrgent, ahead-moreUrgent))
 }
 
@@ -316,12 +335,8 @@
 		switch {
 		case a.req.Priority != b.req.Priority:
 			return a.req.Priority - b.req.Priority
-		case a.late == b.late:
-			return 0
-		case a.late:
-			return 1
 		}
-		return -1
+		return a.rank() - b.rank()
 	})
 }
 
