Soak: two software versions, and callers who take broken streams up

Half of the soak's engines run another software version, and streams last 0.2 s, so that faults break some off. Callers take these up at any entry, twice at most; a stream that goes on at another version than the one that began it is a breach, whatever disturbs entries.

--- a/cmd/gypsum-standin/main.go
+++ b/cmd/gypsum-standin/main.go
@@ -81,6 +81,7 @@
 			&cli.IntFlag{Name: "slots", Value: 8, Usage: "maximum concurrent requests"},
 			&cli.StringFlag{Name: "model", Usage: "model, if the endpoint is an engine"},
 			&cli.IntFlag{Name: "version", Value: 1, Usage: "initial weight version"},
+			&cli.StringFlag{Name: "software", Value: "v1", Usage: "version of its software"},
 			&cli.IntFlag{Name: "events", Usage: "number of events in a stream"},
 			&cli.DurationFlag{Name: "work", Value: 5 * time.Millisecond, Usage: "duration of a call, and of each event"},
 		},
@@ -93,7 +94,7 @@
 	go store.Run(context.Background())
 	endpoint, err := hosted.StartEndpoint(hosted.EndpointConfig{
 		ID: cmd.String("id"), Service: cmd.String("service"), Zone: cmd.String("zone"), Slots: cmd.Int("slots"), Model: cmd.String("model"),
-		Version: cmd.Int("version"), Events: cmd.Int("events"), Work: cmd.Duration("work"), Listen: cmd.String("listen"),
+		Version: cmd.Int("version"), Software: cmd.String("software"), Events: cmd.Int("events"), Work: cmd.Duration("work"), Listen: cmd.String("listen"),
 		Advertise: cmd.String("advertise"), Journal: os.Stdout,
 	}, store)
 	if err != nil {
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -16,12 +16,17 @@
 // request is one request of a caller and its result.
 type request struct {
 	id, path, body string
+	// parts names the parts of the prompt.
+	parts          string
 	entry          *node
 	key, workspace string
 	sent, finished time.Time
 	deadline       time.Time
 	// abandoned is true if the caller cancelled the request early.
 	abandoned bool
+	// began is the request that brought the stream's first event, if this one takes it up after lastEvent, or nil.
+	began     *request
+	lastEvent int
 
 	// status is zero if there was no response.
 	status   int
@@ -34,9 +39,11 @@
 
 // caller sends one request at a time over persistent connections.
 type caller struct {
-	site          *site
-	operator      *operator
-	random        *rand.Rand
+	site     *site
+	operator *operator
+	random   *rand.Rand
+	// takeUps chooses entries for take-ups, so that these don't change what a seed draws besides.
+	takeUps       *rand.Rand
 	client        *http.Client
 	id, sentCount int
 	requests      []*request
@@ -46,7 +53,8 @@
 	// Connections stay open until the entries' processes end.
 	return &caller{
 		site: s, operator: o, id: id, random: rand.New(rand.NewPCG(seed, uint64(id))),
-		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}},
+		takeUps: rand.New(rand.NewPCG(seed, uint64(callerCount+id))),
+		client:  &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}},
 	}
 }
 
@@ -79,7 +87,7 @@
 	c.requests = append(c.requests, r)
 	ctx, cancel := context.WithDeadline(context.Background(), r.deadline.Add(deadlineTolerance))
 	defer cancel()
-	if c.random.IntN(10) == 0 {
+	if r.began == nil && c.random.IntN(10) == 0 {
 		r.abandoned = true
 		cancelled, cancelEarly := context.WithTimeout(ctx, time.Duration(1+c.random.IntN(80))*time.Millisecond)
 		defer cancelEarly()
@@ -100,7 +108,14 @@
 	if r.path == redraftPath || r.path == briefPath {
 		req.Header.Set("Model", hosted.SiteModel)
 		req.Header.Set("Token-Usage", fmt.Sprintf("1500,%d", streamEvents))
-		req.Header.Set("Prompt-Prefix", fmt.Sprintf("a%d:1000,%s:500", c.random.IntN(20), r.id))
+		if r.began == nil {
+			r.parts = fmt.Sprintf("a%d:1000,%s:500", c.random.IntN(20), r.id)
+		} else {
+			r.parts = r.began.parts
+			req.Header.Set("Resumes", r.began.id)
+			req.Header.Set("Last-Event-Id", fmt.Sprint(r.lastEvent))
+		}
+		req.Header.Set("Prompt-Prefix", r.parts)
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
@@ -116,7 +131,9 @@
 // run sends requests until the given time.
 func (c *caller) run(end time.Time) {
 	for time.Now().Before(end) {
-		c.send(c.nextRequest(), time.Duration(300+c.random.IntN(2700))*time.Millisecond)
+		r := c.nextRequest()
+		c.send(r, time.Duration(300+c.random.IntN(2700))*time.Millisecond)
+		c.takeUp(r)
 		time.Sleep(time.Duration(c.random.Int64N(int64(maxCallerPause))))
 	}
 }
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -67,6 +67,7 @@
 		s.checkDeadline(r)
 		s.checkRevokedKey(o, r, j.runs[r.id])
 		s.checkAllowed(o, r)
+		s.checkVersions(r, j)
 	}
 	for id, runs := range j.runs {
 		r := byID[id]
@@ -92,7 +93,7 @@
 	stream := r.path == redraftPath || r.path == briefPath
 	want := hosted.Body(r.id)
 	if stream {
-		want = hosted.Stream(streamEvents)
+		want = r.wantedStream()
 	}
 	signed := false
 	for _, run := range runs {
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -54,7 +54,9 @@
 	streamEvents = 10
 	entryCount   = 4
 	engineCount  = 4
-	plainCount   = 2
+	// eventTime is the time between two events of a stream: long enough that faults break streams off.
+	eventTime  = 20 * time.Millisecond
+	plainCount = 2
 )
 
 var zones = []string{"a", "b"}
@@ -145,7 +147,8 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	for i := range engineCount {
-		s.addEndpoint(fmt.Sprintf("engine-%d", i), zones[i%len(zones)], "--service", "engines", "--model", hosted.SiteModel, "--events", fmt.Sprint(streamEvents))
+		s.addEndpoint(fmt.Sprintf("engine-%d", i), zones[i%len(zones)], "--service", "engines", "--model", hosted.SiteModel, "--events", fmt.Sprint(streamEvents),
+			"--software", softwareOf(i), "--work", eventTime.String())
 	}
 	for i := range plainCount {
 		s.addEndpoint(fmt.Sprintf("calendar-%d", i), zones[i%len(zones)], "--service", "calendar")
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 )
@@ -132,6 +133,12 @@
 func (s *site) report(seed uint64, faults int) {
 	counts := make(map[string]int)
 	for _, r := range s.requests() {
+		if r.began != nil {
+			counts["taken up"]++
+			if strings.HasSuffix(r.wantedStream(), r.received) && r.status == http.StatusOK {
+				counts["went on"]++
+			}
+		}
 		switch {
 		case r.abandoned:
 			counts["left"]++
@@ -151,8 +158,9 @@
 			stalled += f.to.Sub(f.from)
 		}
 	}
-	fmt.Printf("SOAK     seed %d: %d faults; requests: %d whole, %d refused, %d failed, %d left by callers; machine stalled %v; %d breaches\n",
-		seed, faults, counts["whole"], counts["refused"], counts["other"], counts["left"], stalled.Round(time.Millisecond), len(s.breaches))
+	fmt.Printf("SOAK     seed %d: %d faults; requests: %d whole, %d refused, %d failed, %d left by callers; %d of %d streams taken up went on; "+
+		"machine stalled %v; %d breaches\n", seed, faults, counts["whole"], counts["refused"], counts["other"], counts["left"], counts["went on"],
+		counts["taken up"], stalled.Round(time.Millisecond), len(s.breaches))
 	if len(s.breaches) == 0 {
 		return
 	}
