Keep the origins of streams in the store while several software versions are in service

Ruled out: that they could be derived. That no engine of the new version has read a prompt doesn't show it, since engines lose events and evict.

The leader writes what it has placed to the store, in pages of 2 s with 9 bytes a stream, at most twice a second and only while streams may have begun at several versions; 32 keys in turn, which only a new leader reads, before anything else.

--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -139,3 +139,69 @@
 		})
 	})
 }
+
+func TestJournal(t *testing.T) {
+	Convey("a journal of streams", t, func() {
+		const slot = 2 * time.Second
+		var j origin.Journal
+		j.Restart(wall)
+		stored := make(map[string][]byte)
+		write := func() {
+			for {
+				name, data, due, err := j.Due()
+				So(err, ShouldBeNil)
+				if !due {
+					return
+				}
+				stored[name] = data
+			}
+		}
+		read := func(at time.Time) map[uint64]origin.Origin {
+			all := make(map[uint64]origin.Origin)
+			for _, data := range stored {
+				streams, err := origin.ReadPage(data, at, within)
+				So(err, ShouldBeNil)
+				for stream, o := range streams {
+					all[stream] = o
+				}
+			}
+			return all
+		}
+		v1, v2 := origin.Origin{Service: "llm", Software: "v1"}, origin.Origin{Service: "llm", Software: "v2"}
+		j.Add(wall, 1, v1)
+		j.Add(wall.Add(slot), 2, v2)
+		Convey("is read by the next leader, with what was added in a slot that ended before it was written", func() {
+			j.Add(wall.Add(3*slot), 3, v1)
+			write()
+			So(read(wall.Add(3*slot)), ShouldResemble, map[uint64]origin.Origin{1: v1, 2: v2, 3: v1})
+		})
+		Convey("isn't written while nothing is added", func() {
+			write()
+			So(stored, ShouldHaveLength, 1)
+			_, _, due, _ := j.Due()
+			So(due, ShouldBeFalse)
+		})
+		Convey("doesn't replace what the leader before has written in this slot", func() {
+			write()
+			j.Restart(wall.Add(slot))
+			j.Add(wall.Add(slot), 4, v1)
+			write()
+			So(read(wall.Add(2*slot)), ShouldHaveLength, 3)
+		})
+		Convey("is forgotten once its streams can't be taken up", func() {
+			write()
+			So(read(wall.Add(within+3*slot)), ShouldBeEmpty)
+		})
+		Convey("takes a bounded number of keys", func() {
+			for i := range 200 {
+				j.Add(wall.Add(time.Duration(i)*slot), uint64(i), v1)
+				write()
+			}
+			So(len(stored), ShouldEqual, 32)
+		})
+		Convey("isn't read from bytes that are no page", func() {
+			_, err := origin.ReadPage([]byte{1, 2, 3}, wall, within)
+			So(err, ShouldWrap, origin.ErrPage)
+		})
+	})
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -64,6 +64,7 @@
 	StoreRestored           Number = 315
 	ZoneEvacuationChanged   Number = 316
 	UpdatesDistributed      Number = 317
+	StreamsRead             Number = 318
 	RegistrationChanged     Number = 410
 	RegistrationInvalid     Number = 411
 	EndpointUnresponsive    Number = 412
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -132,7 +132,7 @@
 	for _, task := range []func(context.Context){
 		n.poller.run, n.members.renew, n.relay.run, n.catchUp.run, n.placer.run, n.leadership.run, n.follower.run, n.follower.freeStores,
 		n.follower.logUsage, n.rollout.run, n.blocks.run, n.watchReadiness, n.sweep,
-		n.dispatchDelay.run, n.handOver.run, n.distribution.run, n.origins.run, n.origins.register,
+		n.dispatchDelay.run, n.handOver.run, n.distribution.run, n.origins.run, n.origins.register, n.origins.writeJournal,
 	} {
 		n.wg.Go(func() { task(background) })
 	}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -27,6 +27,11 @@
 const (
 	// versionsKey holds which software versions are, or lately were, in service.
 	versionsKey = "gypsum/versions"
+	// streamsPrefix begins the keys of the journal of streams. They aren't among this system's other keys, which all instances read: only a new
+	// leader reads them.
+	streamsPrefix = "gypsum-streams/"
+	// journalPeriod is the interval at which the leader writes the journal while several versions are in service.
+	journalPeriod = 500 * time.Millisecond
 	// versionsPeriod is the interval at which the leader compares that key with what it sees.
 	versionsPeriod = 250 * time.Millisecond
 	// lateTakeUp is how long after its caller's deadline a stream may still be taken up, since callers count from when they sent the request.
@@ -59,6 +64,8 @@
 //	its registrars, chosen by rank, while several   all of them
 //	versions are in service
 //	the versions in service, if only one was      nothing: the store has them on record
+//	the journal in the store, of streams that a     nothing but the newest half second
+//	leader placed while several were in service
 //	the caches of engines: which version has      the engines, or their memory
 //	read the last part of the prompt
 type origins struct {
@@ -72,6 +79,11 @@
 	recordedAt kv.Revision
 	// several holds the services at which streams may have begun at several versions, as of the last sweep.
 	several map[string]bool
+	// journal holds the streams for the store; journalRead is the fencing number of the term in which it was read.
+	journal     origin.Journal
+	journalRead uint64
+	// nextPage is when the journal is written next.
+	nextPage clock.Instant
 	// unregistered holds the streams that this instance has placed and not told the registrars of.
 	unregistered []peer.StreamOrigin
 }
@@ -105,9 +117,95 @@
 		o.unregistered = append(o.unregistered, peer.StreamOrigin{
 			Stream: req.Stream, Service: req.Service, Software: software, Left: until.Sub(clock.Now()),
 		})
+		o.journal.Add(time.Now(), req.Stream, origin.Origin{Service: req.Service, Software: software})
 	}
 }
 
+// writeJournal writes the streams that this instance has placed as the leader, after it has read those of earlier leaders.
+func (o *origins) writeJournal(ctx context.Context) {
+	duty.Every(ctx, journalPeriod/2, func(ctx context.Context) {
+		fence, _, _ := o.node.leadership.term()
+		o.mu.Lock()
+		read := o.journalRead == fence
+		o.mu.Unlock()
+		if !o.node.leadership.holdsLease(clock.Now()) {
+			return
+		}
+		var err error
+		if !read {
+			err = o.readJournal(ctx, fence)
+		} else {
+			err = o.writePage(ctx)
+		}
+		if err != nil {
+			o.node.log.Warn(event.StoreUnreachable, "failed to keep the journal of streams", zap.Error(err))
+		}
+	})
+}
+
+// readJournal reads the streams of earlier leaders.
+func (o *origins) readJournal(ctx context.Context, fence uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*storeReadTimeout)
+	defer cancel()
+	within, known := o.streamTime(), 0
+	for after := ""; ; {
+		list, err := o.node.deps.Store.Range(ctx, streamsPrefix, after)
+		o.node.countStoreCall("read_streams", err)
+		if err != nil {
+			return fmt.Errorf("read streams: %w", err)
+		}
+		for _, item := range list.Items {
+			streams, err := origin.ReadPage(item.Data, time.Now(), within)
+			if err != nil {
+				o.node.log.Warn(event.RegistrationInvalid, "invalid page of streams skipped", zap.String("key", item.Key), zap.Error(err))
+			}
+			known += len(streams)
+			o.recordStored(streams, clock.Now().Add(within))
+		}
+		if after = list.After; after == "" {
+			break
+		}
+	}
+	o.mu.Lock()
+	o.journal.Restart(time.Now())
+	o.journalRead = fence
+	o.mu.Unlock()
+	o.node.log.Info(event.StreamsRead, "journal of streams read", zap.Int("streams", known))
+	return nil
+}
+
+func (o *origins) recordStored(streams map[uint64]origin.Origin, until clock.Instant) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for stream, began := range streams {
+		began.Until = until
+		o.table.Record(stream, began)
+	}
+}
+
+func (o *origins) writePage(ctx context.Context) error {
+	now := clock.Now()
+	o.mu.Lock()
+	if now.Before(o.nextPage) {
+		o.mu.Unlock()
+		return nil
+	}
+	name, data, due, err := o.journal.Due()
+	o.nextPage = now.Add(journalPeriod)
+	o.mu.Unlock()
+	if err != nil || !due {
+		return err //nolint:wrapcheck // It says what failed.
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+	defer cancel()
+	_, err = o.node.deps.Store.Commit(ctx, kv.Transaction{Writes: []kv.Write{{Key: streamsPrefix + name, Data: data}}})
+	o.node.countStoreCall("write_streams", err)
+	if err != nil {
+		return fmt.Errorf("write streams: %w", err)
+	}
+	return nil
+}
+
 // registrars returns the instances that are told of streams; all instances choose the same ones.
 func (o *origins) registrars() []string {
 	names := append(o.node.members.peerNames(), o.node.cfg.Name)
--- a/internal/gateway/software_versions_test.go
+++ b/internal/gateway/software_versions_test.go
@@ -138,6 +138,34 @@
 			So(joined, ShouldEqual, 0)
 			So(wentOn, ShouldBeGreaterThan, streams/2)
 		})
+		Convey("go on there after all entries were restarted and the engines that began them are gone", func() {
+			// With one attempt, each stream is read by one engine only.
+			spec := defaultSpec()
+			spec.Version, spec.Routes[2].MaxAttempts = 9, 1
+			s.putConfiguration(spec)
+			eventually("the versions are on record", func() bool { return s.store.ModRevision("gypsum/versions") > 0 })
+			time.Sleep(time.Second)
+			broken := s.breakStreams(s.entries[0], streams)
+			began := make(map[string]bool)
+			for _, b := range broken {
+				began[s.runs(b.id)[0].Endpoint] = true
+			}
+			time.Sleep(time.Second)
+			for _, e := range s.entries {
+				e.stop()
+			}
+			// One engine of each version is left, and an engine that has read nothing.
+			for _, endpoint := range []*hosted.Endpoint{s.endpoints[0], s.endpoints[2]} {
+				endpoint.Stop()
+				s.store.Delete("servers/" + endpoint.ID())
+			}
+			So(began, ShouldContainKey, s.endpoints[0].ID())
+			e := s.addEntry()
+			e.expectReady(true)
+			wentOn, joined := s.takeUp(e, broken)
+			So(joined, ShouldEqual, 0)
+			So(wentOn, ShouldEqual, streams)
+		})
 		Convey("are rejected if no endpoint of that version is left, also after all entries were restarted", func() {
 			broken := s.breakStreams(s.entries[0], streams)
 			for _, endpoint := range s.endpoints[:2] {
