--- a/internal/entry/outdated_test.go
+++ b/internal/entry/outdated_test.go
@@ -15,6 +15,7 @@
 
 // Guards against answers that callers take as final while a newer configuration may have what they name.
 func TestFinalAnswersWithoutPlatform(t *testing.T) {
+	t.Parallel()
 	Convey("an instance that can't reach the platform sends callers away for a moment whose key or service it doesn't know", t, func() {
 		var down atomic.Bool
 		platform := keyvalue.New(keyvalue.Config{}).Handler()
--- a/internal/gateway/busy_store_test.go
+++ b/internal/gateway/busy_store_test.go
@@ -17,6 +17,7 @@
 
 // Guards against entries that keep the store busy with their own reads, so that no relay can read it in time.
 func TestConfigurationLateAtBusyStore(t *testing.T) {
+	t.Parallel()
 	Convey("ten entries, and a store of 900 registrations whose link transfers them in 0.36 s", t, func() {
 		const bound = 3 * time.Second
 		s := newSite()
@@ -61,6 +62,7 @@
 
 // Guards against a configuration that is dropped since the relay's registrations are outdated.
 func TestConfigurationDroppedWithOutdatedRegistrations(t *testing.T) {
+	t.Parallel()
 	Convey("an entry uses the configuration that its relay has read, though the relay has not read all registrations in time", t, func() {
 		s := startSite(1)
 		relay := s.addRelay()
@@ -90,6 +92,7 @@
 
 // Guards against answers that callers take as final from a configuration that should have been replaced by now.
 func TestFinalAnswersOfUnconfirmedConfiguration(t *testing.T) {
+	t.Parallel()
 	Convey("an entry that can't confirm its configuration within the time that a newer one may take", t, func() {
 		s := startSite(0)
 		e := s.addEntryWith(func(cfg *settings.Hosted) {
--- a/internal/gateway/software_versions_test.go
+++ b/internal/gateway/software_versions_test.go
@@ -82,6 +82,7 @@
 }
 
 func TestStreamJoinedFromTwoVersions(t *testing.T) {
+	t.Parallel()
 	const streams = 24
 	Convey("streams of engines with two software versions", t, func() {
 		s := startVersions(2)
@@ -195,6 +196,7 @@
 
 // Guards against a stream that goes on at another service of its route's traffic split.
 func TestStreamTakenUpAtAnotherService(t *testing.T) {
+	t.Parallel()
 	Convey("streams on a route that is split between two services go on at the one that began them", t, func() {
 		s := newSite()
 		spec := defaultSpec()
