--- a/internal/gateway/origin_records.go
+++ b/internal/gateway/origin_records.go
@@ -32,14 +32,11 @@
 func (o *origins) writeJournal(ctx context.Context) {
 	duty.Every(ctx, journalPeriod/2, func(ctx context.Context) {
 		fence, _, _ := o.node.leadership.term()
-		o.mu.Lock()
-		read := o.journalRead == fence
-		o.mu.Unlock()
 		if !o.node.leadership.holdsLease(clock.Now()) {
 			return
 		}
 		var err error
-		if !read {
+		if o.startJournal(fence) {
 			err = o.readJournal(ctx, fence)
 		} else {
 			err = o.writePage(ctx)
@@ -50,6 +47,26 @@
 	})
 }
 
+// startJournal reports whether a new leader has to read the journal first. Without versions on record, or with a single one, nothing was written
+// that matters.
+func (o *origins) startJournal(fence uint64) (mustRead bool) {
+	o.mu.Lock()
+	started := o.journalRead == fence
+	o.mu.Unlock()
+	if started {
+		return false
+	}
+	o.sweep()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.recordedAt != 0 && len(o.several) > 0 {
+		return true
+	}
+	o.journal.Restart(time.Now())
+	o.journalRead = fence
+	return false
+}
+
 // readJournal reads the streams of earlier leaders.
 func (o *origins) readJournal(ctx context.Context, fence uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeReadTimeout)
