Read the caches of leaving engines while several software versions are in service

The leader follows engines that leave as long as they are registered and their service has several versions. TestStreamOfLeavingEngine failed before: 4 of 12.

--- a/internal/coordination/registry/view.go
+++ b/internal/coordination/registry/view.go
@@ -182,6 +182,17 @@
 // Registration returns the registration of an endpoint, or nil if it has none.
 func (v *View) Registration(id string) *registration.Registration { return v.endpoints[id] }
 
+// Leaving returns the registered endpoints that get no new work since they leave.
+func (v *View) Leaving() []*registration.Registration {
+	var list []*registration.Registration
+	for _, r := range v.endpoints {
+		if v.isLeaving(r) && !v.departed[r.Incarnation()] {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
 // Snapshot returns the endpoints that may get new work, by service and sorted by identifier.
 func (v *View) Snapshot() map[string][]*registration.Registration {
 	byService := make(map[string][]*registration.Registration)
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -128,6 +128,13 @@
 	return d.view.Snapshot()
 }
 
+// leaving returns the registered endpoints that leave.
+func (d *discovery) leaving() []*registration.Registration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view.Leaving()
+}
+
 // addresses returns the addresses of all usable endpoints.
 func (d *discovery) addresses() map[string]bool {
 	used := make(map[string]bool)
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -159,6 +159,13 @@
 	o.history.Observe(clock.Now(), present)
 }
 
+// hasSeveral reports whether streams of a service may have begun at several versions.
+func (o *origins) hasSeveral(service string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.several[service]
+}
+
 // resolve sets the software version at which a request's stream began. The error is *placement.OriginError.
 func (o *origins) resolve(req *placement.Request) error {
 	if !req.TakesUp || req.Software != "" {
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -147,12 +147,20 @@
 		return nil
 	}
 	var list []followedCache
-	for service, endpoints := range p.node.discovery.snapshot() {
-		if s := table.Services[service]; s == nil || s.Engine == nil {
-			continue
+	follow := func(r *registration.Registration) {
+		if s := table.Services[r.Service]; s != nil && s.Engine != nil {
+			list = append(list, followedCache{name: r.ID, address: r.Address, service: r.Service, startMilli: r.StartMilli})
 		}
+	}
+	for _, endpoints := range p.node.discovery.snapshot() {
 		for _, r := range endpoints {
-			list = append(list, followedCache{name: r.ID, address: r.Address, service: service, startMilli: r.StartMilli})
+			follow(r)
+		}
+	}
+	for _, r := range p.node.discovery.leaving() {
+		// Their caches tell at which version streams began.
+		if p.node.origins.hasSeveral(r.Service) {
+			follow(r)
 		}
 	}
 	p.mu.Lock()
--- a/internal/gateway/software_versions_test.go
+++ b/internal/gateway/software_versions_test.go
@@ -50,6 +50,24 @@
 	return s
 }
 
+// allowOneAttempt has each stream read by one engine only.
+func (s *site) allowOneAttempt() {
+	spec := defaultSpec()
+	spec.Version, spec.Routes[2].MaxAttempts = 9, 1
+	s.putConfiguration(spec)
+}
+
+// restart stops all entries, runs what is to happen while there are none, and starts one.
+func (s *site) restart(meanwhile func()) *entry {
+	for _, e := range s.entries {
+		e.stop()
+	}
+	meanwhile()
+	e := s.addEntry()
+	e.expectReady(true)
+	return e
+}
+
 // breakStreams begins streams at an entry that are broken off after three events.
 func (s *site) breakStreams(e *entry, count int) []brokenStream {
 	s.eachEndpoint(hosted.EndpointFault{CutAfter: 3})
@@ -81,6 +99,29 @@
 	return wentOn, joined
 }
 
+// Guards against take-ups that are rejected since the engine that began the stream leaves, so that its cache isn't read any more.
+func TestStreamOfLeavingEngine(t *testing.T) {
+	t.Parallel()
+	Convey("streams that only the caches of leaving engines can tell of go on after all entries were restarted", t, func() {
+		const streams = 12
+		s := startVersions(1)
+		s.allowOneAttempt()
+		eventually("the versions are on record", func() bool { return s.store.ModRevision("gypsum/versions") > 0 })
+		time.Sleep(time.Second)
+		broken := s.breakStreams(s.entries[0], streams)
+		e := s.restart(func() {
+			for page := range 32 {
+				s.store.Delete(fmt.Sprintf("gypsum-streams/%02d", page))
+			}
+			So(s.endpoints[0].Leave(), ShouldBeNil)
+			So(s.endpoints[2].Leave(), ShouldBeNil)
+		})
+		wentOn, joined := s.takeUp(e, broken)
+		So(joined, ShouldEqual, 0)
+		So(wentOn, ShouldEqual, streams)
+	})
+}
+
 func TestStreamJoinedFromTwoVersions(t *testing.T) {
 	t.Parallel()
 	const streams = 24
@@ -140,10 +181,7 @@
 			So(wentOn, ShouldBeGreaterThan, streams/2)
 		})
 		Convey("go on there after all entries were restarted and the engines that began them are gone", func() {
-			// With one attempt, each stream is read by one engine only.
-			spec := defaultSpec()
-			spec.Version, spec.Routes[2].MaxAttempts = 9, 1
-			s.putConfiguration(spec)
+			s.allowOneAttempt()
 			eventually("the versions are on record", func() bool { return s.store.ModRevision("gypsum/versions") > 0 })
 			time.Sleep(time.Second)
 			broken := s.breakStreams(s.entries[0], streams)
