Tell of the streams that began before a second software version came

The leader now tells of what it knows when a service gets a second version. TestStreamBegunBeforeSecondVersion failed before: 2 of 12 went on.

--- a/internal/coordination/origin/table.go
+++ b/internal/coordination/origin/table.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"maps"
 	"time"
 
 	"gypsumvale/internal/state/clock"
@@ -36,6 +37,9 @@
 	return o, ok
 }
 
+// All returns all streams that are known.
+func (t *Table) All() map[uint64]Origin { return maps.Clone(t.streams) }
+
 // Own returns the streams that this instance has sent to their callers.
 func (t *Table) Own() map[uint64]Origin {
 	own := make(map[uint64]Origin)
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -88,13 +88,21 @@
 	until := req.Deadline.Add(lateTakeUp)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.table.Record(req.Stream, origin.Origin{Service: req.Service, Software: software, Until: until, Own: own})
-	if placed && o.several[req.Service] && len(o.unregistered) < maxRegistered {
+	began := origin.Origin{Service: req.Service, Software: software, Until: until, Own: own}
+	o.table.Record(req.Stream, began)
+	if placed && o.several[req.Service] {
+		o.tell(req.Stream, began)
+	}
+}
+
+// tell has the registrars told of a stream, and adds it to the journal; the caller holds the lock.
+func (o *origins) tell(stream uint64, began origin.Origin) {
+	if len(o.unregistered) < maxRegistered {
 		o.unregistered = append(o.unregistered, peer.StreamOrigin{
-			Stream: req.Stream, Service: req.Service, Software: software, Left: until.Sub(clock.Now()),
+			Stream: stream, Service: began.Service, Software: began.Software, Left: began.Until.Sub(clock.Now()),
 		})
-		o.journal.Add(time.Now(), req.Stream, origin.Origin{Service: req.Service, Software: software})
 	}
+	o.journal.Add(time.Now(), stream, began)
 }
 
 // recordReported records the streams of an entry.
@@ -218,16 +226,28 @@
 	})
 }
 
-// sweep drops old streams, and determines which services have several versions.
+// sweep drops old streams, and determines which services have several versions. When a service gets a second one, a leader tells of the streams
+// that began before.
 func (o *origins) sweep() {
 	now, within := clock.Now(), o.streamTime()
+	leads := o.node.leadership.holdsLease(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table.Sweep(now)
-	o.several = make(map[string]bool)
+	several, added := make(map[string]bool), false
 	for _, service := range o.history.Services() {
 		if _, sole := o.history.Sole(now, time.Now(), service, within); !sole {
-			o.several[service] = true
+			several[service], added = true, added || !o.several[service]
+		}
+	}
+	previous := o.several
+	o.several = several
+	if !leads || !added {
+		return
+	}
+	for stream, began := range o.table.All() {
+		if several[began.Service] && !previous[began.Service] {
+			o.tell(stream, began)
 		}
 	}
 }
--- a/internal/gateway/software_versions_test.go
+++ b/internal/gateway/software_versions_test.go
@@ -122,6 +122,40 @@
 	})
 }
 
+// Guards against take-ups that are rejected since their streams began before the leader kept a journal.
+func TestStreamBegunBeforeSecondVersion(t *testing.T) {
+	t.Parallel()
+	Convey("streams that began before a second version came go on after all entries were restarted and their engine has left", t, func() {
+		const streams = 12
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		add := func(software string, i int) {
+			s.addEndpoint(hosted.EndpointConfig{
+				ID: fmt.Sprintf("llm-%s-%d", software, i), Service: "llm", Model: testModel, Version: 1, Software: software, Events: 6,
+				Work: 5 * time.Millisecond,
+			})
+		}
+		add("v1", 0)
+		add("v1", 1)
+		s.addEntry().expectReady(true)
+		s.allowOneAttempt()
+		eventually("the version is on record", func() bool { return s.store.ModRevision("gypsum/versions") > 0 })
+		time.Sleep(time.Second)
+		broken := s.breakStreams(s.entries[0], streams)
+		recorded := s.store.ModRevision("gypsum/versions")
+		add("v2", 0)
+		eventually("both versions are on record", func() bool { return s.store.ModRevision("gypsum/versions") > recorded })
+		time.Sleep(time.Second)
+		e := s.restart(func() {
+			s.endpoints[0].Stop()
+			s.store.Delete("servers/" + s.endpoints[0].ID())
+		})
+		wentOn, joined := s.takeUp(e, broken)
+		So(joined, ShouldEqual, 0)
+		So(wentOn, ShouldEqual, streams)
+	})
+}
+
 func TestStreamJoinedFromTwoVersions(t *testing.T) {
 	t.Parallel()
 	const streams = 24
