Write down where streams are placed, before they begin

Ruled out: writing more often alone, since most of these streams were some ten milliseconds old.

A placement counts only if it is the only one and no cache contradicts it; where the stream began goes before it.

--- a/internal/coordination/origin/journal.go
+++ b/internal/coordination/origin/journal.go
@@ -21,7 +21,9 @@
 	maxPageEntries = 32000
 	// maxEnded is how many pages wait while the store can't be reached.
 	maxEnded        = 8
-	maxPageVersions = 255
+	maxPageVersions = 127
+	// placedBit is set in the index of a stream that was placed and isn't known to have begun.
+	placedBit = 0x80
 )
 
 // ErrPage is returned for a page that can't be decoded.
@@ -56,7 +58,7 @@
 	*j = Journal{startAt: slotStart(wall) + slotTime.Milliseconds()}
 }
 
-// Add adds a stream that began at a version of a service. One for which the page has no room is left out.
+// Add adds a stream that began, or was placed, at a version of a service. One for which the page has no room is left out.
 func (j *Journal) Add(wall time.Time, stream uint64, o Origin) {
 	if at := max(slotStart(wall), j.startAt); at != j.current.At {
 		if j.changed && len(j.ended) < maxEnded {
@@ -73,6 +75,9 @@
 	if index < 0 || len(j.current.Streams) >= maxPageEntries*entryBytes {
 		return
 	}
+	if o.Placed {
+		index |= placedBit
+	}
 	j.current.Streams = append(binary.BigEndian.AppendUint64(j.current.Streams, stream), byte(index))
 	j.changed = true
 }
@@ -109,11 +114,15 @@
 	}
 	streams := make(map[uint64]Origin, len(p.Streams)/entryBytes)
 	for entry := range slices.Chunk(p.Streams, entryBytes) {
-		index := int(entry[entryBytes-1])
+		index, placed := int(entry[entryBytes-1]&^placedBit), entry[entryBytes-1]&placedBit != 0
 		if index >= len(p.Versions) {
 			return nil, fmt.Errorf("version %d of %d: %w", index, len(p.Versions), ErrPage)
 		}
-		streams[binary.BigEndian.Uint64(entry)] = Origin{Service: p.Versions[index][0], Software: p.Versions[index][1]}
+		stream, read := binary.BigEndian.Uint64(entry), Origin{Service: p.Versions[index][0], Software: p.Versions[index][1], Placed: placed}
+		if held, ok := streams[stream]; ok {
+			read = held.merge(read)
+		}
+		streams[stream] = read
 	}
 	return streams, nil
 }
--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -43,6 +43,30 @@
 	})
 }
 
+func TestPlacedStream(t *testing.T) {
+	Convey("where a stream was only placed", t, func() {
+		table := origin.NewTable()
+		record := func(software string, placed bool) origin.Origin {
+			table.Record(1, origin.Origin{Service: "llm", Software: software, Until: now, Placed: placed})
+			held, ok := table.Lookup(1)
+			So(ok, ShouldBeTrue)
+			return held
+		}
+		So(record("v1", true).Software, ShouldEqual, "v1")
+		Convey("gives way to where it began", func() {
+			held := record("v2", false)
+			So(held.Software, ShouldEqual, "v2")
+			So(held.Placed, ShouldBeFalse)
+			So(record("v1", true).Software, ShouldEqual, "v2")
+		})
+		Convey("isn't known once it was placed at two versions", func() {
+			So(record("v2", true).Known(), ShouldBeFalse)
+			So(record("v1", true).Known(), ShouldBeFalse)
+			So(record("v1", false).Known(), ShouldBeTrue)
+		})
+	})
+}
+
 func TestReaders(t *testing.T) {
 	Convey("the version that has read the last part of a prompt", t, func() {
 		readers := origin.NewReaders()
@@ -175,6 +199,19 @@
 			write()
 			So(read(wall.Add(3*slot)), ShouldResemble, map[uint64]origin.Origin{1: v1, 2: v2, 3: v1})
 		})
+		Convey("says where a stream was placed until it is known where it began, also within one page", func() {
+			placed := origin.Origin{Service: "llm", Software: "v1", Placed: true}
+			j.Add(wall.Add(slot), 5, placed)
+			j.Add(wall.Add(slot), 6, placed)
+			j.Add(wall.Add(slot), 6, v2)
+			j.Add(wall.Add(slot), 7, placed)
+			j.Add(wall.Add(slot), 7, origin.Origin{Service: "llm", Software: "v2", Placed: true})
+			write()
+			streams := read(wall.Add(slot))
+			So(streams[5], ShouldResemble, placed)
+			So(streams[6], ShouldResemble, v2)
+			So(streams[7].Known(), ShouldBeFalse)
+		})
 		Convey("isn't written while nothing is added", func() {
 			write()
 			So(stored, ShouldHaveLength, 1)
--- a/internal/coordination/origin/table.go
+++ b/internal/coordination/origin/table.go
@@ -14,19 +14,37 @@
 	Until clock.Instant
 	// Own is true if this instance has sent the stream to its caller.
 	Own bool
+	// Placed is true if the request was placed there and isn't known to have begun. It may have been placed elsewhere since.
+	Placed bool
 }
 
+// merge returns what is known of a stream from two records: where it began, if either knows that, or where it was placed, if it was only placed at
+// one version. An earlier record of where it began stays as it is.
+func (o Origin) merge(later Origin) Origin {
+	merged := o
+	switch {
+	case o.Placed && !later.Placed:
+		merged = later
+	case o.Placed && (o.Service != later.Service || o.Software != later.Software):
+		merged.Software = severalVersions
+	}
+	merged.Until, merged.Own = max(o.Until, later.Until), o.Own || later.Own
+	return merged
+}
+
+// Known reports whether the origin names a version.
+func (o Origin) Known() bool { return o.Software != severalVersions }
+
 // Table holds where streams began. A stream is identified by a hash of the attempt that brought its first event.
 type Table struct{ streams map[uint64]Origin }
 
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{streams: make(map[uint64]Origin)} }
 
-// Record records where a stream began. What is known of it already stays, except that its time may grow.
+// Record records where a stream began or was placed. Where it began stays as it was recorded first, except that its time may grow.
 func (t *Table) Record(stream uint64, o Origin) {
 	if held, ok := t.streams[stream]; ok {
-		held.Until, held.Own = max(held.Until, o.Until), held.Own || o.Own
-		o = held
+		o = held.merge(o)
 	}
 	t.streams[stream] = o
 }
@@ -102,6 +120,12 @@
 	return version, version != "" && version != severalVersions
 }
 
+// Contradicts reports whether another software version than a given one has read a part.
+func (r *Readers) Contradicts(part uint64, software string) bool {
+	version := r.version(part)
+	return version != "" && version != software
+}
+
 func (r *Readers) version(part uint64) string {
 	if version, ok := r.current[part]; ok {
 		return version
--- a/internal/gateway/origin_records.go
+++ b/internal/gateway/origin_records.go
@@ -23,7 +23,7 @@
 	// leader reads them.
 	streamsPrefix = "gypsum-streams/"
 	// journalPeriod is the interval at which the leader writes the journal while several versions are in service.
-	journalPeriod = 500 * time.Millisecond
+	journalPeriod = 250 * time.Millisecond
 	// versionsPeriod is the interval at which the leader compares that key with what it sees.
 	versionsPeriod = 250 * time.Millisecond
 )
--- a/internal/gateway/origin_registrars.go
+++ b/internal/gateway/origin_registrars.go
@@ -52,7 +52,10 @@
 func (o *origins) serveFind(stream uint64) peer.FindOriginReply {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	known, _ := o.table.Lookup(stream)
+	known, ok := o.table.Lookup(stream)
+	if !ok || known.Placed {
+		return peer.FindOriginReply{}
+	}
 	return peer.FindOriginReply{Service: known.Service, Software: known.Software}
 }
 
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -40,7 +40,7 @@
 //	the leader that placed the stream               that leader
 //	registrars, while several versions serve        all of them
 //	the versions in service, if only one was        nothing: they are on record in the store
-//	the journal in the store, of streams that a     nothing but the newest half second
+//	the journal in the store, of streams that a     what was placed just before
 //	leader placed while several were in service
 //	the caches of engines: which version has read   the engines, or their memory
 //	the last part of the prompt
@@ -105,6 +105,19 @@
 	o.journal.Add(time.Now(), stream, began)
 }
 
+// recordPlaced records that a request that begins a stream was placed at an endpoint of a software version, so that the stream is known to the
+// next leader even if all instances are killed right after its first event.
+func (o *origins) recordPlaced(req *placement.Request, software string) {
+	if req.Stream == 0 || req.Software != "" || software == "" {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.several[req.Service] {
+		o.journal.Add(time.Now(), req.Stream, origin.Origin{Service: req.Service, Software: software, Placed: true})
+	}
+}
+
 // recordReported records the streams of an entry.
 func (o *origins) recordReported(streams []peer.StreamOrigin) {
 	now := clock.Now()
@@ -184,6 +197,11 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	known, ok := o.table.Lookup(req.Stream)
+	last := lastPartHash(req)
+	if ok && known.Placed && (!known.Known() || o.readers.Contradicts(last, known.Software)) {
+		// The request was placed at several versions.
+		return &placement.OriginError{Learning: learning}
+	}
 	switch {
 	case ok && known.Service != req.Service:
 		// The operator has moved the route since.
@@ -196,15 +214,21 @@
 		req.Software = sole
 		return nil
 	}
-	if len(req.Parts) > 0 {
-		if reader, ok := o.readers.Lookup(partHash(req.Service, req.Parts[len(req.Parts)-1].ID)); ok {
-			req.Software = reader
-			return nil
-		}
+	if reader, ok := o.readers.Lookup(last); ok {
+		req.Software = reader
+		return nil
 	}
 	return &placement.OriginError{Learning: learning}
 }
 
+// lastPartHash returns the hash of the last part of a request's prompt.
+func lastPartHash(req *placement.Request) uint64 {
+	if len(req.Parts) == 0 {
+		return 0
+	}
+	return partHash(req.Service, req.Parts[len(req.Parts)-1].ID)
+}
+
 // streamTime returns how long ago a stream may have begun that is taken up now.
 func (o *origins) streamTime() time.Duration {
 	longest := minStreamTime
@@ -246,7 +270,7 @@
 		return
 	}
 	for stream, began := range o.table.All() {
-		if several[began.Service] && !previous[began.Service] {
+		if several[began.Service] && !previous[began.Service] && !began.Placed {
 			o.tell(stream, began)
 		}
 	}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -348,6 +348,7 @@
 	if err != nil {
 		return choice, fmt.Errorf("place on %s: %w", req.Service, err)
 	}
+	p.node.origins.recordPlaced(req, choice.Software)
 	return choice, nil
 }
 
@@ -426,6 +427,7 @@
 	}
 	pool.SetOwner(now, p.node.leadership.holdsLease(now))
 	for _, g := range pool.ProcessQueue(now) {
+		p.node.origins.recordPlaced(g.Request, g.Choice.Software)
 		// The pool grants each queued request once, so there is room. A send that waits would stop placement for good.
 		select {
 		case p.waiters[g.Request.ID] <- g:
