Check that a take-up that doesn't go on is refused as not run

The tests counted streams that went on and that were joined; what became of the others wasn't looked at. Each must be answered 503 without a run and without a seal.

--- a/internal/gateway/software_versions_test.go
+++ b/internal/gateway/software_versions_test.go
@@ -94,7 +94,9 @@
 		if a.complete && a.status == http.StatusOK {
 			So(a.body, ShouldEqual, hosted.Event(4)+hosted.Event(5)+hosted.Event(6))
 			wentOn++
+			continue
 		}
+		s.expectRefused(a, http.StatusServiceUnavailable, 0)
 	}
 	return wentOn, joined
 }
