--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -110,9 +110,10 @@
 	n.log.Info(event.StoreReachable, "metadata store reachable again", zap.Uint64("revision", n.discovery.revision().Number()))
 }
 
-// storeItems holds the items of a poll, grouped by who wrote them.
+// storeItems holds the items of a poll, grouped by who wrote them, and the store's revision at the first page.
 type storeItems struct {
 	operator, registrations, own []kv.Item
+	revision                     kv.Revision
 }
 
 // add adds the items of a page to the groups of their writers.
@@ -157,27 +158,15 @@
 		prefixes = append(prefixes, ownPrefix)
 	}
 	var items storeItems
-	var revision kv.Revision
 	for _, prefix := range prefixes {
-		for after := ""; ; {
-			page, err := s.readPage(ctx, prefix, after)
-			if err != nil {
+		for after, more := "", true; more; more = after != "" {
+			var err error
+			if after, err = s.addPage(ctx, prefix, after, &items); err != nil {
 				return err
 			}
-			items.add(page.Items, schema)
-			if revision == 0 {
-				revision = page.Revision
-				s.logEra(revision)
-			}
-			if page.Revision.Era() != revision.Era() {
-				return errRestored
-			}
-			if after = page.After; after == "" {
-				break
-			}
 		}
 	}
-	return s.applyFront(ctx, sent, revision, &items, len(prefixes) > 1)
+	return s.applyFront(ctx, sent, &items, len(prefixes) > 1)
 }
 
 // pollAll reads the complete store, page by page, and reports whether it has come to the end; the age of the data counts from when the first
@@ -191,28 +180,20 @@
 	frontEnd := max(schema.OperatorPrefix(), ownPrefix) + maxKeySuffix
 	sent := clock.Now()
 	var items storeItems
-	var revision kv.Revision
 	var joinErr error
 	var front time.Duration
 	for after, applied := "", false; ; {
-		page, err := s.readPage(ctx, "", after)
-		if err != nil {
+		first := after == ""
+		if after, err = s.addPage(ctx, "", after, &items); err != nil {
 			return false, err
 		}
-		items.add(page.Items, schema)
-		if after == "" {
-			revision = page.Revision
-			s.logEra(revision)
-			s.multiPage = page.After != ""
-		}
-		if page.Revision.Era() != revision.Era() {
-			return false, errRestored
+		if first {
+			s.multiPage = after != ""
 		}
-		after = page.After
 		if !applied && (after == "" || after > frontEnd) {
 			applied = true
 			// An entry that fails to register can serve nonetheless.
-			joinErr = s.applyFront(ctx, sent, revision, &items, true)
+			joinErr = s.applyFront(ctx, sent, &items, true)
 			front = clock.Now().Sub(sent)
 		}
 		if after == "" {
@@ -222,12 +203,30 @@
 			return false, joinErr
 		}
 	}
-	n.discovery.applyListing(sent, revision, items.registrations)
+	n.discovery.applyListing(sent, items.revision, items.registrations)
 	n.relay.publish()
 	n.distribution.recordRead(front, clock.Now().Sub(sent))
 	return true, joinErr
 }
 
+// addPage reads the page of a prefix that begins after a key, and returns the key after which the next one begins, or an empty string after the
+// last one. The error may be errRestored.
+func (s *storePoller) addPage(ctx context.Context, prefix, after string, items *storeItems) (next string, err error) {
+	page, err := s.readPage(ctx, prefix, after)
+	if err != nil {
+		return "", err
+	}
+	items.add(page.Items, s.node.deps.Schema)
+	if items.revision == 0 {
+		items.revision = page.Revision
+		s.logEra(page.Revision)
+	}
+	if page.Revision.Era() != items.revision.Era() {
+		return "", errRestored
+	}
+	return page.After, nil
+}
+
 // errRestored is returned when the store was restored from a copy between two calls that belong together.
 var errRestored = errors.New("metadata store was restored from a copy meanwhile")
 
@@ -276,8 +275,8 @@
 }
 
 // applyFront applies the items of the operator and, if they were read, of this system; the error is that of joining this instance.
-func (s *storePoller) applyFront(ctx context.Context, sent clock.Instant, revision kv.Revision, items *storeItems, ownRead bool) error {
-	n := s.node
+func (s *storePoller) applyFront(ctx context.Context, sent clock.Instant, items *storeItems, ownRead bool) error {
+	n, revision := s.node, items.revision
 	n.configuration.recordEra(clock.Now(), revision.Era())
 	// Evacuations come first: with a configuration that is in force, requests are sent.
 	changed := n.evacuations.applyListing(sent, revision, items.operator)
