Keep a newer configuration from being replaced by one that was decoded for longer

Callers of a route that a change has added get 404, and those of a route that it has moved are served by the old service, until the next change (CONFIG: handled by an older version, whatever time has passed).

Cause: the relay's task, the reads of the store and the queries at a start adopt configurations side by side. Each compared its version with the one in force before decoding, and stored the result without a look at what had been adopted meanwhile. The newer one counted as held from then on, so that no relay sent it again, while its confirmation was renewed. Class: check and act on shared state with a wait in between.

Now the comparison and the activation are one step. The native edge adopts revisions under one lock, with the comparison in it, and isn't affected.

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -18,12 +18,16 @@
 	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/state/clock"
 	"gypsumvale/internal/state/kv"
+	"gypsumvale/internal/state/route"
 )
 
 // configuration holds what the operator wrote: routes, keys and target weight versions.
 type configuration struct {
 	node *Node
 
+	// activating is held while a configuration is put into force.
+	activating sync.Mutex
+
 	mu sync.Mutex
 	// targets holds the weight version that each model should run.
 	targets map[string]int
@@ -248,7 +252,6 @@
 // adopt activates a newer configuration; an older or undecodable one changes nothing.
 func (c *configuration) adopt(from provenance, item kv.Item) {
 	n := c.node
-	current := n.table.Load()
 	table, err := n.deps.Schema.Configuration(item)
 	c.mu.Lock()
 	switch {
@@ -269,18 +272,30 @@
 		n.log.Warn(event.TableInvalid, "configuration not adopted", zap.Error(err), zap.Uint64("revision", item.Revision.Number()))
 		return
 	}
-	if current != nil && table.Version <= current.Version {
+	if !c.activate(table) {
 		return
 	}
-	n.table.Store(table)
-	n.placer.setServices(table)
-	n.metrics.TableVersion.Set(float64(table.Version))
 	size := table.Size()
 	n.log.Info(event.TableAdopted, "configuration adopted", zap.Uint64("table", table.Version), zap.Uint64("revision", item.Revision.Number()),
 		zap.Int("routes", size.Routes), zap.Int("keys", size.Keys), zap.Int("workspaces", size.Workspaces), zap.String("source", from.source),
 		zap.Int64("read_ms", clock.Now().Sub(from.readAt).Milliseconds()))
 }
 
+// activate puts a configuration into force unless a newer one is, and reports whether it did. Several tasks adopt configurations side by side, and
+// each may have decoded its own for a while.
+func (c *configuration) activate(table *route.Table) bool {
+	c.activating.Lock()
+	defer c.activating.Unlock()
+	n := c.node
+	if current := n.table.Load(); current != nil && table.Version <= current.Version {
+		return false
+	}
+	n.table.Store(table)
+	n.placer.setServices(table)
+	n.metrics.TableVersion.Set(float64(table.Version))
+	return true
+}
+
 // recordUndecodable records a configuration that couldn't be decoded; the caller holds the lock. If it was written again to a restored store,
 // what is known of the versions before it still holds.
 func (c *configuration) recordUndecodable(item kv.Item) {
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -55,6 +55,8 @@
 	endpoints []*hosted.Endpoint
 	entries   []*entry
 	requests  atomic.Int64
+	// schema decodes what is in the store.
+	schema gateway.StoreSchema
 }
 
 type entry struct {
@@ -67,7 +69,7 @@
 }
 
 func newSite() *site {
-	s := &site{store: hosted.NewStore()}
+	s := &site{store: hosted.NewStore(), schema: platform.StoreSchema{}}
 	s.server = httptest.NewServer(s.store.Handler())
 	Reset(s.close)
 	return s
@@ -161,7 +163,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &entry{cfg: cfg, cancel: cancel, done: make(chan struct{})}
 	e.node = gateway.New(cfg, event.Discard(), gateway.Dependencies{
-		Store: platform.NewStoreClient(cfg.Store), Schema: platform.StoreSchema{}, Headers: platform.HeaderCodec{},
+		Store: platform.NewStoreClient(cfg.Store), Schema: s.schema, Headers: platform.HeaderCodec{},
 		Engines: platform.NewEngineClient(), Caches: platform.NewCacheClient(), Delay: probe,
 	})
 	go func() {
