Read the operator's keys apart when the configuration isn't confirmed in time

Callers of an entry whose relays have failed may get 404 for a route that was acknowledged over the bound ago, or be served by the service that a change has replaced, though the entry itself is sound and reaches the store (CONFIG).

Cause: an entry reads nothing itself while its relay's data is younger than a limit, up to 0.75 of the bound for leaving endpoints. What is left is less than a read that gets no answer (0.6 s) and the next one. Nothing in the code tied the reads to the bound for configurations. Class: several waits in a row, each reasonable, whose sum nobody has added up.

Ruled out: one read without an answer, after which 2.8 s are needed.

Now each entry has a task that reads only the operator's keys once its confirmation is half of the bound old, two fifths at a zone's relay, which then serves its followers. After three they slow down, so that a slow store isn't kept busy by them; event 319 shows them. On a sound site they don't happen: a regular read comes each quarter of the bound.

TestLargeSite set the bound for leaving endpoints to 3 s and left the one for configurations at 1 s, which a store that needs 0.33 s for a page can't meet, so that entries now read for that (72 pages in 4 s). It sets both to 3 s, as all deployments do; its limits on pages are unchanged.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -65,6 +65,7 @@
 	ZoneEvacuationChanged   Number = 316
 	UpdatesDistributed      Number = 317
 	StreamsRead             Number = 318
+	ConfirmationLate        Number = 319
 	RegistrationChanged     Number = 410
 	RegistrationInvalid     Number = 411
 	EndpointUnresponsive    Number = 412
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -54,6 +54,7 @@
 	follower      *follower
 	rollout       *weightRollout
 	poller        *storePoller
+	confirmer     *confirmer
 	relay         *relay
 	catchUp       *catchUp
 	distribution  *distribution
@@ -98,6 +99,7 @@
 	n.catchUp = newCatchUp(n)
 	n.distribution = &distribution{node: n}
 	n.poller = newStorePoller(n)
+	n.confirmer = &confirmer{node: n}
 	n.rollout = newWeightRollout(n)
 	n.dispatchDelay = newDispatchDelay(n)
 	n.handOver = &handOver{node: n}
@@ -130,7 +132,7 @@
 	defer stopBackground()
 	n.background = background
 	for _, task := range []func(context.Context){
-		n.poller.run, n.members.renew, n.relay.run, n.catchUp.run, n.placer.run, n.leadership.run, n.follower.run, n.follower.freeStores,
+		n.poller.run, n.confirmer.run, n.members.renew, n.relay.run, n.catchUp.run, n.placer.run, n.leadership.run, n.follower.run, n.follower.freeStores,
 		n.follower.logUsage, n.rollout.run, n.blocks.run, n.watchReadiness, n.sweep,
 		n.dispatchDelay.run, n.handOver.run, n.distribution.run, n.origins.run, n.origins.register, n.origins.writeJournal,
 	} {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -71,6 +71,9 @@
 	return name == r.node.cfg.Name || r.source.MayReadAll(now)
 }
 
+// isRelay reports whether this entry is the relay of its zone.
+func (r *relay) isRelay() bool { return r.preferred() == r.node.cfg.Name }
+
 // recordOwnRead records that this entry has read all pages, or failed to.
 func (r *relay) recordOwnRead(now clock.Instant, took time.Duration) {
 	r.mu.Lock()
--- a/internal/gateway/replaced_weights_test.go
+++ b/internal/gateway/replaced_weights_test.go
@@ -281,14 +281,22 @@
 
 	mu    sync.Mutex
 	reply peer.SyncReply
+	// silent is true if queries get no reply.
+	silent bool
 }
 
-func (h *relayStub) Serve(_ context.Context, _ peer.Hello, kind peer.Kind, _ []byte) (any, error) {
+func (h *relayStub) Serve(ctx context.Context, _ peer.Hello, kind peer.Kind, _ []byte) (any, error) {
 	if kind != peer.KindSync {
 		return peer.Empty{}, nil
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.silent {
+		h.mu.Unlock()
+		<-ctx.Done()
+		h.mu.Lock()
+		return nil, ctx.Err()
+	}
 	h.reply.Seen++
 	return h.reply, nil
 }
@@ -304,18 +312,20 @@
 }
 
 // addRelay registers a stub as the relay of the entries' zone.
-func (s *site) addRelay() *relayStub {
+func (s *site) addRelay() *relayStub { return s.addRelayNamed("relay") }
+
+func (s *site) addRelayNamed(name string) *relayStub {
 	stub := &relayStub{}
 	address := freeAddress()
 	network := peers.New(peers.Config{
-		Name: "relay", Incarnation: peers.NewIncarnation("relay"), Address: address, Secret: s.store.Value("gypsum/secret"),
+		Name: name, Incarnation: peers.NewIncarnation(name), Address: address, Secret: s.store.Value("gypsum/secret"),
 	}, stub)
 	_, err := network.Listen()
 	So(err, ShouldBeNil)
 	runNetwork(network)
 	record, err := msgpack.Marshal(map[string]any{"addr": address, "zone": "plateau", "run": "relay#1", "cpu": 0.5, "link": 1000.0})
 	So(err, ShouldBeNil)
-	s.store.PutRaw("gypsum/entries/relay", record)
+	s.store.PutRaw("gypsum/entries/"+name, record)
 	return stub
 }
 
--- a/internal/gateway/site_faults_test.go
+++ b/internal/gateway/site_faults_test.go
@@ -179,7 +179,9 @@
 		calendar := s.addEndpoint(hosted.EndpointConfig{ID: "cal-0", Service: "calendar", Work: time.Millisecond})
 		s.store.SetFault(hosted.StoreFault{PageDelay: 330 * time.Millisecond})
 		for range 4 {
-			s.addEntryWith(func(cfg *settings.Hosted) { cfg.MaxLeavingDelay, cfg.MaxRevocationDelay = 3*time.Second, 5*time.Second })
+			s.addEntryWith(func(cfg *settings.Hosted) {
+				cfg.MaxApplyDelay, cfg.MaxLeavingDelay, cfg.MaxRevocationDelay = 3*time.Second, 3*time.Second, 5*time.Second
+			})
 		}
 		for _, e := range s.entries {
 			e.expectReady(true)
--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -38,7 +38,7 @@
 	wakeup      chan struct{}
 	unreachable bool
 	// historyGap is true if configuration versions may have been missed.
-	historyGap bool
+	historyGap atomic.Bool
 	// multiPage is true if the store's contents fill more than one page; failures counts consecutive failed calls.
 	multiPage bool
 	failures  int
@@ -274,17 +274,24 @@
 	return list, nil
 }
 
-// applyFront applies the items of the operator and, if they were read, of this system; the error is that of joining this instance.
-func (s *storePoller) applyFront(ctx context.Context, sent clock.Instant, items *storeItems, ownRead bool) error {
-	n, revision := s.node, items.revision
-	n.configuration.recordEra(clock.Now(), revision.Era())
+// applyOperator applies the operator's items as returned by a call sent at an instant, and reports whether anything has changed.
+func (s *storePoller) applyOperator(ctx context.Context, sent clock.Instant, items *storeItems) bool {
+	n := s.node
+	n.configuration.recordEra(clock.Now(), items.revision.Era())
 	// Evacuations come first: with a configuration that is in force, requests are sent.
-	changed := n.evacuations.applyListing(sent, revision, items.operator)
+	changed := n.evacuations.applyListing(sent, items.revision, items.operator)
 	changed = n.configuration.apply(provenance{store, sent}, items.operator) || changed
 	s.confirmConfiguration(ctx, sent, items.operator)
+	return changed
+}
+
+// applyFront applies the items of the operator and, if they were read, of this system; the error is that of joining this instance.
+func (s *storePoller) applyFront(ctx context.Context, sent clock.Instant, items *storeItems, ownRead bool) error {
+	n := s.node
+	changed := s.applyOperator(ctx, sent, items)
 	if ownRead {
 		s.ownKeysReadAt = sent
-		changed = n.members.apply(revision, items.own) || changed
+		changed = n.members.apply(items.revision, items.own) || changed
 	}
 	if changed {
 		n.relay.publish()
@@ -307,8 +314,7 @@
 	if err == nil {
 		n.confirmation.Confirm(sent)
 	}
-	if historyGap := err != nil; historyGap != s.historyGap {
-		s.historyGap = historyGap
+	if historyGap := err != nil; s.historyGap.Swap(historyGap) != historyGap {
 		n.log.Warn(event.TableUnconfirmed, "possible configuration gap", zap.Bool("doubt", historyGap), zap.Error(err),
 			zap.Duration("table_age", n.confirmation.Age(clock.Now())))
 	}
--- a/internal/standin/hosted/handlers.go
+++ b/internal/standin/hosted/handlers.go
@@ -35,6 +35,10 @@
 		s.calls[name]++
 		s.expire(time.Now())
 		fault := s.fault
+		if strings.HasPrefix(name, "GET /-/kv-range") && fault.SilentReads > 0 {
+			s.fault.SilentReads--
+			fault.Silent = true
+		}
 		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 		s.mu.Unlock()
 		switch {
