Hand requests over to peers while no endpoint can be reached

Cause: an entry had no other way to an endpoint than its own. Ruled out: that their reports spoil the others' view; there is no 404, 406 or 408 of the first cut, and the other entries serve on. Class: a failure of one's own links taken for a failure of each peer.

A request that was handed over and not answered counts as run.

Not covered: the native edge, and brittle endpoints.

--- a/internal/coordination/succession/policy.go
+++ b/internal/coordination/succession/policy.go
@@ -10,6 +10,8 @@
 	// yieldAfter is how long a leader must have been behind before it hands over: two lease times, so that
 	// bursts pass first.
 	yieldAfter = 3 * time.Second
+	// isolatedYieldAfter is how long a leader must have been isolated: longer than a freeze makes it believe so.
+	isolatedYieldAfter = 500 * time.Millisecond
 	// firstTerm is how long a leader that was handed the lease keeps it at least, the first time: about the time until it knows the caches.
 	firstTerm = 8 * time.Second
 	// longestTerm bounds the terms, which double.
@@ -38,6 +40,7 @@
 //	a burst, or a pause                       nothing: both end sooner, or count once
 //	all are behind                            nothing: no peer accepts
 //	whoever leads becomes slow                hand-overs after terms that double
+//	the leader reaches no endpoint            it hands over after half a second to any peer that does
 type Policy struct {
 	handOvers      int
 	mayYieldAt     clock.Instant
@@ -73,6 +76,11 @@
 	return false
 }
 
+// MayYieldIsolated reports whether a leader that has reached no endpoint since an instant should look for a successor.
+func (p *Policy) MayYieldIsolated(now, since clock.Instant) bool {
+	return since != 0 && !now.Before(since.Add(isolatedYieldAfter)) && !now.Before(p.mayYieldAt)
+}
+
 // Yield records that this instance hands over, and returns the number of hand-overs that its successor begins with.
 func (p *Policy) Yield(now clock.Instant) int {
 	p.handOvers++
@@ -94,6 +102,9 @@
 	Delay time.Duration
 }
 
+// UnableToLead is the mean delay of a leader that should be succeeded by any willing candidate.
+const UnableToLead = time.Duration(1<<63 - 1)
+
 // Successor returns the willing candidate with the shortest delay, or false if none improves enough on the leader's mean delay.
 func Successor(delay time.Duration, candidates []Candidate) (name string, ok bool) {
 	var best Candidate
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -75,6 +75,7 @@
 	EndpointPauseInvalid    Number = 416
 	EndpointLimitChanged    Number = 417
 	EndpointWarmupChanged   Number = 418
+	EndpointsUnreachable    Number = 419
 	WeightsAnnounced        Number = 710
 	LeaderChanged           Number = 711
 	OrderEnded              Number = 712
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -129,7 +129,7 @@
 	headers.WriteHead(header, &dispatch, now)
 	r := &upstream.Request{
 		ID: j.head.ID, Method: j.r.Method, Target: j.target, Host: j.r.Host, Header: header, Body: j.body,
-		HasBody: j.r.ContentLength != 0 || len(j.r.TransferEncoding) > 0 || j.r.Method == http.MethodPost,
+		HasBody: j.hasBody(),
 		Permit:  permit,
 		Match: func(status int, h http.Header) upstream.Match {
 			reply := headers.ReadReply(status, h)
@@ -172,13 +172,23 @@
 		}
 		return retry.Broken, placement.OutcomeWithdrawn
 	}
+	if j.helper != "" {
+		n.log.Info(event.AttemptFailed, "request handed over to a peer failed", zap.String("request", j.head.ID), zap.String("helper", j.helper),
+			zap.Error(err))
+		return retry.Broken, placement.OutcomeWithdrawn
+	}
 	n.log.Info(event.AttemptFailed, "attempt failed", zap.String("request", j.head.ID), zap.String("endpoint", choice.Endpoint),
 		zap.Error(err))
 	if errors.Is(err, upstream.ErrNotSent) {
-		n.recordFailedDial(n.incarnationOf(choice), err)
+		if !n.links.awaitCheck(ctx) {
+			n.recordFailedDial(n.incarnationOf(choice), err)
+		}
 		return retry.NotSent, placement.OutcomeUnreachable
 	}
 	endpoint := n.incarnationOf(choice)
+	if n.links.isolated.Load() {
+		return retry.Broken, placement.OutcomeUnreachable
+	}
 	broken := suspect.BrokenExchange{
 		Exchange: suspect.Exchange{Parts: prompt.IDs(j.placementReq.SharedParts()), Answering: j.headReceived, SentAt: j.sentAt},
 		Digest:   j.digest, Service: j.service, Begun: j.begun, BrokenAt: clock.Now(), StartMilli: endpoint.StartMilli,
@@ -235,6 +245,10 @@
 // recordFirstEvent records that the answer has begun.
 func (j *job) recordFirstEvent() {
 	j.begun = true
+	if j.helper != "" {
+		// The helper knows the endpoint, and has recorded it.
+		return
+	}
 	j.recordOrigin()
 	j.node.recordSignOfLife(j.node.incarnationOf(&j.choice), j.sentAt)
 	j.node.clearParts(&j.placementReq)
@@ -315,6 +329,7 @@
 	for name, values := range j.node.deps.Headers.ReplyHeader(header) {
 		h[name] = values
 	}
+	j.describe(h)
 	for _, name := range []string{"Date", "Content-Type"} {
 		if _, ok := h[name]; !ok {
 			// A nil value keeps net/http from adding a header of its own.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -145,7 +145,7 @@
 	case err == nil:
 		n.recordSignOfLife(endpoint, began)
 		return false
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, n.links.awaitCheck(ctx):
 		return false
 	}
 	n.recordFailedDial(endpoint, err)
--- a/internal/gateway/dependencies.go
+++ b/internal/gateway/dependencies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -41,6 +42,8 @@
 type HeaderCodec interface {
 	ReadHead(h http.Header, arrived clock.Instant) (*exchange.Head, error)
 	WriteHead(h http.Header, d *exchange.Dispatch, now clock.Instant)
+	// WriteForwarded sets the headers that were removed from a caller's request, for a peer that serves it.
+	WriteForwarded(h http.Header, f *exchange.Forward, now clock.Instant)
 	ReadReply(status int, h http.Header) exchange.Reply
 	ReplyHeader(h http.Header) http.Header
 	LocalReplyHeader(id string) http.Header
@@ -73,4 +76,6 @@
 	Caches  Caches
 	// Delay measures whether this instance is behind; nil selects a pipe.
 	Delay DelayProbe
+	// DialEndpoint opens a connection to an endpoint for a request; nil selects TCP.
+	DialEndpoint func(ctx context.Context, network, address string) (net.Conn, error)
 }
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -28,5 +28,8 @@
 // Leads reports whether a node is the leader.
 func Leads(n *Node) bool { return n.leadership.holdsLease(clock.Now()) }
 
+// Isolated reports whether a node reaches no endpoint.
+func Isolated(n *Node) bool { return n.links.isolated.Load() }
+
 // KnowsLeader reports whether a node knows which instance leads.
 func KnowsLeader(n *Node) bool { return n.members.owner() != "" }
--- a/internal/gateway/hand_over.go
+++ b/internal/gateway/hand_over.go
@@ -24,7 +24,7 @@
 	successorQueryPause = 2 * time.Second
 )
 
-// handOver is the task by which a leader that is behind finds a successor.
+// handOver is the task by which a leader that is behind, or reaches no endpoint, finds a successor.
 type handOver struct {
 	node *Node
 
@@ -44,8 +44,12 @@
 		return
 	}
 	delay, behindSince := h.node.dispatchDelay.state()
+	isolatedSince := h.node.links.isolatedSince()
 	h.mu.Lock()
 	mayYield := h.policy.MayYield(now, behindSince)
+	if h.policy.MayYieldIsolated(now, isolatedSince) {
+		mayYield, delay, behindSince = true, succession.UnableToLead, isolatedSince
+	}
 	h.mu.Unlock()
 	if !mayYield || now.Before(h.nextQuery) || h.node.stopping.Load() {
 		return
@@ -105,7 +109,7 @@
 	_, behindSince := h.node.dispatchDelay.state()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.policy.StandsBack(now, behindSince)
+	return h.node.links.isolated.Load() || h.policy.StandsBack(now, behindSince)
 }
 
 // beginTerm records that this instance leads from now on.
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -37,6 +37,8 @@
 	Processor   float64 `msgpack:"cpu"`
 	// Link is the bandwidth of the instance's network link, in Mbit/s.
 	Link float64 `msgpack:"link"`
+	// Forwards is where the instance takes requests over from isolated ones, or empty.
+	Forwards string `msgpack:"fwd,omitempty"`
 }
 
 // members holds the known instances of this system, and this one's membership. Its data may be outdated and serves as a hint only.
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -128,6 +128,7 @@
 	cfg := m.node.cfg
 	record, err := msgpack.Marshal(entryRecord{
 		Address: cfg.Advertise, Zone: cfg.Zone, Incarnation: m.node.incarnation, Processor: cfg.CPUCores, Link: cfg.LinkMbps,
+		Forwards: cfg.Forwards,
 	})
 	if err != nil {
 		return fmt.Errorf("encode entry record: %w", err)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -37,6 +37,8 @@
 	table        atomic.Pointer[route.Table]
 	confirmation freshness.Confirmation
 	upstreams    *upstream.Pool
+	links        *linkMonitor
+	forwarder    *forwarder
 	guard        callerGuard
 	placer       *placer
 	running      *loadsync.Reporter
@@ -78,7 +80,17 @@
 	n.bounds.Store(&bounds)
 	n.metrics = metric.NewHosted(func() float64 { return n.confirmation.Age(clock.Now()).Seconds() })
 	n.metrics.SetSettings(cfg.Name, cfg.Digest, bounds.Digest())
-	n.upstreams = upstream.NewPool(n.metrics.Dials.Inc)
+	n.links = newLinkMonitor(n)
+	n.upstreams = upstream.NewPool(func(address string, err error) {
+		if err == nil {
+			n.metrics.Dials.Inc()
+		}
+		n.links.recordDial(address, err)
+	})
+	if deps.DialEndpoint != nil {
+		n.upstreams.Dial = deps.DialEndpoint
+	}
+	n.forwarder = newForwarder(n)
 	n.guard = newGuard(cfg, n.countIntake)
 	n.placer = newPlacer(n)
 	n.origins = newOrigins(n)
@@ -133,7 +145,7 @@
 	n.background = background
 	for _, task := range []func(context.Context){
 		n.poller.run, n.confirmer.run, n.members.renew, n.relay.run, n.catchUp.run, n.placer.run, n.leadership.run, n.follower.run, n.follower.freeStores,
-		n.follower.logUsage, n.rollout.run, n.blocks.run, n.watchReadiness, n.sweep,
+		n.follower.logUsage, n.rollout.run, n.blocks.run, n.watchReadiness, n.sweep, n.links.run,
 		n.dispatchDelay.run, n.handOver.run, n.distribution.run, n.origins.run, n.origins.register, n.origins.writeJournal,
 	} {
 		n.wg.Go(func() { task(background) })
@@ -205,6 +217,7 @@
 		now := clock.Now()
 		inUse := n.discovery.addresses()
 		n.upstreams.Sweep(now, func(address string) bool { return inUse[address] })
+		n.forwarder.sweep(now)
 		n.placer.removeExpired(now)
 		n.notices.sweep(now)
 		n.evacuations.sweep(now)
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -36,6 +36,9 @@
 			h[name] = values
 		}
 	}
+	if j.forwarded {
+		h.Set(headerRefusal, refused.reason)
+	}
 	now := clock.Now()
 	if refused.retryAt != 0 {
 		h.Set("Retry-After", j.node.deps.Headers.RetryAfter(max(0, refused.retryAt.Sub(now))))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -90,13 +90,20 @@
 	lapses int
 	// paused is true if the endpoint of the last attempt rejected the request and wants none for a while. It may be used again afterwards.
 	paused bool
+
+	// forwarded is true if a peer has handed the request over, and helper is the peer to which this instance has, or empty.
+	forwarded bool
+	helper    string
 }
 
 // ServeHTTP serves one request of a caller.
-func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) { n.serve(w, r, false) }
+
+// serve serves a request of a caller, or one that a peer has handed over.
+func (n *Node) serve(w http.ResponseWriter, r *http.Request, forwarded bool) {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
-	j := &job{node: n, w: w, r: r, arrived: clock.Now(), target: rawTarget(r)}
+	j := &job{node: n, w: w, r: r, arrived: clock.Now(), target: rawTarget(r), forwarded: forwarded}
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -130,6 +137,9 @@
 		return &refusal{http.StatusBadRequest, "no_identifier", 0}
 	}
 	j.head = head
+	if refused := j.unable(); refused != nil {
+		return refused
+	}
 	j.table = n.table.Load()
 	if j.table == nil {
 		return unavailable("no_configuration", j.arrived.Add(shortRetryDelay))
@@ -217,7 +227,10 @@
 	if n.partsBlocked(&j.placementReq) {
 		return refusalOfBlockedParts()
 	}
-	n.retryBudgets.forService(j.service).CountRequest()
+	if !n.links.isolated.Load() {
+		// The helper counts the others.
+		n.retryBudgets.forService(j.service).CountRequest()
+	}
 	return nil
 }
 
@@ -256,6 +269,10 @@
 	ctx, cancel := context.WithTimeout(j.r.Context(), max(0, j.deadline.Sub(j.arrived)))
 	defer cancel()
 	for {
+		if j.node.links.isolated.Load() {
+			j.runElsewhere(ctx)
+			return
+		}
 		choice, owner, err := j.place(ctx)
 		if err != nil {
 			j.fail(ctx, j.refusalOf(err))
@@ -278,6 +295,19 @@
 	}
 }
 
+// runElsewhere ends a request at an isolated instance: a peer serves it, unless it has come from one.
+func (j *job) runElsewhere(ctx context.Context) {
+	refused := j.unable()
+	if refused == nil {
+		refused = j.forward(ctx)
+	}
+	if refused != nil {
+		j.fail(ctx, refused)
+		return
+	}
+	j.deliver()
+}
+
 // recheck checks again, once a request is placed, what may have changed while it was being placed. It returns the refusal of the request, or
 // whether it has to be placed again; its placement has been ended in both cases.
 func (j *job) recheck(ctx context.Context, choice *placement.Choice) (refused *refusal, again bool) {
@@ -301,6 +331,10 @@
 func (j *job) attemptOnce(ctx context.Context, choice *placement.Choice) (refused *refusal, again bool) {
 	n := j.node
 	outcome, placementOutcome := j.attempt(ctx, choice)
+	if placementOutcome == placement.OutcomeUnreachable && n.links.awaitCheck(ctx) {
+		// The failure says nothing of the endpoint.
+		placementOutcome, j.crash = placement.OutcomeWithdrawn, nil
+	}
 	if placementOutcome == placement.OutcomeUnreachable {
 		n.placer.doubtEndpoint(choice.Endpoint)
 	}
@@ -431,7 +465,7 @@
 	}
 	n.metrics.Requests.WithLabelValues(kind, result).Inc()
 	n.metrics.Latency.WithLabelValues(kind).Observe(now.Sub(j.arrived).Seconds())
-	fields := make([]zap.Field, 0, 23)
+	fields := make([]zap.Field, 0, 24)
 	if j.head != nil {
 		fields = append(fields, zap.String("request", j.head.ID))
 		if j.head.LastEvent > 0 {
@@ -446,6 +480,9 @@
 	if j.workspace != nil {
 		fields = append(fields, zap.String("workspace", j.workspace.Name))
 	}
+	if j.helper != "" {
+		fields = append(fields, zap.String("helper", j.helper))
+	}
 	if j.choice.Endpoint != "" {
 		fields = append(fields, zap.String("endpoint", j.choice.Endpoint), zap.Int("sends", j.attempts.Sends()),
 			zap.Int("runs", j.attempts.Runs()), zap.Int("weights", j.choice.Version), zap.String("software", j.software), zap.Int("prompt", j.placementReq.Prompt),
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -27,6 +27,11 @@
 	if err := g.OpenProtected(n.cfg.Callers, newServer(n), n.guard.Protect); err != nil {
 		return nil, fmt.Errorf("serve callers: %w", err)
 	}
+	if n.cfg.Forwards != "" {
+		if err := g.OpenProtected(n.cfg.Forwards, newServer(http.HandlerFunc(n.serveForwarded)), n.guard.Protect); err != nil {
+			return nil, fmt.Errorf("serve peers' requests: %w", err)
+		}
+	}
 	if err := g.Open(n.cfg.Readiness, newServer(http.HandlerFunc(n.serveReadiness))); err != nil {
 		return nil, fmt.Errorf("serve readiness: %w", err)
 	}
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -57,6 +58,8 @@
 	requests  atomic.Int64
 	// schema decodes what is in the store.
 	schema gateway.StoreSchema
+	// dial opens the connections to endpoints of entries that are started from now on; nil selects TCP.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 type entry struct {
@@ -152,7 +155,7 @@
 func (s *site) startEntry(configure func(*settings.Hosted), probe gateway.DelayProbe) *entry {
 	peers := freeAddress()
 	cfg := &settings.Hosted{
-		Name: fmt.Sprintf("entry-%d", len(s.entries)), Zone: "plateau", Callers: freeAddress(), Readiness: freeAddress(), Peers: peers, Advertise: peers,
+		Name: fmt.Sprintf("entry-%d", len(s.entries)), Zone: "plateau", Callers: freeAddress(), Readiness: freeAddress(), Peers: peers, Advertise: peers, Forwards: freeAddress(),
 		Store: s.server.Listener.Addr().String(), PrefillRate: 60000, MemoryMB: 128, CPUCores: 1,
 		Bounds: settings.Bounds{
 			MaxRevocationDelay: 1500 * time.Millisecond, MaxApplyDelay: time.Second, MaxLeavingDelay: time.Second, StopTimeout: time.Second,
@@ -165,6 +168,7 @@
 	e.node = gateway.New(cfg, event.Discard(), gateway.Dependencies{
 		Store: platform.NewStoreClient(cfg.Store), Schema: s.schema, Headers: platform.HeaderCodec{},
 		Engines: platform.NewEngineClient(), Caches: platform.NewCacheClient(), Delay: probe,
+		DialEndpoint: s.dial,
 	})
 	go func() {
 		defer close(e.done)
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -79,6 +79,10 @@
 
 // received records that bytes have arrived; from then on the pause between events is limited.
 func (d *watchdog) received() {
+	if d == nil {
+		// A helper watches the endpoint itself.
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.receivedAt = clock.Now()
--- a/internal/metric/hosted.go
+++ b/internal/metric/hosted.go
@@ -30,6 +30,8 @@
 	Held          *prometheus.GaugeVec
 	Connections   prometheus.Gauge
 	Intake        *prometheus.CounterVec
+	Isolated      prometheus.Gauge
+	Forwarded     *prometheus.CounterVec
 	Reloads       *prometheus.CounterVec
 
 	Evacuated             *prometheus.GaugeVec
@@ -72,6 +74,8 @@
 		Held:        prometheus.NewGaugeVec(gaugeOpts("held_bytes", "Bytes held for callers by use: headers, bodies, responses, streams, frames."), []string{"use"}),
 		Connections: prometheus.NewGauge(gaugeOpts("caller_connections", "Open connections of callers.")),
 		Intake:      newIntakeCounter(),
+		Isolated:    prometheus.NewGauge(gaugeOpts("isolated", "1 while no endpoint can be reached, so that requests are handed over to peers.")),
+		Forwarded:   newCounterVec("forwarded_total", "Requests handed over to peers by result.", "result"),
 		Reloads:     newCounterVec("settings_reloads_total", "Changed settings files by result: applied, invalid, needs_restart.", "result"),
 
 		Evacuated:        prometheus.NewGaugeVec(gaugeOpts("zone_evacuated_seconds", "Time since a zone is known to be evacuated."), []string{"zone"}),
@@ -82,6 +86,7 @@
 	s.Registry.MustRegister(s.Requests, s.Latency, s.FirstEvent, s.Attempts, s.PromptTokens, s.Placements, s.StoreCalls, s.Orders, s.Dials,
 		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.Cold, s.Limited, s.ColdDeferred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.PredictedGap,
 		s.Settings, s.Reloads,
-		s.Evacuated, s.EvacuatedRunning, s.EvacuationWithdrawals, s.Held, s.Connections, s.Intake)
+		s.Evacuated, s.EvacuatedRunning, s.EvacuationWithdrawals, s.Held, s.Connections, s.Intake,
+		s.Isolated, s.Forwarded)
 	return s
 }
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -70,6 +70,16 @@
 	LastEvent int64
 }
 
+// Forward holds what the system adds to a request that it hands over to a peer.
+type Forward struct {
+	// Key is the caller's credential, or empty.
+	Key string
+	// Deadline is the instant at which the request ends.
+	Deadline clock.Instant
+	// LastEvent is the number of the last event that the caller has received, or zero.
+	LastEvent int64
+}
+
 // Reply is the head of an endpoint's answer.
 type Reply struct {
 	// ID is the request's identifier as echoed in the answer, or empty.
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -30,6 +30,9 @@
 	Peers     string
 	// Advertise is the address at which other instances reach Peers. It defaults to Peers.
 	Advertise string
+	// Forwards is the listening address for requests that instances hand over which can't reach the endpoints. If it is empty, this instance
+	// takes none over.
+	Forwards string
 	// Metrics is the listening address of the Prometheus endpoint. If it is empty, metrics are not served.
 	Metrics string
 
@@ -104,6 +107,7 @@
 		{"[instance] name", h.Name, next.Name}, {"[instance] zone", h.Zone, next.Zone}, {"[instance] callers", h.Callers, next.Callers},
 		{"[instance] readiness", h.Readiness, next.Readiness}, {"[instance] peers", h.Peers, next.Peers},
 		{"[instance] advertise", h.Advertise, next.Advertise}, {"[instance] metrics", h.Metrics, next.Metrics},
+		{"[instance] forwards", h.Forwards, next.Forwards},
 		{"[platform] store", h.Store, next.Store}, {"[engine] prefill_tokens_per_second", h.PrefillRate, next.PrefillRate},
 		{"[process] memory", h.MemoryMB, next.MemoryMB},
 		{"[process] connections", h.MaxConnections, next.MaxConnections}, {"[process] buffers", h.BuffersMB, next.BuffersMB},
@@ -157,6 +161,7 @@
 		Readiness: r.address("instance", "readiness"),
 		Peers:     r.address("instance", "peers"),
 		Advertise: r.optionalAddress("instance", "advertise"),
+		Forwards:  r.optionalAddress("instance", "forwards"),
 		Metrics:   r.optionalAddress("instance", "metrics"),
 		Store:     r.address("platform", "store"),
 		Bounds: Bounds{
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -41,7 +41,10 @@
 
 // Pool holds idle connections by address.
 type Pool struct {
-	onDial func()
+	// Dial opens a connection; NewPool selects TCP with keep-alive probes.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	onDial func(address string, err error)
 	// dialed numbers the connections.
 	dialed atomic.Uint64
 
@@ -49,9 +52,10 @@
 	idle map[string][]*conn
 }
 
-// NewPool returns an empty pool that calls onDial for each new connection.
-func NewPool(onDial func()) *Pool {
-	return &Pool{onDial: onDial, idle: make(map[string][]*conn)}
+// NewPool returns an empty pool that calls onDial after each dial with its error, except for those that their callers ended.
+func NewPool(onDial func(address string, err error)) *Pool {
+	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2}}
+	return &Pool{Dial: dialer.DialContext, onDial: onDial, idle: make(map[string][]*conn)}
 }
 
 // get returns an idle connection that is still reusable and may carry a request, or dials a new one.
@@ -81,14 +85,15 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2}}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.Dial(dialCtx, "tcp", address)
+	if err == nil || ctx.Err() == nil {
+		p.onDial(address, err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	p.onDial()
 	return newConn(raw, address, p.dialed.Add(1)), nil
 }
 
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -34,7 +34,11 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
 	s := &server{listener: l}
-	s.pool = upstream.NewPool(func() { s.dials++ })
+	s.pool = upstream.NewPool(func(_ string, err error) {
+		if err == nil {
+			s.dials++
+		}
+	})
 	Reset(func() { _ = l.Close() })
 	pending := make(chan string, len(responses))
 	for _, response := range responses {
@@ -269,7 +273,7 @@
 			}()
 		}
 	}()
-	return upstream.NewPool(func() {}), l.Addr().String(), written
+	return upstream.NewPool(func(string, error) {}), l.Addr().String(), written
 }
 
 // Bytes that are no answer may come without end, until the caller closes the connection.
