Don't take a part of an answer as complete after a reset during the upload

Native edge: an endpoint that answers a long upload at once, without a length, and resets the connection while the upload is being written got the caller a part of its answer as a complete one (MIXED, as the users saw on other systems).

Cause: the system reports a reset once, to whoever uses the connection next. net/http writes and reads side by side; if the write gets the report, the read returns the end of the stream, which ends an answer without a length.

Now the connection remembers that a write failed, or is still in progress, and reports its end as unexpected. An answer with a length or chunks isn't affected. The clients of the platform read only JSON, which tells its end.

--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -59,7 +59,7 @@
 	pooled := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerHost, DisableCompression: true}
 	// When a reused connection turns out to be closed, net/http retries the request by itself if it considers it idempotent, which includes
 	// any request with an Idempotency-Key header. It never retries on a new connection.
-	single := &agent.Transport{Name: name, Base: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}}
+	single := &agent.Transport{Name: name, Base: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}}
 	return &Client{
 		reads:    &http.Client{Transport: &agent.Transport{Name: name, Base: pooled}},
 		work:     &http.Client{Transport: single},
