Don't take a status that is none for that of an answer

Cause: net/http accepts any three digits, and both edges told answers only by ranges. TestAnswerWithoutValidStatus and TestResponseWithoutValidStatus failed for 000, 099, 600 and 999 on both edges; now a status outside 100 to 599 is an exchange that broke: the request may have run.

--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -42,6 +42,8 @@
 	maxIdlePerHost  = 64
 	maxAnswerBytes  = 16 << 20
 	lineBufferBytes = 64 << 10
+	// maxStatus is the highest status of an answer.
+	maxStatus = 599
 )
 
 // Client sends requests to endpoints.
@@ -166,6 +168,9 @@
 		return nil, fmt.Errorf("call %s: %w", address, classifyError(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return nil, fmt.Errorf("call %s: status %03d: %w", address, resp.StatusCode, ErrIncomplete)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil || len(body) > maxAnswerBytes {
 		return nil, fmt.Errorf("read response of %s (%v): %w", address, err, ErrIncomplete)
--- a/internal/transport/endpoint/early_answer_test.go
+++ b/internal/transport/endpoint/early_answer_test.go
@@ -52,3 +52,18 @@
 		}
 	})
 }
+
+// Guards against an answer whose status is no status.
+func TestAnswerWithoutValidStatus(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"000", "099", "600", "999"} {
+		Convey("an answer with status "+status+" is none", t, func() {
+			address := startResetting("HTTP/1.1 " + status + " \r\nContent-Length: 2\r\n\r\nok")
+			result, err := endpoint.New("test").Do(context.Background(), address, &endpoint.Call{
+				Method: http.MethodPost, Path: "/", Header: http.Header{}, Body: bytes.Repeat([]byte("x"), 64<<10),
+			})
+			So(fmt.Sprint(result), ShouldEqual, "<nil>")
+			So(errors.Is(err, endpoint.ErrIncomplete), ShouldBeTrue)
+		})
+	}
+}
--- a/internal/transport/upstream/early_response_test.go
+++ b/internal/transport/upstream/early_response_test.go
@@ -52,3 +52,13 @@
 		}
 	})
 }
+
+// Guards against a response whose status is no status.
+func TestResponseWithoutValidStatus(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"000", "099", "600", "999"} {
+		Convey("a response with status "+status+" is none, and neither is what follows it", t, func() {
+			newServer(false, "HTTP/1.1 "+status+" \r\nId: {id}\r\nContent-Length: 0\r\n\r\n"+okResponse).expectError(upstream.ErrIncomplete)
+		})
+	}
+}
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -68,8 +68,12 @@
 	maxStrayBytes = 1 << 20
 	// maxInformational limits the informational (1xx) responses before the final one.
 	maxInformational = 8
+	// maxStatus is the highest status of a response.
+	maxStatus = 599
 )
 
+var errInvalidStatus = errors.New("no status of a response")
+
 // Response is a response whose head has been received. Read returns its body, and Close ends the exchange.
 type Response struct {
 	Status int
@@ -159,6 +163,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
+		if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
+			return nil, fmt.Errorf("status %03d: %w", resp.StatusCode, errInvalidStatus)
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
