--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -20,6 +20,9 @@
 type discovery struct {
 	node   *Node
 	loaded atomic.Bool
+
+	// applying is held while registrations are applied, so that those read first don't replace later ones in the placement.
+	applying sync.Mutex
 	// reportedUnreadable holds, by key, the revisions of undecodable items that have been logged.
 	reportedUnreadable map[string]kv.Revision
 
@@ -44,6 +47,8 @@
 // applyListing applies the registrations returned by a call sent at the given instant, skipping undecodable ones, and reports whether the
 // set of usable endpoints changed.
 func (d *discovery) applyListing(sent clock.Instant, revision kv.Revision, items []kv.Item) bool {
+	d.applying.Lock()
+	defer d.applying.Unlock()
 	n := d.node
 	list := make([]*registration.Registration, 0, len(items))
 	for _, item := range items {
@@ -160,6 +165,8 @@
 // applyRelayed applies what a relay knows of the registrations; its ages hold as of the given instant or later. The store's revision
 // doesn't advance when a registration's lease expires, so among lists of the same revision the one read last is used.
 func (d *discovery) applyRelayed(asOf clock.Instant, update *peer.SyncReply) {
+	d.applying.Lock()
+	defer d.applying.Unlock()
 	readAt := asOf.Add(-update.Age)
 	revision := kv.Revision(update.RegistrationsRevision)
 	d.mu.Lock()
