Limit how long the history before an undecodable configuration is waited for

An entry that read a configuration that it can't decode, and got no answer when it asked the store for the ones before it, read nothing more: endpoints that came weren't used, and those that left were, until the connection failed. Cause: that call had no timeout, and the reads wait for it. Found by adding up the budget of a change. TestUnansweredHistoryStopsReads failed before (no request at an endpoint that was added, 6 s later), and passes with the timeout of a read.

--- a/internal/gateway/late_configuration_test.go
+++ b/internal/gateway/late_configuration_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -36,3 +37,23 @@
 		So(s.servesRoute(e, "/added/"), ShouldBeTrue)
 	})
 }
+
+// Guards against reads of the store that end for good when it doesn't answer the watch for configurations before an undecodable one.
+func TestUnansweredHistoryStopsReads(t *testing.T) {
+	t.Parallel()
+	Convey("an entry that reads an undecodable configuration, and gets no answer when it asks for those before, still learns of endpoints", t, func() {
+		s := startSite(1)
+		e := s.entries[0]
+		s.store.SetFault(hosted.StoreFault{SilentWatches: true})
+		s.store.PutRaw("op/config", []byte("{"))
+		time.Sleep(time.Second)
+		for _, endpoint := range s.endpoints[:2] {
+			So(endpoint.Leave(), ShouldBeNil)
+		}
+		added := s.addEndpoint(hosted.EndpointConfig{ID: "cal-9", Service: "calendar", Work: time.Millisecond})
+		eventually("a request is served by the added endpoint", func() bool {
+			s.call(e, http.MethodGet, "/public/", "")
+			return len(added.Runs()) > 0
+		})
+	})
+}
--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -309,7 +309,9 @@
 	n := s.node
 	err := n.configuration.checkOutdated(operator)
 	if err == nil {
-		err = n.configuration.fillGap(ctx)
+		gapCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+		defer cancel()
+		err = n.configuration.fillGap(gapCtx)
 	}
 	if err == nil {
 		n.confirmation.Confirm(sent)
--- a/internal/standin/hosted/handlers.go
+++ b/internal/standin/hosted/handlers.go
@@ -39,6 +39,7 @@
 			s.fault.SilentReads--
 			fault.Silent = true
 		}
+		fault.Silent = fault.Silent || fault.SilentWatches && strings.HasPrefix(name, "GET /-/kv-watch")
 		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 		s.mu.Unlock()
 		switch {
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -20,6 +20,8 @@
 	Down bool
 	// Silent makes the store accept calls and never answer them.
 	Silent bool
+	// SilentWatches makes the store accept watches and never answer them.
+	SilentWatches bool
 	// SilentReads is how many of the next range reads are never answered.
 	SilentReads int
 	// LoseReplies applies writes but closes the connection without a response.
