End silent streams of isolated entries, and count declined requests apart

Callers whose streams were under way when an entry lost its links waited until their deadline, up to 15 s, or six seconds for keep-alive, though another entry could go on with them: a route that allows one run has no watchdog, as its streams can't be sent again here.

Now such a stream ends once its entry is isolated and its endpoint silent for longer than two of the route's pauses; the caller takes it up, and a peer serves that. Nothing is dialed for it, and without isolation a silent endpoint is left alone, as a sound one may be silent for a second. TestStreamHangsAtIsolatedEntry failed before (no end within 3 s after the isolation).

--- a/internal/gateway/isolated_entry_test.go
+++ b/internal/gateway/isolated_entry_test.go
@@ -282,6 +282,34 @@
 	})
 }
 
+// Guards against callers that wait until their deadline for streams whose links are gone.
+func TestStreamHangsAtIsolatedEntry(t *testing.T) {
+	t.Parallel()
+	Convey("a stream that may not be sent again ends once its entry is isolated and its endpoint silent", t, func() {
+		s := startSite(1)
+		s.addEndpoint(hosted.EndpointConfig{ID: "slow-0", Service: "slow", Events: 1000, Work: 20 * time.Millisecond})
+		spec := defaultSpec()
+		spec.Version = 9
+		spec.Routes = append(spec.Routes, hosted.Route{
+			Name: "slow", Hostname: testHost, PathPrefix: "/slow/", Type: "streaming", Backend: "slow", TimeoutMs: 30000, MaxAttempts: 1, Resumable: true,
+		})
+		s.putConfiguration(spec)
+		e, links := s.addEntryWithLinks()
+		ended := make(chan response, 1)
+		go func() { ended <- s.send(e, http.MethodGet, "/slow/", "", "Deadline-Ms", "30000") }()
+		time.Sleep(500 * time.Millisecond)
+		s.isolate(e, links, linksHang)
+		select {
+		case answer := <-ended:
+			So(answer.status, ShouldEqual, http.StatusOK)
+			So(answer.complete, ShouldBeFalse)
+			So(answer.body, ShouldContainSubstring, "id: 2\n")
+		case <-time.After(3 * time.Second):
+			So("the stream", ShouldEqual, "ended")
+		}
+	})
+}
+
 // Guards against a leader that reaches no endpoint and keeps the lease.
 func TestIsolatedLeaderKeepsLease(t *testing.T) {
 	t.Parallel()
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -53,6 +53,11 @@
 		j.w.WriteHeader(refused.status)
 		// Errors are ignored: a caller that has disconnected needs no answer.
 		_, _ = j.w.Write(body)
+		if j.forwarded && (refused.reason == reasonIsolated || refused.reason == reasonStopping) {
+			// The request goes on at another instance.
+			j.node.metrics.Forwarded.WithLabelValues("declined").Inc()
+			return
+		}
 		j.recordEnd("refused", refused.reason, refused.status)
 	}
 	if j.bodyRead {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -465,7 +465,7 @@
 	}
 	n.metrics.Requests.WithLabelValues(kind, result).Inc()
 	n.metrics.Latency.WithLabelValues(kind).Observe(now.Sub(j.arrived).Seconds())
-	fields := make([]zap.Field, 0, 24)
+	fields := make([]zap.Field, 0, 25)
 	if j.head != nil {
 		fields = append(fields, zap.String("request", j.head.ID))
 		if j.head.LastEvent > 0 {
@@ -480,6 +480,9 @@
 	if j.workspace != nil {
 		fields = append(fields, zap.String("workspace", j.workspace.Name))
 	}
+	if j.forwarded {
+		fields = append(fields, zap.Bool("forwarded", true))
+	}
 	if j.helper != "" {
 		fields = append(fields, zap.String("helper", j.helper))
 	}
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -62,8 +62,11 @@
 	if at := j.node.placer.withdrawAt(&j.placementReq, &j.choice); at != 0 {
 		d.withdrawal = time.AfterFunc(at.Sub(clock.Now()), d.withdraw)
 	}
-	if j.attempts.CanRerun() {
+	switch {
+	case j.attempts.CanRerun():
 		d.timer = time.AfterFunc(d.timeout, func() { d.checkSilence(ctx) })
+	case j.attempts.Repeatable:
+		d.timer = time.AfterFunc(d.timeout, func() { d.checkIsolation() })
 	}
 	return ctx, d
 }
@@ -134,6 +137,26 @@
 	}
 }
 
+// checkIsolation ends an attempt that can't be repeated here if its endpoint is silent while this entry is isolated: its caller may repeat it, and a
+// peer serves it then. Without isolation a silent endpoint is left alone.
+func (d *watchdog) checkIsolation() {
+	remaining, active := d.remaining()
+	if !active {
+		return
+	}
+	if remaining <= 0 && d.job.node.links.isolated.Load() {
+		d.job.node.log.Info(event.EndpointDown, "silent endpoint can't be reached", zap.String("request", d.job.head.ID),
+			zap.String("endpoint", d.endpoint), zap.Int64("silent_ms", d.silentFor().Milliseconds()))
+		d.cancel(errSilent)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.ended {
+		d.timer.Reset(max(minSilence, remaining))
+	}
+}
+
 // doubleTimeout returns the pause until the next check of a reachable but silent endpoint, and doubles it for the check after that.
 func (d *watchdog) doubleTimeout() time.Duration {
 	d.mu.Lock()
