--- a/scripts/hosted.sh
+++ b/scripts/hosted.sh
@@ -24,6 +24,7 @@
 callers = 127.0.0.1:$base
 readiness = 127.0.0.1:$((base + 1))
 peers = 127.0.0.1:$((base + 2))
+forwards = 127.0.0.1:$((base + 4))
 metrics = 127.0.0.1:$((base + 3))
 [platform]
 store = 127.0.0.1:$port
