Keep brittle endpoints from having to reject many requests

Each entry that placed a call alone tried a full endpoint again after 0.15 s, and as the last resort at once.

Now the leader places all requests of a service with such an endpoint and keeps the sum (throttle.Rejections): none beyond its slots, none for the rest of a second after half of N rejections, and for two seconds after one no more at a time than it may still reject. Without a leader each entry keeps to a share. What can't be placed is rejected at once with a time to come back.

--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -97,6 +97,9 @@
 		if at := p.underLimitAt(now, req); at != 0 {
 			return Choice{}, limitError(now, at, req)
 		}
+		if at := p.firstRoomAt(now, req); at != 0 {
+			return Choice{}, limitError(now, at, req)
+		}
 		return Choice{}, ErrNoEndpoint
 	}
 	if late := now.Add(best.choice.Expected); req.FirstEventDeadline != 0 && req.FirstEventDeadline.Before(late) &&
@@ -221,6 +224,8 @@
 				return nil, true
 			}
 			busy = busy || q != nil
+		case p.lacksRoom(now, s, req):
+			busy = busy || q != nil
 		case p.available(now, s, req):
 			return nil, true
 		case now.Before(s.loadingUntil):
@@ -246,7 +251,7 @@
 // unreachable from the caller's, is warm or admits another request, and has not named a limit that the request would exceed.
 func (p *Pool) available(now clock.Instant, s *endpointState, req *Request) bool {
 	return s.usable(now) && !p.unfit(s, req) && !p.barred(now, s, req) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone) &&
-		!p.refusesCold(now, s, req) && !p.exceedsLimit(now, s, req)
+		!p.refusesCold(now, s, req) && !p.exceedsLimit(now, s, req) && !p.lacksRoom(now, s, req)
 }
 
 // evaluate estimates the time to the first event on one endpoint, and the cost by which endpoints are compared.
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -61,6 +61,8 @@
 	// limits holds the limits that endpoints have named, and limitListedAt when these were last seen registered.
 	limits        map[registration.Incarnation]*throttle.Endpoint
 	limitListedAt map[registration.Incarnation]clock.Instant
+	// brittle holds the endpoints that say to be brittle.
+	brittle map[registration.Incarnation]*throttle.Rejections
 	// meanSize is the mean memory of the requests placed lately, in tokens.
 	meanSize float64
 
@@ -96,6 +98,7 @@
 
 		limits:        make(map[registration.Incarnation]*throttle.Endpoint),
 		limitListedAt: make(map[registration.Incarnation]clock.Instant),
+		brittle:       make(map[registration.Incarnation]*throttle.Rejections),
 
 		placed: make(map[int]*throughput),
 	}
@@ -264,6 +267,9 @@
 		s.recordResponse(now)
 		p.cfg.Reachability.recordContact(now, a.req.Zone, s)
 		s.backoffUntil = now.Add(rejectedBackoff)
+		if r := p.rejections(now, s); r != nil {
+			r.Record(now)
+		}
 	case OutcomeMisdirected:
 		s.backoffUntil = now.Add(maxBackoff)
 	case OutcomeStale:
@@ -365,6 +371,7 @@
 		}
 	}
 	p.sweepLimits(now)
+	p.sweepBrittle(now)
 }
 
 // Running returns the number of assignments.
--- a/internal/coordination/placement/throttle.go
+++ b/internal/coordination/placement/throttle.go
@@ -78,6 +78,11 @@
 
 // limitAuthority returns what this process may admit to an endpoint that has named a limit.
 func (p *Pool) limitAuthority(now clock.Instant, s *endpointState, e *throttle.Endpoint, req *Request) throttle.Authority {
+	return p.admissionAuthority(now, s, e.Admissions(), req)
+}
+
+// admissionAuthority returns what this process may do of a number of things that all processes together may do to an endpoint.
+func (p *Pool) admissionAuthority(now clock.Instant, s *endpointState, all int, req *Request) throttle.Authority {
 	if p.cfg.Admission == nil {
 		return throttle.Authority{}
 	}
@@ -86,7 +91,7 @@
 			return throttle.Authority{SoleSince: since}
 		}
 	}
-	return throttle.Authority{Share: p.cfg.Admission.Share(s.ID, e.Admissions())}
+	return throttle.Authority{Share: p.cfg.Admission.Share(s.ID, all)}
 }
 
 // exceedsLimit reports whether an endpoint gets no request now because of the limit that it has named.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -76,6 +76,7 @@
 	EndpointLimitChanged    Number = 417
 	EndpointWarmupChanged   Number = 418
 	EndpointsUnreachable    Number = 419
+	EndpointBrittleChanged  Number = 420
 	WeightsAnnounced        Number = 710
 	LeaderChanged           Number = 711
 	OrderEnded              Number = 712
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -138,6 +138,7 @@
 			switch {
 			case reply.ID == j.head.ID:
 				j.node.recordLimit(choice, endpoint, &reply, j.sentAt)
+				j.node.recordBrittle(endpoint, reply.Brittle, j.sentAt)
 				return upstream.MatchOwn
 			case reply.ID == "" && status >= http.StatusMultipleChoices:
 				return upstream.MatchUnknown
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -61,6 +61,7 @@
 	case m.Unlimited:
 		n.placer.liftLimit(endpoint, clock.Now().Add(-m.SentAge))
 	}
+	n.recordReportedBrittle(m)
 }
 
 // nameLimit records a limit that an endpoint has named, and reports whether it is to be reported: when it is new, and from time to time.
@@ -126,17 +127,26 @@
 // limitsFor returns the limits in force for an entry, unless it was sent them lately. An entry may not hear from a limited endpoint itself for
 // longer than it remembers a limit, and would place calls there by itself again.
 func (p *placer) limitsFor(now clock.Instant, entry string) []peer.EndpointNotice {
-	if !p.limited.Load() {
-		return nil
-	}
-	inForce := p.limitsInForce(now)
+	inForce := p.sharedNotices(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if sentAt, sent := p.limitsSentAt[entry]; len(inForce) == 0 || sent && now.Before(sentAt.Add(limitsPeriod)) {
 		return nil
 	}
 	p.limitsSentAt[entry] = now
-	return limitNotices(inForce)
+	return inForce
+}
+
+// sharedNotices returns messages for what endpoints say to take from all entries together.
+func (p *placer) sharedNotices(now clock.Instant) []peer.EndpointNotice {
+	var list []peer.EndpointNotice
+	if p.limited.Load() {
+		list = limitNotices(p.limitsInForce(now))
+	}
+	if p.brittle.Load() {
+		list = append(list, brittleNotices(p.brittleEndpoints(now))...)
+	}
+	return list
 }
 
 // limitNotices returns messages for limits.
@@ -158,7 +168,7 @@
 	return len(p.pool(service).LimitsInForce(clock.Now())) > 0
 }
 
-// countLimits counts the endpoints that have named a limit; the caller holds the lock.
+// countLimits counts the endpoints that have named a limit, and those that are brittle; the caller holds the lock.
 func (p *placer) countLimits(now clock.Instant) {
 	total := 0
 	for service, pool := range p.pools {
@@ -167,4 +177,10 @@
 		total += limited
 	}
 	p.limited.Store(total > 0)
+	brittle := 0
+	for _, pool := range p.pools {
+		brittle += len(pool.Brittle(now))
+	}
+	p.brittle.Store(brittle > 0)
+	p.node.metrics.Brittle.Set(float64(brittle))
 }
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -105,7 +105,7 @@
 
 // unreported returns everything that is in force, unless the leader has been told so before.
 func (t *notices) unreported(now clock.Instant, leader string) []peer.EndpointNotice {
-	if t.Empty() && !t.node.placer.limited.Load() {
+	if t.Empty() && !t.node.placer.limited.Load() && !t.node.placer.brittle.Load() {
 		return nil
 	}
 	t.mu.Lock()
@@ -124,7 +124,7 @@
 	for endpoint, until := range pauses {
 		list = append(list, peer.EndpointNotice{Endpoint: endpoint, Pause: until.Sub(now)})
 	}
-	return append(list, limitNotices(t.node.placer.limitsInForce(now))...)
+	return append(list, t.node.placer.sharedNotices(now)...)
 }
 
 // setReported records that a leader has been told everything.
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -28,6 +28,8 @@
 	confirmedAt atomic.Int64
 	// limited is false if no endpoint has named a limit that is in force.
 	limited atomic.Bool
+	// brittle is false if no endpoint has said to be brittle.
+	brittle atomic.Bool
 	// lastRun is when the queue was last processed; stalled is true while that is longer ago than stallTimeout.
 	lastRun atomic.Int64
 	stalled bool
@@ -269,7 +271,7 @@
 	// With its own number, a placement that was withdrawn and another one of the same request can't be taken for each other.
 	req.ID.Number = p.nextNumber()
 	leader := ""
-	if req.Model != "" || p.limits(req.Service) || req.TakesUp {
+	if req.Model != "" || p.needsLeader(req.Service) || req.TakesUp {
 		// Only the leader knows what all instances send to an endpoint that has named a limit, and where streams of other instances began.
 		leader = n.members.owner()
 	}
--- a/internal/metric/hosted.go
+++ b/internal/metric/hosted.go
@@ -30,6 +30,7 @@
 	Held          *prometheus.GaugeVec
 	Connections   prometheus.Gauge
 	Intake        *prometheus.CounterVec
+	Brittle       prometheus.Gauge
 	Isolated      prometheus.Gauge
 	Forwarded     *prometheus.CounterVec
 	Reloads       *prometheus.CounterVec
@@ -74,6 +75,7 @@
 		Held:        prometheus.NewGaugeVec(gaugeOpts("held_bytes", "Bytes held for callers by use: headers, bodies, responses, streams, frames."), []string{"use"}),
 		Connections: prometheus.NewGauge(gaugeOpts("caller_connections", "Open connections of callers.")),
 		Intake:      newIntakeCounter(),
+		Brittle:     prometheus.NewGauge(gaugeOpts("endpoints_brittle", "Endpoints that fall over if they have to reject too many requests.")),
 		Isolated:    prometheus.NewGauge(gaugeOpts("isolated", "1 while no endpoint can be reached, so that requests are handed over to peers.")),
 		Forwarded:   newCounterVec("forwarded_total", "Requests handed over to peers by result.", "result"),
 		Reloads:     newCounterVec("settings_reloads_total", "Changed settings files by result: applied, invalid, needs_restart.", "result"),
@@ -87,6 +89,6 @@
 		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.Cold, s.Limited, s.ColdDeferred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.PredictedGap,
 		s.Settings, s.Reloads,
 		s.Evacuated, s.EvacuatedRunning, s.EvacuationWithdrawals, s.Held, s.Connections, s.Intake,
-		s.Isolated, s.Forwarded)
+		s.Brittle, s.Isolated, s.Forwarded)
 	return s
 }
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -106,4 +106,6 @@
 	Limit *float64
 	// InvalidLimit is the text in which the endpoint named a limit that can't be read; empty if it is valid.
 	InvalidLimit string
+	// Brittle is the number of requests a second that the endpoint survives turning away for want of room, or nil if it isn't brittle.
+	Brittle *int
 }
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -35,8 +35,12 @@
 	// Limit is the number of requests per second that the endpoint takes from all instances together, or nil.
 	Limit *float64 `msgpack:",omitempty"`
 	// Unlimited is true if the endpoint has named no limit in the answer to a request that was sent SentAge ago.
-	Unlimited bool          `msgpack:",omitempty"`
-	SentAge   time.Duration `msgpack:",omitempty"`
+	Unlimited bool `msgpack:",omitempty"`
+	// Brittle is the number of requests that the endpoint survives turning away in a second, or nil, and Sturdy is true if it hasn't said to be
+	// brittle in the answer to a request that was sent SentAge ago.
+	Brittle *int          `msgpack:",omitempty"`
+	Sturdy  bool          `msgpack:",omitempty"`
+	SentAge time.Duration `msgpack:",omitempty"`
 }
 
 // PlaceVerdict is the result of a placement request.
--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -129,6 +129,9 @@
 	AnonymousCopies bool
 	// Limit is the number of requests per second that the endpoint states in its answers to take from all entries together. Zero states none.
 	Limit float64
+	// Brittle, if not zero, is the number of requests that the endpoint states to survive turning away in a second. Falls counts how often it had to
+	// turn away more.
+	Brittle int
 	// LeaveDelay is how long an endpoint that has begun to leave delays its registration as leaving.
 	LeaveDelay time.Duration
 }
@@ -169,6 +172,9 @@
 	cacheEvents [][]any
 	// refused holds the requests that RepeatRefusals has rejected.
 	refused map[string]bool
+	// rejectedAt holds when requests were turned away in the last second, and falls counts how often that was more than Brittle allows.
+	rejectedAt []time.Time
+	falls      int
 	// leaving is true once the endpoint has begun to leave, and draining once it registers as leaving.
 	leaving, draining bool
 	// stopped is true while the endpoint is down, and ended once it won't start again.
@@ -358,10 +364,37 @@
 // limitHeader states in an answer how many requests per second the endpoint takes from all entries together.
 const limitHeader = "Server-Limit"
 
+// brittleHeader states in an answer how many requests the endpoint survives turning away in a second.
+const brittleHeader = "Server-Brittle"
+
+// Falls returns how often the endpoint has turned away more requests in a second than it survives.
+func (e *Endpoint) Falls() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.falls
+}
+
+// countTurnedAway counts a request that is turned away; the caller holds the lock.
+func (e *Endpoint) countTurnedAway(now time.Time) {
+	if e.fault.Brittle == 0 {
+		return
+	}
+	kept := e.rejectedAt[:0]
+	for _, at := range e.rejectedAt {
+		if now.Sub(at) < time.Second {
+			kept = append(kept, at)
+		}
+	}
+	if e.rejectedAt = append(kept, now); len(e.rejectedAt) > e.fault.Brittle {
+		e.falls++
+		e.rejectedAt = nil
+	}
+}
+
 // ServeHTTP serves callers' requests and the platform's management calls.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	leaving, limit := e.leaving || e.fault.Leaving, e.fault.Limit
+	leaving, limit, brittle := e.leaving || e.fault.Leaving, e.fault.Limit, e.fault.Brittle
 	if strings.HasPrefix(r.URL.Path, "/-/") {
 		e.calls++
 	}
@@ -372,6 +405,9 @@
 	if limit > 0 {
 		w.Header().Set(limitHeader, strconv.FormatFloat(limit, 'f', -1, 64))
 	}
+	if brittle > 0 {
+		w.Header().Set(brittleHeader, strconv.Itoa(brittle))
+	}
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.cfg.ID {
 		e.misdirect(w, r)
 		return
--- a/internal/standin/hosted/responses.go
+++ b/internal/standin/hosted/responses.go
@@ -111,6 +111,7 @@
 func (e *Endpoint) reject(w http.ResponseWriter, id string, hint retryHint) {
 	rejection := Rejection{id, hint.at}
 	e.mu.Lock()
+	e.countTurnedAway(time.Now())
 	err := e.appendJournal(JournalEntry{Rejected: &rejection, AnswerSaysLeaving: saysLeaving(w), AnswerLimit: statedLimit(w)})
 	e.mu.Unlock()
 	if err != nil {
