--- a/internal/transport/upstream/early_response_test.go
+++ b/internal/transport/upstream/early_response_test.go
@@ -5,12 +5,12 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"gypsumvale/internal/standin/loopback"
 	"gypsumvale/internal/transport/upstream"
 )
 
@@ -18,23 +18,9 @@
 func TestResponseResetDuringUpload(t *testing.T) {
 	t.Parallel()
 	Convey("a response without a length whose connection is reset during the upload is incomplete", t, func() {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := loopback.StartResetter("HTTP/1.1 200 OK\r\nId: a\r\n\r\npart")
 		So(err, ShouldBeNil)
 		Reset(func() { _ = l.Close() })
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go func() {
-					_, _ = io.ReadFull(c, make([]byte, 64<<10))
-					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart")
-					_ = c.(*net.TCPConn).SetLinger(0)
-					_ = c.Close()
-				}()
-			}
-		}()
 		pool := upstream.NewPool(func(string, error) {})
 		// The shorter bodies fit into the connection's buffers, so that their writes succeed.
 		for _, size := range []int{64 << 10, 512 << 10, 8 << 20} {
