End isolation as soon as the endpoints of one zone are reached

Cause: each probe dialed one endpoint of any zone and, once it accepted, two of other zones; their failures undid the success. Now three of as many zones as there are are dialed in each probe, and two that accept within a second end the isolation, whatever the others do.

--- a/internal/coordination/isolation/detector.go
+++ b/internal/coordination/isolation/detector.go
@@ -13,8 +13,9 @@
 	minFailed = 2
 	// checkPause is the pause after a check that reached an endpoint.
 	checkPause = 300 * time.Millisecond
-	// minReached is how many endpoints must accept a connection for the isolation to end.
-	minReached = 2
+	// minReached is how many endpoints must accept a connection within reachedWindow for the isolation to end.
+	minReached    = 2
+	reachedWindow = time.Second
 )
 
 // Detector decides from the dials to endpoints whether this instance reaches any of them.
@@ -24,14 +25,14 @@
 //	a service, or a zone, fails                        a check, which reaches the others
 //	a sound endpoint is silent for a second            nothing: it accepts connections
 //	all links hang, are reset, or refuse new ones      a check, which reaches none: isolated
-//	the links are back                                 the next probe and two more are accepted: not isolated
+//	the links are back, or those of one zone are       two endpoints accept within a second: not isolated
 //
 // Which endpoints answer on connections that are open already doesn't matter: these may live on while new ones are refused.
 type Detector struct {
 	// failed holds when endpoints could not be reached since one was, by address.
 	failed map[string]clock.Instant
-	// reached holds the endpoints that were reached while isolated.
-	reached    map[string]bool
+	// reached holds when endpoints were reached while isolated, by address.
+	reached    map[string]clock.Instant
 	isolated   bool
 	since      clock.Instant
 	checking   bool
@@ -40,7 +41,7 @@
 
 // NewDetector returns the detector of an instance that isn't isolated.
 func NewDetector() *Detector {
-	return &Detector{failed: make(map[string]clock.Instant), reached: make(map[string]bool)}
+	return &Detector{failed: make(map[string]clock.Instant), reached: make(map[string]clock.Instant)}
 }
 
 // RecordDial records whether a dial to an endpoint was accepted, and reports whether a check is due now. The caller carries it out and calls
@@ -48,11 +49,10 @@
 func (d *Detector) RecordDial(now clock.Instant, address string, accepted bool) (check bool) {
 	if accepted {
 		clear(d.failed)
-		d.recordReached(address)
+		d.recordReached(now, address)
 		return false
 	}
 	if d.isolated {
-		clear(d.reached)
 		return false
 	}
 	for other, at := range d.failed {
@@ -69,11 +69,16 @@
 }
 
 // recordReached ends the isolation once enough endpoints were reached.
-func (d *Detector) recordReached(address string) {
+func (d *Detector) recordReached(now clock.Instant, address string) {
 	if !d.isolated {
 		return
 	}
-	d.reached[address] = true
+	for other, at := range d.reached {
+		if now.Sub(at) > reachedWindow {
+			delete(d.reached, other)
+		}
+	}
+	d.reached[address] = now
 	if len(d.reached) >= minReached {
 		d.end()
 	}
@@ -93,8 +98,7 @@
 	}
 }
 
-// EndProbe records the end of a probe during which all of the given number of registered endpoints may have been dialed. A site with one
-// endpoint has no second one to reach.
+// EndProbe records the end of a probe of some of the given number of registered endpoints. A site with one endpoint has no second one to reach.
 func (d *Detector) EndProbe(endpoints int) {
 	if d.isolated && len(d.reached) > 0 && len(d.reached) >= min(minReached, endpoints) {
 		d.end()
--- a/internal/gateway/link_monitor.go
+++ b/internal/gateway/link_monitor.go
@@ -23,7 +23,7 @@
 const (
 	// checkedEndpoints is how many endpoints are dialed to find out whether this instance reaches any.
 	checkedEndpoints = 3
-	// probePeriod is the interval at which an isolated instance dials an endpoint.
+	// probePeriod is the interval at which an isolated instance dials as many.
 	probePeriod = 200 * time.Millisecond
 )
 
@@ -177,13 +177,10 @@
 	})
 }
 
-// probe dials one endpoint, and others once it was reached.
+// probe dials endpoints of as many zones as there are: only those of the own zone may be reached.
 func (l *linkMonitor) probe(ctx context.Context) {
 	targets := l.targets(checkedEndpoints)
-	if len(targets) == 0 || !l.dial(ctx, targets[:1]) {
-		return
-	}
-	l.dial(ctx, targets[1:])
+	l.dial(ctx, targets)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.detector.EndProbe(len(targets))
