--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -31,5 +31,14 @@
 // Isolated reports whether a node reaches no endpoint.
 func Isolated(n *Node) bool { return n.links.isolated.Load() }
 
+// CheckedZones returns the zones of the endpoints that a node dials to find out whether it is isolated.
+func CheckedZones(n *Node) []string {
+	var zones []string
+	for _, r := range n.links.targets(checkedEndpoints) {
+		zones = append(zones, r.Zone)
+	}
+	return zones
+}
+
 // KnowsLeader reports whether a node knows which instance leads.
 func KnowsLeader(n *Node) bool { return n.members.owner() != "" }
--- a/internal/gateway/isolated_entry_test.go
+++ b/internal/gateway/isolated_entry_test.go
@@ -364,3 +364,20 @@
 		eventually("calls are served", func() bool { return s.call(e, http.MethodGet, "/read/", "").status == http.StatusOK })
 	})
 }
+
+// Guards against an entry of a zone that is cut off which takes itself for isolated, since only endpoints of other zones were dialed to find out.
+func TestOwnZoneLeftOutOfCheck(t *testing.T) {
+	t.Parallel()
+	Convey("an entry of one of five zones checks an endpoint of its own zone each time", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		for i, zone := range []string{"plateau", "quay", "pier", "mole", "dock"} {
+			s.addEndpoint(hosted.EndpointConfig{ID: fmt.Sprintf("cal-%d", i), Service: "calendar", Work: time.Millisecond, Zone: zone})
+		}
+		e := s.addEntry()
+		e.expectReady(true)
+		for range 50 {
+			So(gateway.CheckedZones(e.node), ShouldContain, "plateau")
+		}
+	})
+}
--- a/internal/gateway/link_monitor.go
+++ b/internal/gateway/link_monitor.go
@@ -119,8 +119,8 @@
 	return reached.Load()
 }
 
-// targets returns some endpoints in random order: of as many zones and services as there are, and others than those that have failed just now if
-// there are any.
+// targets returns some endpoints: one of the own zone, which is reached while others are cut off, then of as many zones and services as there are,
+// in random order, and others than those that have failed just now if there are any.
 func (l *linkMonitor) targets(limit int) []*registration.Registration {
 	var all []*registration.Registration
 	for _, endpoints := range l.node.discovery.snapshot() {
@@ -131,8 +131,12 @@
 	defer l.mu.Unlock()
 	var chosen []*registration.Registration
 	seen := make(map[string]bool)
-	// The first round takes one of each zone, the second one of each service, the third any, and the last those that have failed.
+	// The first round takes one of the own zone, the second one of each zone, the third one of each service, the fourth any, and the last those that
+	// have failed.
 	for _, fits := range []func(r *registration.Registration) bool{
+		func(r *registration.Registration) bool {
+			return r.Zone == l.node.cfg.Zone && !seen["zone "+r.Zone] && !l.detector.Failed(r.Address)
+		},
 		func(r *registration.Registration) bool { return !seen["zone "+r.Zone] && !l.detector.Failed(r.Address) },
 		func(r *registration.Registration) bool {
 			return !seen["service "+r.Service] && !l.detector.Failed(r.Address)
