Log which start of an endpoint a request was sent to, and how its answer ended

Without these, a stream that ended early at a crashed endpoint looks like a whole one, and one that went on at a replaced endpoint like any other. No decision changes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,7 +44,7 @@
 	defer wd.stop()
 	j.headReceived, j.begun, j.sentAt, j.namedVersion, j.crash = false, false, clock.Now(), 0, nil
 	j.barred, j.paused, j.lapsed = nil, false, false
-	j.trace, j.answer = upstream.Trace{}, exchange.Reply{}
+	j.trace, j.answer, j.framed = upstream.Trace{}, exchange.Reply{}, false
 	endpoint := j.node.incarnationOf(choice)
 	j.software = j.node.discovery.software(choice)
 	defer j.node.evacuations.begin(choice)()
@@ -65,7 +65,7 @@
 	}
 	defer resp.Close()
 	wd.received()
-	j.headReceived = true
+	j.headReceived, j.framed = true, resp.Framed
 	j.node.recordSignOfLife(endpoint, j.sentAt)
 	reply := j.node.deps.Headers.ReadReply(resp.Status, resp.Header)
 	if reply.NotRun {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -77,9 +77,11 @@
 	headReceived bool
 	begun        bool
 	sentAt       clock.Instant
-	// trace is how the current attempt was sent, and answer the head of the last response to it.
+	// trace is how the current attempt was sent, and answer the head of the last response to it. framed is true if the head states where its body
+	// ends.
 	trace  upstream.Trace
 	answer exchange.Reply
+	framed bool
 	// crash is the crash of the endpoint that ended the current attempt, or nil if parts of the prompt aren't charged with one.
 	crash *peer.CrashReport
 	// barred is why nothing was sent in the current attempt, or nil; withdrawals counts the placements that were given up for it.
@@ -465,7 +467,7 @@
 	}
 	n.metrics.Requests.WithLabelValues(kind, result).Inc()
 	n.metrics.Latency.WithLabelValues(kind).Observe(now.Sub(j.arrived).Seconds())
-	fields := make([]zap.Field, 0, 25)
+	fields := make([]zap.Field, 0, 28)
 	if j.head != nil {
 		fields = append(fields, zap.String("request", j.head.ID))
 		if j.head.LastEvent > 0 {
@@ -488,7 +490,8 @@
 	}
 	if j.choice.Endpoint != "" {
 		fields = append(fields, zap.String("endpoint", j.choice.Endpoint), zap.Int("sends", j.attempts.Sends()),
-			zap.Int("runs", j.attempts.Runs()), zap.Int("weights", j.choice.Version), zap.String("software", j.software), zap.Int("prompt", j.placementReq.Prompt),
+			zap.Int("runs", j.attempts.Runs()), zap.Int("weights", j.choice.Version), zap.String("software", j.software),
+			zap.Int64("started", j.choice.StartMilli), zap.Bool("framed", j.framed), zap.Int64("events", j.lastEvent), zap.Int("prompt", j.placementReq.Prompt),
 			zap.Int("shared", j.placementReq.SharedTokens()), zap.Int("cached", j.choice.Cached), zap.Int("fetched", j.choice.Fetched),
 			zap.Int64("waited_ms", max(0, j.placedAt.Sub(j.arrived).Milliseconds())), zap.Int("priority", j.placementReq.Priority),
 			zap.Int64("expected_ms", j.choice.Expected.Milliseconds()), zap.Int64("first_ms", max(0, j.firstByteAt.Sub(j.arrived).Milliseconds())))
@@ -502,7 +505,7 @@
 
 func (j *job) logAttempt(outcome retry.Outcome, action retry.Action) {
 	j.node.log.Info(event.AttemptEnded, "attempt ended", zap.String("request", j.head.ID), zap.String("endpoint", j.choice.Endpoint),
-		zap.String("outcome", outcome.String()), zap.Uint8("next", uint8(action)), zap.Int("sends", j.attempts.Sends()),
+		zap.Int64("started", j.choice.StartMilli), zap.String("outcome", outcome.String()), zap.Uint8("next", uint8(action)), zap.Int("sends", j.attempts.Sends()),
 		zap.Int("runs", j.attempts.Runs()), zap.Int64("last_event", j.lastEvent), zap.Uint64("connection", j.trace.Connection),
 		zap.Int("exchange", j.trace.Exchange), zap.Int("skipped", j.trace.Skipped), zap.String("answer_to", j.answer.ID),
 		zap.Int64("pause_ms", j.answer.Pause.Milliseconds()))
