Don't take an answer without a length as complete when its endpoint has crashed

Callers got streams that ended early and looked complete: the rest of the events was missing, and nobody took the stream up (ORDER). Calls of plain services got a part of their answer in the same way.

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a killed process as it closes those of one that has sent all. The entry took every such end for the end of the answer, and gave the caller's answer its proper end. Class: a message that ends by the loss of its sender, taken for one that was finished.

Ruled out: answers with chunks, whose end is stated.

Change: at the end of such an answer the entry asks the engine for its report, on a new connection; the answer is complete only if the same incarnation replies. Endpoints without reports have to accept a connection. Otherwise the attempt is broken: streams that may be resumed go on elsewhere, others end for their callers without a proper end, and calls that may not be repeated get 502. The report costs a probe for each answer without a length, and none for others.

--- a/internal/coordination/rollout/order.go
+++ b/internal/coordination/rollout/order.go
@@ -45,4 +45,6 @@
 	// Orders is the number of orders that the engine has accepted since it started.
 	Orders   int
 	Versions map[string]int
+	// StartMilli is the start time of the engine's incarnation in Unix milliseconds, or zero if the report doesn't name it.
+	StartMilli int64
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -145,6 +145,7 @@
 			}
 			return upstream.MatchOther
 		},
+		ConfirmEnd: func() error { return j.confirmEnd(ctx, endpoint, choice.Address) },
 	}
 	resp, err := j.node.upstreams.Send(ctx, choice.Address, r)
 	j.trace = r.Trace
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -305,3 +305,58 @@
 		})
 	})
 }
+
+// A killed process closes its connections as one does that has sent all.
+func TestAnswerWithoutLengthOfCrashedEndpoint(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		restart time.Duration
+	}{{"that stays down", 0}, {"that is back at once", time.Millisecond}} {
+		Convey("an answer without length and chunks that ends with the crash of an engine "+c.name, t, func() {
+			s := startSite(1)
+			e := s.entries[0]
+			crash := hosted.EndpointFault{Unframed: true, CrashAfter: 3, RestartAfter: c.restart}
+
+			Convey("goes on at another engine if its route is resumable", func() {
+				s.eachEndpoint(hosted.EndpointFault{Unframed: true})
+				first := s.call(e, http.MethodPost, "/redraft/", "plan")
+				s.expectAnswered(first)
+				for _, endpoint := range s.endpoints {
+					if len(endpoint.Runs()) > 0 {
+						// It has the prompt's context, and gets the next request too.
+						endpoint.SetFault(crash)
+					}
+				}
+				a := s.call(e, http.MethodPost, "/redraft/", "plan")
+				s.expectAnswered(a)
+				So(a.body, ShouldEqual, hosted.Stream(6))
+				So(len(s.runs(a.id)), ShouldEqual, 2)
+			})
+			Convey("isn't complete for the caller if its route isn't resumable", func() {
+				s.eachEndpoint(crash)
+				a := s.call(e, http.MethodPost, "/brief/", "notes")
+				So(a.complete, ShouldBeFalse)
+				So(a.body, ShouldEqual, hosted.Stream(3))
+			})
+		})
+	}
+	Convey("a part of a plain call's answer that ends with its endpoint's crash", t, func() {
+		s := startSite(1)
+		e := s.entries[0]
+		crash := hosted.EndpointFault{Unframed: true, CrashAfter: 1}
+
+		Convey("isn't delivered if the call may not be repeated", func() {
+			s.eachEndpoint(crash)
+			s.expectRefused(s.call(e, http.MethodPost, "/book/", "stage"), http.StatusBadGateway, 1)
+		})
+		Convey("is replaced by that of another endpoint if it may be", func() {
+			s.endpoints[0].SetFault(crash)
+			for range 4 {
+				a := s.call(e, http.MethodGet, "/read/", "")
+				s.expectAnswered(a)
+				So(a.body, ShouldEqual, hosted.Body(a.id))
+			}
+			So(s.endpoints[0].Runs(), ShouldNotBeEmpty)
+		})
+	})
+}
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -121,7 +121,7 @@
 	}
 	if remaining <= 0 {
 		silent := d.silentFor()
-		if err := d.check(ctx); err != nil && ctx.Err() == nil {
+		if err := d.job.node.probe(ctx, d.address); err != nil && ctx.Err() == nil {
 			n := d.job.node
 			n.log.Info(event.EndpointDown, "silent endpoint is unreachable", zap.String("request", d.job.head.ID),
 				zap.String("endpoint", d.endpoint), zap.Int64("silent_ms", silent.Milliseconds()), zap.Error(err))
@@ -172,11 +172,11 @@
 	return clock.Now().Sub(d.receivedAt)
 }
 
-// check opens a connection to the endpoint, which the next request reuses.
-func (d *watchdog) check(ctx context.Context) error {
+// probe opens a connection to an endpoint, which the next request reuses.
+func (n *Node) probe(ctx context.Context, address string) error {
 	var err error
 	for range maxFailedChecks {
-		if err = d.job.node.upstreams.Probe(ctx, d.address); err == nil {
+		if err = n.upstreams.Probe(ctx, address); err == nil {
 			return nil
 		}
 	}
--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -102,6 +102,9 @@
 	LongBody int
 	// Unframed sends streams without length and chunks, which end with their connections; with CutAfter they end inside an event.
 	Unframed bool
+	// CrashAfter crashes the endpoint, in an answer without length and chunks, after the event with this number, or in the middle of the body of
+	// a plain call. Zero disables it.
+	CrashAfter int
 	// EndlessEvent sends, in place of a stream's second event, a line that never ends, until the caller closes the connection.
 	EndlessEvent bool
 	// StartDelay is how long each request waits before it runs. One whose connection closes meanwhile doesn't run.
--- a/internal/standin/hosted/responses.go
+++ b/internal/standin/hosted/responses.go
@@ -300,7 +300,12 @@
 		return
 	}
 	if e.cfg.Events == 0 {
-		_, _ = io.WriteString(conn, Body(id))
+		body := Body(id)
+		if f.CrashAfter > 0 {
+			body = body[:len(body)/2]
+			defer e.crash()
+		}
+		_, _ = io.WriteString(conn, body)
 		return
 	}
 	for n := lastEvent + 1; n <= e.cfg.Events; n++ {
@@ -308,7 +313,14 @@
 			_, _ = io.WriteString(conn, "id: "+strconv.Itoa(n)+"\ndata: ha")
 			return
 		}
-		_, _ = io.WriteString(conn, Event(n))
+		if f.CrashAfter > 0 && n > f.CrashAfter {
+			e.crash()
+			return
+		}
+		e.sleep(r, e.cfg.Work)
+		if _, err := io.WriteString(conn, Event(n)); err != nil {
+			return
+		}
 	}
 }
 
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -33,6 +33,9 @@
 	Permit func() error
 	// Match tells whether a response with this status and header belongs to the request.
 	Match func(status int, h http.Header) Match
+	// ConfirmEnd, unless it is nil, is called at the end of a body that has neither a length nor chunks: a process that is killed closes its
+	// connections in the same way. After an error the body counts as cut short.
+	ConfirmEnd func() error
 	// Trace is set by Send, also if it returns an error.
 	Trace Trace
 }
@@ -87,8 +90,10 @@
 	conn      *conn
 	pool      *Pool
 	stopWatch func() bool
-	complete  bool
-	keepAlive bool
+	// confirmEnd is nil if the body's end needs no confirmation, or has it.
+	confirmEnd func() error
+	complete   bool
+	keepAlive  bool
 }
 
 // Send sends a request once and returns the head of its response. Errors wrap ErrNotSent or ErrIncomplete. When the context ends, the
@@ -137,10 +142,7 @@
 			break
 		}
 		if match != MatchOther {
-			return &Response{
-				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body, conn: c,
-				keepAlive: !resp.Close, Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-			}, nil
+			return c.newResponse(r, resp), nil
 		}
 		if c.carriedHead {
 			// Whether the skipped response has a body depends on the method of a request that isn't known.
@@ -155,6 +157,17 @@
 	return nil, fmt.Errorf("%w: %w", ErrIncomplete, ErrStrayResponse)
 }
 
+func (c *conn) newResponse(r *Request, resp *http.Response) *Response {
+	out := &Response{
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body, conn: c, keepAlive: !resp.Close,
+		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody,
+	}
+	if !out.Framed {
+		out.confirmEnd = r.ConfirmEnd
+	}
+	return out
+}
+
 func (c *conn) readFinalResponse(method string) (*http.Response, error) {
 	c.limiter.start()
 	defer c.limiter.stop()
@@ -207,13 +220,31 @@
 	switch {
 	case err == nil:
 		return n, nil
+	case errors.Is(err, io.EOF) && n > 0 && r.confirmEnd != nil:
+		// These bytes needn't wait for the confirmation.
+		return n, nil
 	case errors.Is(err, io.EOF):
+		if err := r.confirm(); err != nil {
+			return n, err
+		}
 		r.complete = true
 		return n, io.EOF
 	}
 	return n, fmt.Errorf("%w: read body: %w", ErrIncomplete, err)
 }
 
+func (r *Response) confirm() error {
+	if r.confirmEnd == nil {
+		return nil
+	}
+	if err := r.confirmEnd(); err != nil {
+		// The cause isn't wrapped: it may be that another request wasn't sent.
+		return fmt.Errorf("%w: body ends with its connection (%v)", ErrIncomplete, err)
+	}
+	r.confirmEnd = nil
+	return nil
+}
+
 // Close ends the exchange. The connection is returned to the pool only if the response is complete, no data follows it, and it may carry further
 // requests.
 func (r *Response) Close() {
