Native edge: don't take an answer without a length as complete when its endpoint has crashed

Prompts aren't affected, since their streams state their end.

Now such an answer is complete only if the endpoint still accepts connections.

--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -175,9 +175,25 @@
 	if err != nil || len(body) > maxAnswerBytes {
 		return nil, fmt.Errorf("read response of %s (%v): %w", address, err, ErrIncomplete)
 	}
+	if framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody; !framed {
+		if err := confirmRunning(ctx, address); err != nil {
+			return nil, fmt.Errorf("response of %s ends with its connection (%v): %w", address, err, ErrIncomplete)
+		}
+	}
 	return &Result{Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// confirmRunning returns an error unless an endpoint accepts connections. A process that is killed closes those that it has as one does that has
+// sent all.
+func confirmRunning(ctx context.Context, address string) error {
+	c, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("dial: %w", err)
+	}
+	_ = c.Close()
+	return nil
+}
+
 // Load fetches an engine's load report.
 func (c *Client) Load(ctx context.Context, address string) (engine.Load, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
