Don't go on with a stream at an endpoint that has started again with other software

Cause: an endpoint may start again under its identifier and address with another version of its software. Class: an answer by a name that outlives the process that it meant.

TestStreamGoesOnAtReplacedSoftware failed before: streams went on at v2 both where an engine with v1 was left and where none was. Ruled out for these: entries that don't know where a stream began, since the endpoint that was chosen was registered with the right version.

Change: a request that goes on with a stream at an engine is preceded by a call for the engine's report on the same connection, which belongs to one process. Unless the report names the start of the incarnation that was chosen, the request isn't sent, and goes to another engine; an engine that names another start gets nothing from the placement for a moment. It costs a probe for each stream that goes on, and none for others. Engines that don't tell their start are used as before. The native edge needs no such check: its engines compare the version that a request names.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,6 +57,9 @@
 		j.lapsed = true
 		return retry.NotSent, placement.OutcomeWithdrawn
 	}
+	if errors.Is(err, upstream.ErrUnidentified) && ctx.Err() == nil {
+		return j.unidentified(choice, err)
+	}
 	if err != nil && errors.Is(context.Cause(watchedCtx), errNotStarted) {
 		return j.withdrawn(choice, err)
 	}
@@ -130,6 +133,7 @@
 	r := &upstream.Request{
 		ID: j.head.ID, Method: j.r.Method, Target: j.target, Host: j.r.Host, Header: header, Body: j.body,
 		HasBody: j.hasBody(),
+		Inquiry: j.identify(endpoint),
 		Permit:  permit,
 		Match: func(status int, h http.Header) upstream.Match {
 			reply := headers.ReadReply(status, h)
--- a/internal/gateway/dependencies.go
+++ b/internal/gateway/dependencies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -53,6 +54,10 @@
 // Engines sends orders to model engines and reads their reports.
 type Engines interface {
 	Report(ctx context.Context, id, address string) (rollout.Report, error)
+	// ReportCall returns the target and the header of a GET request for a report, for a connection of the caller's, and DecodeReport the report in
+	// the body of its answer.
+	ReportCall(id string) (target string, header http.Header)
+	DecodeReport(r io.Reader) (rollout.Report, error)
 	Order(ctx context.Context, address string, o *rollout.LoadOrder) (rollout.OrderResult, error)
 	// Observe sets a function that is called with the head of each answer; endpoint is empty if the call named none.
 	Observe(observe func(endpoint, address string, reply *exchange.Reply))
--- a/internal/gateway/software_versions_test.go
+++ b/internal/gateway/software_versions_test.go
@@ -291,3 +291,59 @@
 		So(wentOn, ShouldEqual, streams)
 	})
 }
+
+// Guards against streams that go on at an endpoint that has started again with other software and hasn't registered yet.
+func TestStreamGoesOnAtReplacedSoftware(t *testing.T) {
+	t.Parallel()
+	const streams = 12
+	Convey("streams of engines that are started again under their identifiers with another version", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		for i := range 3 {
+			s.addEndpoint(hosted.EndpointConfig{ID: fmt.Sprintf("llm-%d", i), Service: "llm", Model: testModel, Version: 1, Events: 6, Work: 5 * time.Millisecond})
+		}
+		for range 2 {
+			s.addEntry()
+		}
+		for _, e := range s.entries {
+			e.expectReady(true)
+		}
+		s.allowOneAttempt()
+		expectOneVersion := func(broken []brokenStream) (wentOn int) {
+			for _, b := range broken {
+				// The restarts count as crashes caused by the requests that were broken off, all with the same body.
+				body := "plan of " + b.id
+				a := s.call(s.entries[1], http.MethodPost, "/redraft/", body, "Prompt-Prefix", b.parts, "Resumes", b.id, "Last-Event-Id", strconv.Itoa(b.lastEvent))
+				for _, run := range s.runs(a.id) {
+					So(run.Software, ShouldEqual, "v1")
+				}
+				if a.complete && a.status == http.StatusOK {
+					wentOn++
+				}
+			}
+			return wentOn
+		}
+		Convey("go on at the engine that still has theirs", func() {
+			broken := s.breakStreams(s.entries[0], streams)
+			So(s.endpoints[0].ReplaceSoftware("v2"), ShouldBeNil)
+			So(s.endpoints[1].ReplaceSoftware("v2"), ShouldBeNil)
+			So(expectOneVersion(broken), ShouldEqual, streams)
+		})
+		Convey("go on nowhere if none has", func() {
+			broken := s.breakStreams(s.entries[0], streams)
+			for _, endpoint := range s.endpoints {
+				So(endpoint.ReplaceSoftware("v2"), ShouldBeNil)
+			}
+			So(expectOneVersion(broken), ShouldEqual, 0)
+		})
+		Convey("go on at engines that were started again with the same version, once they are registered", func() {
+			broken := s.breakStreams(s.entries[0], streams)
+			for _, endpoint := range s.endpoints {
+				So(endpoint.ReplaceSoftware("v1"), ShouldBeNil)
+				So(endpoint.Register(), ShouldBeNil)
+			}
+			time.Sleep(2 * s.entries[0].cfg.MaxLeavingDelay)
+			So(expectOneVersion(broken), ShouldEqual, streams)
+		})
+	})
+}
--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -147,7 +147,9 @@
 	Target    string
 	Body      string
 	LastEvent int
-	Header    http.Header
+	// Software is the version of the endpoint's software.
+	Software string
+	Header   http.Header
 }
 
 // Endpoint simulates a model engine or an endpoint of a plain service.
@@ -240,6 +242,24 @@
 	_ = e.register()
 }
 
+// ReplaceSoftware ends the endpoint's process and starts one with another software version under the same identifier and address. Its
+// registration stays as it was until Register is called.
+func (e *Endpoint) ReplaceSoftware(software string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = e.server.Close()
+	listener, err := net.Listen("tcp", e.listening)
+	if err != nil {
+		return fmt.Errorf("replace software: %w", err)
+	}
+	e.cfg.Software = software
+	e.serveOn(listener)
+	return nil
+}
+
+// Register registers the endpoint as it is now.
+func (e *Endpoint) Register() error { return e.register() }
+
 // ID returns the identifier of the endpoint.
 func (e *Endpoint) ID() string { return e.cfg.ID }
 
@@ -260,7 +280,7 @@
 	if e.cfg.Model != "" {
 		models = append(models, model{e.cfg.Model, e.version})
 	}
-	startedMilli := e.startedMilli
+	startedMilli, software := e.startedMilli, e.cfg.Software
 	e.mu.Unlock()
 	warmAt := time.UnixMilli(startedMilli).Add(e.cfg.WarmupTime)
 	return e.registrar.Put("servers/"+e.cfg.ID, struct {
@@ -270,7 +290,7 @@
 		ColdLeftMs, Sequence            int
 		Models                          []model
 		Born                            int64 `json:"born"`
-	}{e.cfg.Service, e.Address(), e.cfg.Zone, e.cfg.Software, e.cfg.Slots, state, int(max(0, time.Until(warmAt)).Milliseconds()), 1, models, startedMilli})
+	}{e.cfg.Service, e.Address(), e.cfg.Zone, software, e.cfg.Slots, state, int(max(0, time.Until(warmAt)).Milliseconds()), 1, models, startedMilli})
 }
 
 // Leave makes the endpoint state in its answers that it leaves, and registers it as leaving. It continues to serve requests.
--- a/internal/standin/hosted/refusals.go
+++ b/internal/standin/hosted/refusals.go
@@ -140,7 +140,7 @@
 		return false
 	}
 	id := r.Header.Get("Request-Id")
-	run := Run{id, e.cfg.ID, r.Header.Get("Tenant-Id"), r.RequestURI, body, 0, r.Header.Clone()}
+	run := Run{id, e.cfg.ID, r.Header.Get("Tenant-Id"), r.RequestURI, body, 0, e.cfg.Software, r.Header.Clone()}
 	e.mu.Lock()
 	e.runs = append(e.runs, run)
 	err := e.appendJournal(JournalEntry{Run: &run})
--- a/internal/standin/hosted/responses.go
+++ b/internal/standin/hosted/responses.go
@@ -33,7 +33,7 @@
 	if !wrongVersion && !full {
 		e.running++
 		lastEvent, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-		run := Run{id, e.cfg.ID, r.Header.Get("Tenant-Id"), r.RequestURI, body, lastEvent, r.Header.Clone()}
+		run := Run{id, e.cfg.ID, r.Header.Get("Tenant-Id"), r.RequestURI, body, lastEvent, e.cfg.Software, r.Header.Clone()}
 		e.runs = append(e.runs, run)
 		e.addToCache(r)
 		err = e.appendJournal(JournalEntry{Run: &run, AnswerSaysLeaving: saysLeaving(w), AnswerLimit: statedLimit(w)})
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -28,6 +28,8 @@
 	Body   []byte
 	// HasBody is true if the caller sent a body, even an empty one.
 	HasBody bool
+	// Inquiry, unless it is nil, precedes the request on its connection, which belongs to one process of the endpoint.
+	Inquiry *Inquiry
 	// Permit, unless it is nil, is called once a connection is open, directly before the request is written. After an error the request is
 	// not sent.
 	Permit func() error
@@ -100,7 +102,7 @@
 // connection is closed, so that the endpoint stops working on the request.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Response, error) {
 	id := xxhash.Sum64String(r.ID)
-	c, err := p.get(ctx, address, id)
+	c, err := p.identified(ctx, address, id, r.Inquiry)
 	if err != nil {
 		return nil, fmt.Errorf("send to %s: %w", address, err)
 	}
