Don't begin a stream at an endpoint that has started again with other software

Cause: the record of where a stream began names the version that the endpoint had registered. A stream that begins at an endpoint that has started again and isn't registered yet is recorded with the version before, and if it breaks, goes on at an engine of that version.

Change: the inquiry also precedes streams that begin and may go on elsewhere, once on each connection, which remembers to which process it belongs. A continuation on such a connection needs none. Requests that can't go on elsewhere are sent as before.

Weighed: new connections could inherit what open ones have told, but a connection to a host that lost power stays open. It costs a probe for each new connection that carries such a stream.

--- a/internal/gateway/endpoint_identity.go
+++ b/internal/gateway/endpoint_identity.go
@@ -12,7 +12,6 @@
 
 	"gypsumvale/internal/coordination/placement"
 	"gypsumvale/internal/coordination/retry"
-	"gypsumvale/internal/coordination/rollout"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/state/registration"
 	"gypsumvale/internal/transport/upstream"
@@ -24,6 +23,9 @@
 // errEndpointRestarted is returned for an endpoint that has started again since it registered.
 var errEndpointRestarted = errors.New("endpoint has started again")
 
+// otherEndpoint stands for the start of an endpoint that uses the address of another one.
+const otherEndpoint = -1
+
 // onEngine reports whether the request's service consists of model engines, which report their state.
 func (j *job) onEngine() bool {
 	s := j.table.Services[j.service]
@@ -43,8 +45,8 @@
 		return nil
 	}
 	report, err := n.deps.Engines.Report(ctx, endpoint.ID, address)
-	if err == nil {
-		err = checkIncarnation(endpoint, &report)
+	if err == nil && report.StartMilli != 0 && report.StartMilli != endpoint.StartMilli {
+		err = errEndpointRestarted
 	}
 	if err != nil {
 		return fmt.Errorf("confirm the end of an answer: %w", err)
@@ -52,38 +54,38 @@
 	return nil
 }
 
-// checkIncarnation returns errEndpointRestarted if an endpoint's report is that of another incarnation.
-func checkIncarnation(endpoint registration.Incarnation, report *rollout.Report) error {
-	if report.StartMilli != 0 && report.StartMilli != endpoint.StartMilli {
-		return errEndpointRestarted
-	}
-	return nil
-}
-
-// identify returns the inquiry that has to precede a request which goes on with a stream: an endpoint that has just started again may run other
-// software than it registered. It returns nil for other requests, and for endpoints that don't report their state.
+// identify returns the inquiry for the incarnation of an endpoint to which a stream is sent that may go on elsewhere, or goes on here: one that
+// has just started again may run other software than it registered. It returns nil for other requests, and for endpoints that don't report
+// their start.
 func (j *job) identify(endpoint registration.Incarnation) *upstream.Inquiry {
-	if j.lastEvent == 0 || !j.onEngine() || endpoint.StartMilli == 0 {
+	if j.placementReq.Stream == 0 && j.lastEvent == 0 || !j.onEngine() || endpoint.StartMilli == 0 {
 		return nil
 	}
-	n := j.node
+	n, misdirected := j.node, false
 	target, header := n.deps.Engines.ReportCall(endpoint.ID)
 	return &upstream.Inquiry{
-		Target: target, Header: header,
+		Target: target, Header: header, Process: endpoint.StartMilli,
 		Match: func(status int, h http.Header) upstream.Match {
 			reply := n.deps.Headers.ReadReply(status, h)
 			if reply.ID != "" {
 				return upstream.MatchOther
 			}
+			misdirected = reply.Misdirected
 			n.notices.record(endpoint, &reply)
 			return upstream.MatchOwn
 		},
-		Check: func(body io.Reader) error {
+		Read: func(body io.Reader) (int64, error) {
+			if misdirected {
+				return otherEndpoint, nil
+			}
 			report, err := n.deps.Engines.DecodeReport(body)
-			if err != nil {
-				return fmt.Errorf("identify: %w", err)
+			switch {
+			case err != nil:
+				return 0, fmt.Errorf("identify: %w", err)
+			case report.StartMilli == 0:
+				return endpoint.StartMilli, nil
 			}
-			return checkIncarnation(endpoint, &report)
+			return report.StartMilli, nil
 		},
 	}
 }
@@ -92,7 +94,7 @@
 func (j *job) unidentified(choice *placement.Choice, err error) (retry.Outcome, placement.Outcome) {
 	j.node.log.Info(event.AttemptFailed, "request not sent to an endpoint that may have started again", zap.String("request", j.head.ID),
 		zap.String("endpoint", choice.Endpoint), zap.Int64("started", choice.StartMilli), zap.Error(err))
-	if errors.Is(err, errEndpointRestarted) {
+	if errors.Is(err, upstream.ErrOtherProcess) {
 		return retry.NotSent, placement.OutcomeMisdirected
 	}
 	return retry.NotSent, placement.OutcomeUnreachable
--- a/internal/gateway/software_versions_test.go
+++ b/internal/gateway/software_versions_test.go
@@ -308,6 +308,18 @@
 		for _, e := range s.entries {
 			e.expectReady(true)
 		}
+		Convey("hold events of one version if they begin at an engine that isn't registered yet", func() {
+			So(s.endpoints[0].ReplaceSoftware("v2"), ShouldBeNil)
+			s.eachEndpoint(hosted.EndpointFault{CutAfter: 3})
+			for i := range streams {
+				a := s.call(s.entries[0], http.MethodPost, "/redraft/", fmt.Sprint("plan ", i), "Prompt-Prefix", fmt.Sprintf("a1:600,own%d:100", i))
+				runs := s.runs(a.id)
+				So(runs, ShouldNotBeEmpty)
+				for _, run := range runs {
+					So(run.Software, ShouldEqual, runs[0].Software)
+				}
+			}
+		})
 		s.allowOneAttempt()
 		expectOneVersion := func(broken []brokenStream) (wentOn int) {
 			for _, b := range broken {
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -65,6 +65,8 @@
 	carried []uint64
 	// carriedHead is true once the connection has carried a HEAD request, the response to which has no body whatever its headers say.
 	carriedHead bool
+	// process is the process of the endpoint that the connection belongs to, as it has told, or zero.
+	process int64
 	// usableUntil is when the idle timeout expires.
 	usableUntil clock.Instant
 	once        sync.Once
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -28,7 +28,7 @@
 	Body   []byte
 	// HasBody is true if the caller sent a body, even an empty one.
 	HasBody bool
-	// Inquiry, unless it is nil, precedes the request on its connection, which belongs to one process of the endpoint.
+	// Inquiry, unless it is nil, finds out before the request which process of the endpoint its connection belongs to.
 	Inquiry *Inquiry
 	// Permit, unless it is nil, is called once a connection is open, directly before the request is written. After an error the request is
 	// not sent.
--- a/internal/transport/upstream/inquiry.go
+++ b/internal/transport/upstream/inquiry.go
@@ -24,24 +24,34 @@
 
 var errConnectionEnds = errors.New("connection ends after the answer to the inquiry")
 
-// Inquiry is a call that an endpoint answers at once, by which it tells who it is. The request that follows reaches the same process or none.
+// ErrOtherProcess is wrapped, beside ErrUnidentified, if another process has answered than the request is meant for.
+var ErrOtherProcess = errors.New("another process has answered")
+
+// Inquiry is a call that an endpoint answers at once, by which it tells which of its processes it is. A connection belongs to one process, so that
+// it is sent once on each, and the request that follows reaches the same process or none.
 type Inquiry struct {
 	Target string
 	Header http.Header
-	// Match tells whether a response is the answer.
+	// Match tells whether a response is the answer, and Read returns the process that it names.
 	Match func(status int, h http.Header) Match
-	// Check returns an error unless the process that has answered may get the request.
-	Check func(body io.Reader) error
+	Read  func(body io.Reader) (int64, error)
+	// Process is the one that may get the request. It isn't zero.
+	Process int64
 }
 
-// identified returns a connection that may carry a request, on which an inquiry has succeeded unless it is nil.
+// identified returns a connection that may carry a request, to the process that the inquiry names unless it is nil.
 func (p *Pool) identified(ctx context.Context, address string, id uint64, q *Inquiry) (*conn, error) {
 	for try := 1; ; try++ {
 		c, err := p.get(ctx, address, id)
 		if err != nil || q == nil {
 			return c, err
 		}
-		err = c.inquire(ctx, address, q)
+		if c.process == 0 {
+			err = c.inquire(ctx, address, q)
+		}
+		if err == nil && c.process != q.Process {
+			err = ErrOtherProcess
+		}
 		if err == nil {
 			return c, nil
 		}
@@ -52,6 +62,7 @@
 	}
 }
 
+// inquire finds out to which process a connection belongs.
 func (c *conn) inquire(ctx context.Context, host string, q *Inquiry) error {
 	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
 	defer cancel()
@@ -64,7 +75,7 @@
 		return fmt.Errorf("inquire (%v)", err)
 	}
 	body := io.LimitReader(resp, maxInquiryBytes)
-	err = q.Check(body)
+	process, err := q.Read(body)
 	_, _ = io.Copy(io.Discard, body)
 	switch {
 	case !stop():
@@ -74,5 +85,6 @@
 	case !resp.complete || !resp.keepAlive || c.r.Buffered() > 0:
 		return errConnectionEnds
 	}
+	c.process = process
 	return nil
 }
--- a/internal/transport/upstream/inquiry_test.go
+++ b/internal/transport/upstream/inquiry_test.go
@@ -17,11 +17,10 @@
 func TestInquiryBeforeRequest(t *testing.T) {
 	t.Parallel()
 	const state = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
-	other := strings.Replace(state, "first", "other", 1)
+	other := strings.Replace(strings.Replace(state, "first", "second", 1), "5", "6", 1)
 	late := strings.ReplaceAll(okResponse, "{id}", "b")
 	closing := strings.Replace(state, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)
 	send := func(s *server) error {
-		errWrong := errors.New("wrong process")
 		resp, err := s.pool.Send(context.Background(), s.listener.Addr().String(), &upstream.Request{
 			ID: "a", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {"a"}},
 			Match: func(int, http.Header) upstream.Match { return upstream.MatchOwn },
@@ -33,12 +32,11 @@
 					}
 					return upstream.MatchOwn
 				},
-				Check: func(body io.Reader) error {
-					if text, err := io.ReadAll(body); err != nil || string(text) != "first" {
-						return errWrong
-					}
-					return nil
+				Read: func(body io.Reader) (int64, error) {
+					text, err := io.ReadAll(body)
+					return int64(len(text)), err
 				},
+				Process: int64(len("first")),
 			},
 		})
 		if err != nil {
