Soak: engines that are killed in streams without length, or come back with other software

The soak's engines sent all streams in chunks, and had one software version for good, so that it couldn't show what the users saw as ORDER on their machines. Now a schedule of its own, which leaves what a seed draws besides as it was, kills engines in the middle of streams without length and chunks, and starts others again under their identifiers with the other version. The check of versions goes by what each run says of its software.

SOAK_PRODUCTION lets the entries begin as an earlier release, which each is upgraded from when a fault has ended its process.

--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -308,6 +308,7 @@
 
 // A killed process closes its connections as one does that has sent all.
 func TestAnswerWithoutLengthOfCrashedEndpoint(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		restart time.Duration
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -373,6 +373,46 @@
 	s.inUse[part] = false
 }
 
+// unframedFault makes an engine answer with streams that end with their connections. Mostly it is killed meanwhile, in the middle of some.
+func (s *site) unframedFault(random *rand.Rand, m *node) fault {
+	duration, downtime, kill := 100*time.Millisecond+randomDuration(random, time.Second), randomDuration(random, time.Second), random.IntN(4) > 0
+	return fault{kind: "kill", part: m.name, do: func() {
+		if !kill {
+			s.applyFault(m, hosted.EndpointFault{Unframed: true}, hosted.EndpointFault{}, duration)
+			return
+		}
+		data, err := json.Marshal(hosted.EndpointFault{Unframed: true})
+		if err != nil || s.control(m, "fault", data) != nil {
+			// The process is starting, and accepts no calls yet.
+			return
+		}
+		time.Sleep(duration)
+		<-m.signal(syscall.SIGKILL).exited
+		time.Sleep(downtime)
+		s.start(m)
+	}}
+}
+
+// softwareFault kills an engine, which starts again under its identifier with another software version.
+func (s *site) softwareFault(random *rand.Rand, m *node) fault {
+	downtime := randomDuration(random, 500*time.Millisecond)
+	return fault{kind: "kill", part: m.name, do: func() {
+		<-m.signal(syscall.SIGKILL).exited
+		time.Sleep(downtime)
+		m.replaceSoftware()
+		s.start(m)
+	}}
+}
+
+// streamFault is a fault of engines that breaks streams off.
+func (s *site) streamFault(random *rand.Rand) fault {
+	m := pick(random, s.endpoints[:engineCount])
+	if random.IntN(2) == 0 {
+		return s.softwareFault(random, m)
+	}
+	return s.unframedFault(random, m)
+}
+
 const (
 	maxConcurrentFaults = 6
 	// Longest times between the starts of two faults, of two restorations of the store, of two signals of endpoints, and of two limits or
@@ -381,13 +421,14 @@
 	maxRestoreInterval = 4 * time.Second
 	maxSignalInterval  = 2 * time.Second
 	maxLimitInterval   = 3 * time.Second
+	maxStreamInterval  = 2 * time.Second
 )
 
 // injectAll injects all faults of a seed until the given time, waits until all are restored, and returns how many it injected.
 // Restorations, signals and limits have schedules of their own, so that a seed draws the same other faults with and without them.
 func (s *site) injectAll(seed uint64, o *operator, end time.Time) int {
 	var wg sync.WaitGroup
-	restorations, signals, limits := 0, 0, 0
+	restorations, signals, limits, streams := 0, 0, 0, 0
 	wg.Go(func() {
 		restorations = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<33)), maxRestoreInterval, end, func(random *rand.Rand) fault { return s.restoreFault(random, o) })
 	})
@@ -397,9 +438,12 @@
 	wg.Go(func() {
 		limits = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<35)), maxLimitInterval, end, s.limitFault)
 	})
+	wg.Go(func() {
+		streams = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<36)), maxStreamInterval, end, s.streamFault)
+	})
 	faults := s.injectFaults(rand.New(rand.NewPCG(seed, 1<<32)), maxFaultInterval, end, func(random *rand.Rand) fault { return s.randomFault(random, o) })
 	wg.Wait()
-	return faults + restorations + signals + limits
+	return faults + restorations + signals + limits + streams
 }
 
 // injectFaults injects the faults that draw returns until the given time, waits until all are restored, and returns how many it injected.
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -24,6 +25,9 @@
 // programs is the folder of the built programs.
 var programs string
 
+// production, unless it is empty, is the gypsum-entry of an earlier release. Entries begin with it, and are upgraded when they are started again.
+var production = os.Getenv("SOAK_PRODUCTION")
+
 // raceExit is the exit code of a program in which the race detector found a data race.
 const raceExit = 66
 
@@ -210,7 +214,11 @@
 		s.breach("open output of %s: %v", m.name, err)
 		return
 	}
-	p := &process{name: m.name, cmd: exec.Command(filepath.Join(programs, m.args[0]), m.args[1:]...), exited: make(chan struct{}), started: time.Now()}
+	program := filepath.Join(programs, m.args[0])
+	if production != "" && m.readiness != "" && m.process() == nil {
+		program = production
+	}
+	p := &process{name: m.name, cmd: exec.Command(program, m.args[1:]...), exited: make(chan struct{}), started: time.Now()}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	// Its own process group keeps signals to the test's process group, such as an interrupt, from the process.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
@@ -233,6 +241,16 @@
 	}()
 }
 
+// replaceSoftware makes an engine's next process one of the other software version.
+func (m *node) replaceSoftware() {
+	i := slices.Index(m.args, "--software") + 1
+	if m.args[i] == softwareOf(0) {
+		m.args[i] = softwareOf(engineCount - 1)
+		return
+	}
+	m.args[i] = softwareOf(0)
+}
+
 func (m *node) process() *process {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,6 +18,7 @@
 }{
 	{26, "a configuration that can't be decoded hid the revocation of a key"},
 	{3, "changes were ignored after the metadata store was restored from a copy"},
+	{2, "streams without length and chunks ended as complete ones when their engine was killed"},
 }
 
 func envUint(name string, fallback uint64) uint64 {
--- a/internal/soak/take_ups_test.go
+++ b/internal/soak/take_ups_test.go
@@ -67,20 +67,16 @@
 	if r.path != redraftPath || eventsIn(began.received) == 0 {
 		return
 	}
-	software := make(map[string]string)
-	for i := range engineCount {
-		software[fmt.Sprintf("engine-%d", i)] = softwareOf(i)
-	}
 	want := ""
 	for _, run := range j.runs[began.id] {
 		if began.seal == hosted.Seal(run.Endpoint, began.id) {
-			want = software[run.Endpoint]
+			want = run.Run.Software
 		}
 	}
 	for _, run := range j.runs[r.id] {
-		if run.Run.LastEvent > 0 && want != "" && software[run.Endpoint] != want {
+		if run.Run.LastEvent > 0 && want != "" && run.Run.Software != want {
 			s.breach("%s goes on at %s after event %d, with software %s; its stream began at %s", r.id, run.Endpoint, run.Run.LastEvent,
-				software[run.Endpoint], want)
+				run.Run.Software, want)
 		}
 	}
 }
