Ask an engine who it is only where no open connection tells

Nothing changes for callers.

Two open connections to an address belong to the process that listens there. A new connection now takes over what another one has told, if that is open after the new one was dialed and something came on it within the last second: the kernel closes the connections of a process that ends, and a host that has lost power, whose connections stay open, isn't back within that time. A pooled connection to a process that is gone is closed, and another one is dialed.

--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -32,8 +33,12 @@
 	// inHead is true while a head is being read, and remaining is how many more bytes it may have.
 	inHead    bool
 	remaining int
+	// read is when bytes were last read, as a clock.Instant.
+	read atomic.Int64
 }
 
+func (l *headLimiter) lastRead() clock.Instant { return clock.Instant(l.read.Load()) }
+
 func (l *headLimiter) start() { l.inHead, l.remaining = true, maxHeadBytes }
 
 func (l *headLimiter) stop() { l.inHead = false }
@@ -48,6 +53,9 @@
 	}
 	n, err := l.raw.Read(b)
 	l.remaining -= n
+	if n > 0 {
+		l.read.Store(int64(clock.Now()))
+	}
 	return n, err //nolint:wrapcheck // The connection's own errors are wrapped where the response is read.
 }
 
@@ -69,7 +77,9 @@
 	process int64
 	// usableUntil is when the idle timeout expires.
 	usableUntil clock.Instant
-	once        sync.Once
+	// onClose, unless it is nil, is called once the connection is closed.
+	onClose func(*conn)
+	once    sync.Once
 }
 
 func newConn(raw net.Conn, address string, number uint64) *conn {
@@ -77,17 +87,25 @@
 	return &conn{raw: raw, limiter: limiter, r: bufio.NewReaderSize(limiter, readBufferBytes), address: address, number: number}
 }
 
-func (c *conn) close() { c.once.Do(func() { _ = c.raw.Close() }) }
+func (c *conn) close() {
+	c.once.Do(func() {
+		_ = c.raw.Close()
+		if c.onClose != nil {
+			c.onClose(c)
+		}
+	})
+}
 
 // mayCarry reports whether a request may be sent on the connection.
 func (c *conn) mayCarry(id uint64) bool { return !slices.Contains(c.carried, id) }
 
 // reusable reports whether an idle connection is still open and has no unread data. Data that follows a complete response belongs to no
 // request, so the next response could not be trusted.
-func (c *conn) reusable() bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
+func (c *conn) reusable() bool { return c.r.Buffered() == 0 && c.open() }
+
+// open reports whether a connection is open and its kernel holds no unread data, which the end of the connection might follow. It may be called
+// while the connection is being read.
+func (c *conn) open() bool {
 	sysConn, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return false
@@ -97,11 +115,10 @@
 		return false
 	}
 	open := false
-	err = rawConn.Read(func(fd uintptr) bool {
+	err = rawConn.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		open = err == syscall.EAGAIN
-		return true
 	})
 	return err == nil && open
 }
--- a/internal/transport/upstream/inquiry_test.go
+++ b/internal/transport/upstream/inquiry_test.go
@@ -20,8 +20,8 @@
 	other := strings.Replace(strings.Replace(state, "first", "second", 1), "5", "6", 1)
 	late := strings.ReplaceAll(okResponse, "{id}", "b")
 	closing := strings.Replace(state, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)
-	send := func(s *server) error {
-		resp, err := s.pool.Send(context.Background(), s.listener.Addr().String(), &upstream.Request{
+	begin := func(s *server) (*upstream.Response, error) {
+		return s.pool.Send(context.Background(), s.listener.Addr().String(), &upstream.Request{
 			ID: "a", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {"a"}},
 			Match: func(int, http.Header) upstream.Match { return upstream.MatchOwn },
 			Inquiry: &upstream.Inquiry{
@@ -39,8 +39,11 @@
 				Process: int64(len("first")),
 			},
 		})
+	}
+	send := func(s *server) error {
+		resp, err := begin(s)
 		if err != nil {
-			return err //nolint:wrapcheck // The test checks what it wraps.
+			return err
 		}
 		resp.Close()
 		return nil
@@ -71,4 +74,25 @@
 			So(errors.Is(err, upstream.ErrUnidentified), ShouldBeTrue)
 		})
 	}
+	const unfinished = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nhalf"
+	Convey("a connection beside another open one needs no inquiry", t, func() {
+		s := newServer(false, state, unfinished, okResponse)
+		first, err := begin(s)
+		So(err, ShouldBeNil)
+		defer first.Close()
+		_, err = io.ReadFull(first, make([]byte, len("half")))
+		So(err, ShouldBeNil)
+		So(send(s), ShouldBeNil)
+		So(s.dials, ShouldEqual, 2)
+	})
+	Convey("a connection needs an inquiry once the other one has ended", t, func() {
+		s := newServer(false, state, strings.Replace(unfinished, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1), state, okResponse)
+		first, err := begin(s)
+		So(err, ShouldBeNil)
+		defer first.Close()
+		_, err = io.ReadAll(first)
+		So(errors.Is(err, upstream.ErrIncomplete), ShouldBeTrue)
+		So(send(s), ShouldBeNil)
+		So(s.dials, ShouldEqual, 2)
+	})
 }
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -46,7 +46,8 @@
 
 	onDial func(address string, err error)
 	// dialed numbers the connections.
-	dialed atomic.Uint64
+	dialed    atomic.Uint64
+	processes processes
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -55,7 +56,7 @@
 // NewPool returns an empty pool that calls onDial after each dial with its error, except for those that their callers ended.
 func NewPool(onDial func(address string, err error)) *Pool {
 	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2}}
-	return &Pool{Dial: dialer.DialContext, onDial: onDial, idle: make(map[string][]*conn)}
+	return &Pool{Dial: dialer.DialContext, onDial: onDial, idle: make(map[string][]*conn), processes: processes{open: make(map[string]map[*conn]bool)}}
 }
 
 // get returns an idle connection that is still reusable and may carry a request, or dials a new one.
@@ -94,7 +95,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return newConn(raw, address, p.dialed.Add(1)), nil
+	c := newConn(raw, address, p.dialed.Add(1))
+	c.onClose = p.processes.remove
+	return c, nil
 }
 
 // popIdle removes and returns the connection used last of those that may carry a request, or nil if there is none.
