Write a request's header after its engine has told who it is

Since engines may take up to 1.5 s to tell who they are, the header of the request that followed could name more time than was left, and sources of cached context that had been freed meanwhile. It is written once the connection is known to be the right one, directly before it is sent. TestDeadlineAfterSlowIdentification failed before: an engine that took 0.6 s was given the whole deadline.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -97,7 +97,7 @@
 	return j.bufferReply(ctx, choice, resp)
 }
 
-// send sends the request with the dispatch headers; time-dependent values are computed at the time of sending.
+// send sends the request with the dispatch headers.
 func (j *job) send(ctx context.Context, choice *placement.Choice, endpoint registration.Incarnation) (*upstream.Response, error) {
 	headers, notices := j.node.deps.Headers, j.node.notices
 	permit := func() error {
@@ -112,29 +112,9 @@
 	if err := permit(); err != nil {
 		return nil, fmt.Errorf("attempt: %w", err)
 	}
-	now := clock.Now()
-	if now.Sub(j.placedAt) > maxChoiceAge {
-		// By now the sources may have been freed, and the space reserved for a save given to another request.
-		choice.FetchFrom, choice.SaveTo = nil, nil
-	}
-	j.restrictTransfers(choice)
-	dispatch := exchange.Dispatch{
-		Endpoint: choice.Endpoint, Deadline: j.deadline, Priority: -1, Version: choice.Version, CacheSpace: choice.CacheSpace,
-		FetchFrom: choice.FetchFrom, FetchUntil: choice.FetchUntil, SaveTo: choice.SaveTo, LastEvent: j.lastEvent,
-	}
-	if j.workspace != nil {
-		dispatch.Workspace = j.workspace.Name
-	}
-	if choice.CacheSpace != "" {
-		dispatch.Priority = j.placementReq.Priority
-	}
-	header := j.head.Header.Clone()
-	headers.WriteHead(header, &dispatch, now)
 	r := &upstream.Request{
-		ID: j.head.ID, Method: j.r.Method, Target: j.target, Host: j.r.Host, Header: header, Body: j.body,
-		HasBody: j.hasBody(),
+		ID: j.head.ID, Method: j.r.Method, Target: j.target, Host: j.r.Host, Body: j.body, HasBody: j.hasBody(),
 		Inquiry: j.identify(endpoint),
-		Permit:  permit,
 		Match: func(status int, h http.Header) upstream.Match {
 			reply := headers.ReadReply(status, h)
 			notices.record(endpoint, &reply)
@@ -151,6 +131,10 @@
 		},
 		ConfirmEnd: func() error { return j.confirmEnd(ctx, endpoint, choice.Address) },
 	}
+	r.Permit = func() error {
+		r.Header = j.dispatchHeader(choice)
+		return permit()
+	}
 	resp, err := j.node.upstreams.Send(ctx, choice.Address, r)
 	j.trace = r.Trace
 	if err != nil {
@@ -159,6 +143,29 @@
 	return resp, nil
 }
 
+// dispatchHeader returns the header of the request for an endpoint. Some of it depends on the time at which it is sent.
+func (j *job) dispatchHeader(choice *placement.Choice) http.Header {
+	now := clock.Now()
+	if now.Sub(j.placedAt) > maxChoiceAge {
+		// By now the sources may have been freed, and the space reserved for a save given to another request.
+		choice.FetchFrom, choice.SaveTo = nil, nil
+	}
+	j.restrictTransfers(choice)
+	dispatch := exchange.Dispatch{
+		Endpoint: choice.Endpoint, Deadline: j.deadline, Priority: -1, Version: choice.Version, CacheSpace: choice.CacheSpace,
+		FetchFrom: choice.FetchFrom, FetchUntil: choice.FetchUntil, SaveTo: choice.SaveTo, LastEvent: j.lastEvent,
+	}
+	if j.workspace != nil {
+		dispatch.Workspace = j.workspace.Name
+	}
+	if choice.CacheSpace != "" {
+		dispatch.Priority = j.placementReq.Priority
+	}
+	header := j.head.Header.Clone()
+	j.node.deps.Headers.WriteHead(header, &dispatch, now)
+	return header
+}
+
 // withdrawn returns the outcome of an attempt that was ended because it had not started in time. The engine may have started it just now.
 func (j *job) withdrawn(choice *placement.Choice, err error) (retry.Outcome, placement.Outcome) {
 	j.node.log.Info(event.AttemptFailed, "attempt withdrawn", zap.String("request", j.head.ID), zap.String("endpoint", choice.Endpoint),
--- a/internal/gateway/software_versions_test.go
+++ b/internal/gateway/software_versions_test.go
@@ -359,3 +359,18 @@
 		})
 	})
 }
+
+// Guards against endpoints that are given the time that was left before they were asked who they are.
+func TestDeadlineAfterSlowIdentification(t *testing.T) {
+	t.Parallel()
+	Convey("an engine that tells late who it is gets the time that is left then", t, func() {
+		const deadline, delay = 3500, 600 * time.Millisecond
+		s := startSite(1)
+		s.eachEndpoint(hosted.EndpointFault{ReportDelay: delay})
+		a := s.call(s.entries[0], http.MethodPost, "/redraft/", "plan", "Deadline-Ms", strconv.Itoa(deadline))
+		s.expectAnswered(a)
+		left, err := strconv.Atoi(s.runs(a.id)[0].Header.Get("Deadline-Ms"))
+		So(err, ShouldBeNil)
+		So(left, ShouldBeLessThanOrEqualTo, deadline-int(delay.Milliseconds()))
+	})
+}
--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -135,6 +135,8 @@
 	// Brittle, if not zero, is the number of requests that the endpoint states to survive turning away in a second. Falls counts how often it had to
 	// turn away more.
 	Brittle int
+	// ReportDelay is how long the answer to a call for a report takes.
+	ReportDelay time.Duration
 	// LeaveDelay is how long an endpoint that has begun to leave delays its registration as leaving.
 	LeaveDelay time.Duration
 }
@@ -437,7 +439,7 @@
 	}
 	switch r.URL.Path {
 	case "/-/report":
-		e.report(w)
+		e.report(w, r)
 		return
 	case "/-/order":
 		e.order(w, r)
@@ -468,7 +470,13 @@
 	w.WriteHeader(http.StatusMisdirectedRequest)
 }
 
-func (e *Endpoint) report(w http.ResponseWriter) {
+func (e *Endpoint) report(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	delay := e.fault.ReportDelay
+	e.mu.Unlock()
+	if delay > 0 {
+		e.sleep(r, delay)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	type model struct {
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -30,8 +30,8 @@
 	HasBody bool
 	// Inquiry, unless it is nil, finds out before the request which process of the endpoint its connection belongs to.
 	Inquiry *Inquiry
-	// Permit, unless it is nil, is called once a connection is open, directly before the request is written. After an error the request is
-	// not sent.
+	// Permit, unless it is nil, is called once a connection is open, directly before the request is written, whose header it may
+	// set. After an error the request is not sent.
 	Permit func() error
 	// Match tells whether a response with this status and header belongs to the request.
 	Match func(status int, h http.Header) Match
