Try another connection where a pooled one ends before its engine has told who it is

An engine closes connections that were idle, at times just when the next request is to use one; its missing answer to the inquiry counted as an unreachable engine. Such a connection is replaced once now, as one that ends after the answer. An attempt that was withdrawn for its weights during the inquiry is logged as withdrawn again, and doubts no engine.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,12 +57,12 @@
 		j.lapsed = true
 		return retry.NotSent, placement.OutcomeWithdrawn
 	}
-	if errors.Is(err, upstream.ErrUnidentified) && ctx.Err() == nil {
-		return j.unidentified(choice, err)
-	}
 	if err != nil && errors.Is(context.Cause(watchedCtx), errNotStarted) {
 		return j.withdrawn(choice, err)
 	}
+	if errors.Is(err, upstream.ErrUnidentified) && ctx.Err() == nil {
+		return j.unidentified(choice, err)
+	}
 	if err != nil {
 		return j.classifyError(ctx, choice, err)
 	}
--- a/internal/transport/upstream/inquiry.go
+++ b/internal/transport/upstream/inquiry.go
@@ -18,7 +18,7 @@
 const (
 	// inquiryTimeout is how long the answer to an inquiry may take. A sound endpoint may be silent for a second.
 	inquiryTimeout = 1500 * time.Millisecond
-	// maxInquiries is how many connections are tried: some endpoints close one after an answer now and then.
+	// maxInquiries is how many connections are tried: endpoints close one after an answer now and then, and those that were idle for a while.
 	maxInquiries = 2
 	// maxInquiryBytes limits the body of the answer.
 	maxInquiryBytes = 64 << 10
@@ -99,11 +99,12 @@
 			try--
 			continue
 		}
+		reused := c.exchanges > 0
 		if err = p.identify(ctx, c, q); err == nil {
 			return c, nil
 		}
 		c.close()
-		if try == maxInquiries || !errors.Is(err, errConnectionEnds) {
+		if again := reused || errors.Is(err, errConnectionEnds); !again || try == maxInquiries || errors.Is(err, ErrOtherProcess) {
 			return nil, fmt.Errorf("%w: %w: %w", ErrNotSent, ErrUnidentified, err)
 		}
 	}
--- a/internal/transport/upstream/inquiry_test.go
+++ b/internal/transport/upstream/inquiry_test.go
@@ -95,4 +95,17 @@
 		So(send(s), ShouldBeNil)
 		So(s.dials, ShouldEqual, 2)
 	})
+	Convey("a pooled connection that ends without an answer is replaced", t, func() {
+		s := newServer(false, okResponse, "", state, okResponse)
+		resp, err := s.pool.Send(context.Background(), s.listener.Addr().String(), &upstream.Request{
+			ID: "b", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {"b"}},
+			Match: func(int, http.Header) upstream.Match { return upstream.MatchOwn },
+		})
+		So(err, ShouldBeNil)
+		_, err = io.ReadAll(resp)
+		So(err, ShouldBeNil)
+		resp.Close()
+		So(send(s), ShouldBeNil)
+		So(s.dials, ShouldEqual, 2)
+	})
 }
