--- a/internal/coordination/origin/table.go
+++ b/internal/coordination/origin/table.go
@@ -7,9 +7,33 @@
 	"gypsumvale/internal/state/clock"
 )
 
+// Source is how an instance knows at which software version a stream began.
+type Source string
+
+// Sources, as they are logged.
+const (
+	// Sent means that this instance has sent the stream's first event to its caller, or passes its next events on.
+	Sent Source = "sent"
+	// Begun means that this instance has placed the request and heard of its first event, or was told of it as a request that runs.
+	Begun Source = "begun"
+	// Told means that the entry that sent the stream, or the instance that placed it, has told this one.
+	Told Source = "told"
+	// Registrar means that another instance has answered this one's query.
+	Registrar Source = "registrar"
+	// Recorded means that the stream is in the journal in the store.
+	Recorded Source = "journal"
+	// Sole means that no other version can have begun a stream, as far as the list of endpoints and the record of versions tell.
+	Sole Source = "sole"
+	// Cache means that only engines of one version have read the prompt's last part.
+	Cache Source = "cache"
+)
+
 // Origin is where a stream began.
 type Origin struct {
 	Service, Software string
+	// Source is how that is known here, and At is since when.
+	Source Source
+	At     clock.Instant
 	// Until is when the stream can't be taken up any more, since its caller's deadline has passed.
 	Until clock.Instant
 	// Own is true if this instance has sent the stream to its caller.
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"gypsumvale/internal/coordination/notice"
+	"gypsumvale/internal/coordination/origin"
 	"gypsumvale/internal/state/clock"
 	"gypsumvale/internal/state/prompt"
 	"gypsumvale/internal/state/registration"
@@ -55,6 +56,8 @@
 	TakesUp bool   `msgpack:",omitempty"`
 	// Software is the only software version whose endpoints may run the request, since they have begun its stream, or empty.
 	Software string `msgpack:",omitempty"`
+	// Origin is how Software is known, if the request takes a stream up. It isn't sent; replies name it.
+	Origin StreamOrigin `msgpack:"-"`
 	// WarmOnly is true if the request must not be placed on a cold endpoint, since its entry is too slow to use such placements in time.
 	WarmOnly bool `msgpack:",omitempty"`
 }
@@ -76,6 +79,15 @@
 	return req.Parts[:len(req.Parts)-1]
 }
 
+// StreamOrigin is how the instance that chose an endpoint knew at which software version a stream began.
+type StreamOrigin struct {
+	Source origin.Source
+	// Placed is true if it knew only where the stream was placed.
+	Placed bool `msgpack:",omitempty"`
+	// Age is for how long it had known that; for origin.Sole, it is the age of the list of endpoints.
+	Age time.Duration
+}
+
 // Choice is the placement of a request.
 type Choice struct {
 	Endpoint string
@@ -86,6 +98,8 @@
 	StartMilli int64 `msgpack:",omitempty"`
 	// Software is the endpoint's software version; empty if the instance that chose doesn't tell.
 	Software string `msgpack:",omitempty"`
+	// Origin tells how the version is known that began the stream, if the request takes one up; nil if the instance that chose doesn't tell.
+	Origin *StreamOrigin `msgpack:",omitempty"`
 	// Version is the weight version that the endpoint is believed to run; zero for plain services.
 	Version int
 	// CacheSpace names the cache space that the request may use.
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -120,6 +120,13 @@
 	d.activate(readAt, revision, list)
 }
 
+// age returns how long ago the list of registrations was current.
+func (d *discovery) age(now clock.Instant) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Sub(d.readAt)
+}
+
 func (d *discovery) revision() kv.Revision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/gateway/origin_records.go
+++ b/internal/gateway/origin_records.go
@@ -102,7 +102,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for stream, began := range streams {
-		began.Until = until
+		began.Until, began.Source, began.At = until, origin.Recorded, clock.Now()
 		o.table.Record(stream, began)
 	}
 }
--- a/internal/gateway/origin_registrars.go
+++ b/internal/gateway/origin_registrars.go
@@ -11,6 +11,7 @@
 	"gypsumvale/internal/coordination/rank"
 	"gypsumvale/internal/duty"
 	"gypsumvale/internal/protocol/peer"
+	"gypsumvale/internal/state/clock"
 )
 
 const (
@@ -73,7 +74,7 @@
 			}
 			o.mu.Lock()
 			defer o.mu.Unlock()
-			o.table.Record(req.Stream, origin.Origin{Service: reply.Service, Software: reply.Software, Until: req.Deadline.Add(lateTakeUp)})
+			o.table.Record(req.Stream, origin.Origin{Service: reply.Service, Software: reply.Software, Until: req.Deadline.Add(lateTakeUp), Source: origin.Registrar, At: clock.Now()})
 		})
 	}
 	queries.Wait()
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -85,10 +85,13 @@
 	if req.Stream == 0 || software == "" {
 		return
 	}
-	until := req.Deadline.Add(lateTakeUp)
+	until, now, source := req.Deadline.Add(lateTakeUp), clock.Now(), origin.Begun
+	if own {
+		source = origin.Sent
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	began := origin.Origin{Service: req.Service, Software: software, Until: until, Own: own}
+	began := origin.Origin{Service: req.Service, Software: software, Until: until, Own: own, Source: source, At: now}
 	o.table.Record(req.Stream, began)
 	if placed && o.several[req.Service] {
 		o.tell(req.Stream, began)
@@ -124,7 +127,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, s := range streams {
-		o.table.Record(s.Stream, origin.Origin{Service: s.Service, Software: s.Software, Until: now.Add(s.Left)})
+		o.table.Record(s.Stream, origin.Origin{Service: s.Service, Software: s.Software, Until: now.Add(s.Left), Source: origin.Told, At: now})
 	}
 }
 
@@ -208,14 +211,15 @@
 		return &placement.OriginError{}
 	case ok:
 		req.Software = known.Software
+		req.Origin = placement.StreamOrigin{Source: known.Source, Placed: known.Placed, Age: now.Sub(known.At)}
 		return nil
 	}
 	if sole, ok := o.history.Sole(now, time.Now(), req.Service, within); ok {
-		req.Software = sole
+		req.Software, req.Origin = sole, placement.StreamOrigin{Source: origin.Sole, Age: o.node.discovery.age(now)}
 		return nil
 	}
 	if reader, ok := o.readers.Lookup(last); ok {
-		req.Software = reader
+		req.Software, req.Origin = reader, placement.StreamOrigin{Source: origin.Cache}
 		return nil
 	}
 	return &placement.OriginError{Learning: learning}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -307,7 +307,8 @@
 				zap.Int("weights", choice.Version), zap.String("software", choice.Software))
 		} else if ctx.Err() == nil {
 			n.leaderBackoff.record(leader, now, false)
-			n.log.Info(event.PlacementOwnerChanged, "leader did not place the request", zap.String("leader", leader), zap.Error(err))
+			n.log.Info(event.PlacementOwnerChanged, "leader did not place the request", zap.String("leader", leader),
+				zap.Uint64("placement", req.ID.Number), zap.Error(err))
 		}
 	}
 	n.metrics.Placements.WithLabelValues("alone").Inc()
@@ -351,9 +352,17 @@
 		return choice, fmt.Errorf("place on %s: %w", req.Service, err)
 	}
 	p.node.origins.recordPlaced(req, choice.Software)
+	nameOrigin(&choice, req)
 	return choice, nil
 }
 
+// nameOrigin has a choice tell how the version was known that began the request's stream.
+func nameOrigin(choice *placement.Choice, req *placement.Request) {
+	if req.Origin.Source != "" {
+		choice.Origin = &req.Origin
+	}
+}
+
 // reportFirstEvent reports a request's first event to the instance that placed it, where an empty owner is this instance, and to leaders that
 // have been told of the request since.
 func (p *placer) reportFirstEvent(req *placement.Request, owner string) {
@@ -430,6 +439,7 @@
 	pool.SetOwner(now, p.node.leadership.holdsLease(now))
 	for _, g := range pool.ProcessQueue(now) {
 		p.node.origins.recordPlaced(g.Request, g.Choice.Software)
+		nameOrigin(&g.Choice, g.Request)
 		// The pool grants each queued request once, so there is room. A send that waits would stop placement for good.
 		select {
 		case p.waiters[g.Request.ID] <- g:
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -467,12 +467,17 @@
 	}
 	n.metrics.Requests.WithLabelValues(kind, result).Inc()
 	n.metrics.Latency.WithLabelValues(kind).Observe(now.Sub(j.arrived).Seconds())
-	fields := make([]zap.Field, 0, 28)
+	fields := make([]zap.Field, 0, 33)
 	if j.head != nil {
 		fields = append(fields, zap.String("request", j.head.ID))
 		if j.head.LastEvent > 0 {
 			fields = append(fields, zap.String("resumes", j.head.Resumes), zap.Int64("last_event", j.head.LastEvent))
 		}
+		if j.placementReq.TakesUp {
+			o := j.origin()
+			n.metrics.TakeUps.WithLabelValues(string(o.Source), result).Inc()
+			fields = append(fields, zap.String("origin", string(o.Source)), zap.Bool("origin_placed", o.Placed), zap.Int64("origin_age_ms", o.Age.Milliseconds()))
+		}
 	}
 	fields = append(fields, zap.String("result", result), zap.String("reason", reason), zap.Int("status", status),
 		zap.String("route", routeName), zap.Int64("ms", now.Sub(j.arrived).Milliseconds()))
@@ -491,6 +496,7 @@
 	if j.choice.Endpoint != "" {
 		fields = append(fields, zap.String("endpoint", j.choice.Endpoint), zap.Int("sends", j.attempts.Sends()),
 			zap.Int("runs", j.attempts.Runs()), zap.Int("weights", j.choice.Version), zap.String("software", j.software),
+			zap.String("placed_by", j.owner), zap.Uint64("placement", j.placementReq.ID.Number),
 			zap.Int64("started", j.choice.StartMilli), zap.Bool("framed", j.framed), zap.Int64("events", j.lastEvent), zap.Int("prompt", j.placementReq.Prompt),
 			zap.Int("shared", j.placementReq.SharedTokens()), zap.Int("cached", j.choice.Cached), zap.Int("fetched", j.choice.Fetched),
 			zap.Int64("waited_ms", max(0, j.placedAt.Sub(j.arrived).Milliseconds())), zap.Int("priority", j.placementReq.Priority),
@@ -503,6 +509,15 @@
 	n.log.Info(event.RequestEnded, "request ended", fields...)
 }
 
+// origin returns how it was known at which software version the stream began that the request takes up. Its source is empty if that wasn't known, or
+// the instance that placed the request doesn't tell.
+func (j *job) origin() placement.StreamOrigin {
+	if j.choice.Origin != nil {
+		return *j.choice.Origin
+	}
+	return j.placementReq.Origin
+}
+
 func (j *job) logAttempt(outcome retry.Outcome, action retry.Action) {
 	j.node.log.Info(event.AttemptEnded, "attempt ended", zap.String("request", j.head.ID), zap.String("endpoint", j.choice.Endpoint),
 		zap.Int64("started", j.choice.StartMilli), zap.String("outcome", outcome.String()), zap.Uint8("next", uint8(action)), zap.Int("sends", j.attempts.Sends()),
--- a/internal/metric/hosted.go
+++ b/internal/metric/hosted.go
@@ -12,6 +12,7 @@
 	Attempts      *prometheus.CounterVec
 	PromptTokens  *prometheus.CounterVec
 	Placements    *prometheus.CounterVec
+	TakeUps       *prometheus.CounterVec
 	StoreCalls    *prometheus.CounterVec
 	Orders        *prometheus.CounterVec
 	Dials         prometheus.Counter
@@ -49,13 +50,15 @@
 // NewHosted creates and registers the metrics. age returns the seconds since the configuration was last confirmed.
 func NewHosted(age func() float64) *Hosted {
 	s := &Hosted{
-		Registry:      prometheus.NewRegistry(),
-		Requests:      newCounterVec("requests_total", "Requests by kind of route and result.", "kind", "result"),
-		Latency:       newHistogramVec("request_seconds", "Time from arrival to the end of the answer.", "kind"),
-		FirstEvent:    newHistogramVec("first_event_seconds", "Time from arrival to the first bytes of the answer.", "kind"),
-		Attempts:      newCounterVec("attempts_total", "Attempts at endpoints by outcome.", "outcome"),
-		PromptTokens:  newCounterVec("prompt_tokens_total", "Prompt tokens by where they were expected: cached, fetched, read.", "way"),
-		Placements:    newCounterVec("placements_total", "Placements by who decided: owner, peer, alone.", "by"),
+		Registry:     prometheus.NewRegistry(),
+		Requests:     newCounterVec("requests_total", "Requests by kind of route and result.", "kind", "result"),
+		Latency:      newHistogramVec("request_seconds", "Time from arrival to the end of the answer.", "kind"),
+		FirstEvent:   newHistogramVec("first_event_seconds", "Time from arrival to the first bytes of the answer.", "kind"),
+		Attempts:     newCounterVec("attempts_total", "Attempts at endpoints by outcome.", "outcome"),
+		PromptTokens: newCounterVec("prompt_tokens_total", "Prompt tokens by where they were expected: cached, fetched, read.", "way"),
+		Placements:   newCounterVec("placements_total", "Placements by who decided: owner, peer, alone.", "by"),
+		TakeUps: newCounterVec("take_ups_total", "Streams that callers took up, by how it was known at which software version they began, and result.",
+			"origin", "result"),
 		StoreCalls:    newCounterVec("store_calls_total", "Calls to the platform's store by purpose and result.", "purpose", "result"),
 		Orders:        newCounterVec("weight_orders_total", "Weight orders by result.", "result"),
 		Dials:         prometheus.NewCounter(counterOpts("dials_total", "New connections to endpoints.")),
@@ -85,7 +88,7 @@
 		EvacuationWithdrawals: prometheus.NewCounter(
 			counterOpts("evacuation_withdrawals_total", "Placements given up before the request was sent, since the endpoint's zone is evacuated.")),
 	}
-	s.Registry.MustRegister(s.Requests, s.Latency, s.FirstEvent, s.Attempts, s.PromptTokens, s.Placements, s.StoreCalls, s.Orders, s.Dials,
+	s.Registry.MustRegister(s.Requests, s.Latency, s.FirstEvent, s.Attempts, s.PromptTokens, s.Placements, s.TakeUps, s.StoreCalls, s.Orders, s.Dials,
 		s.TableVersion, s.TableAge, s.Endpoints, s.Barred, s.Cold, s.Limited, s.ColdDeferred, s.InFlight, s.PlacementAge, s.DispatchDelay, s.PredictedGap,
 		s.Settings, s.Reloads,
 		s.Evacuated, s.EvacuatedRunning, s.EvacuationWithdrawals, s.Held, s.Connections, s.Intake,
