Don't take the only version on an old list of endpoints for the only one in service

Callers got streams that began at one software version and went on at another: their take-up came to an entry that was cut off from the store and its peers before the new version registered.

Cause: History.Sole concluded "the only version in service" from a list without regard to its age, and placer.place took that before it asked anybody. A stream may have begun a moment ago at a version that the entry hasn't heard of, so that no list is ever new enough by itself. Class: what isn't known is taken for what isn't so.

Two bounds that meet mend it: streams that may go on elsewhere begin at a version only 3 s after it was first seen, and the only version on a list counts only while the list is at most 2 s old. An entry leaves conclusions from its list to the leader where that answers. While lists are old, registrars are told of streams as if several versions were in service.

--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -110,23 +110,23 @@
 			So(sole(now.Add(within)), ShouldEqual, "v1")
 		})
 		Convey("is known at once by the record", func() {
-			h.SetRecorded(map[string]origin.Versions{"llm": {"v1": 0}})
+			h.SetRecorded(origin.Record{Versions: map[string]origin.Versions{"llm": {"v1": 0}}})
 			h.Observe(now, serving("v1"))
 			So(sole(now), ShouldEqual, "v1")
 		})
 		Convey("is none while the one before may have begun streams that go on", func() {
-			h.SetRecorded(map[string]origin.Versions{"llm": {"v1": wall.Add(-within / 2).UnixMilli(), "v2": 0}})
+			h.SetRecorded(origin.Record{Versions: map[string]origin.Versions{"llm": {"v1": wall.Add(-within / 2).UnixMilli(), "v2": 0}}})
 			h.Observe(now, serving("v2"))
 			So(sole(now), ShouldBeEmpty)
 			So(sole(now.Add(within/2)), ShouldEqual, "v2")
 		})
 		Convey("is none if the record has one in service that isn't seen", func() {
-			h.SetRecorded(map[string]origin.Versions{"llm": {"v1": 0, "v2": 0}})
+			h.SetRecorded(origin.Record{Versions: map[string]origin.Versions{"llm": {"v1": 0, "v2": 0}}})
 			h.Observe(now, serving("v2"))
 			So(sole(now.Add(time.Hour)), ShouldBeEmpty)
 		})
 		Convey("is none for a while after another was seen here, whatever the record says", func() {
-			h.SetRecorded(map[string]origin.Versions{"llm": {"v2": 0}})
+			h.SetRecorded(origin.Record{Versions: map[string]origin.Versions{"llm": {"v2": 0}}})
 			h.Observe(now, serving("v1", "v2"))
 			h.Observe(now.Add(time.Second), serving("v2"))
 			So(sole(now.Add(time.Second+within-1)), ShouldBeEmpty)
@@ -139,7 +139,7 @@
 		due, changed := h.Due(now, wall)
 		So(changed, ShouldBeTrue)
 		So(due, ShouldResemble, map[string]origin.Versions{"llm": {"v1": 0}})
-		h.SetRecorded(due)
+		h.SetRecorded(origin.Record{Versions: due})
 		Convey("not while nothing changes", func() {
 			_, changed := h.Due(now.Add(time.Hour), wall.Add(time.Hour))
 			So(changed, ShouldBeFalse)
@@ -148,14 +148,14 @@
 			h.Observe(now, serving("v1", "v2"))
 			due, changed = h.Due(now, wall)
 			So(changed, ShouldBeTrue)
-			h.SetRecorded(due)
+			h.SetRecorded(origin.Record{Versions: due})
 			h.Observe(now, serving("v2"))
 			due, changed = h.Due(now, wall)
 			So(changed, ShouldBeTrue)
 			So(due, ShouldResemble, map[string]origin.Versions{"llm": {"v1": wall.UnixMilli(), "v2": 0}})
 		})
 		Convey("also for one that came and left before the first record", func() {
-			h.SetRecorded(nil)
+			h.SetRecorded(origin.Record{})
 			h.Observe(now, serving("v2"))
 			due, changed = h.Due(now.Add(time.Second), wall)
 			So(changed, ShouldBeTrue)
@@ -242,3 +242,84 @@
 		})
 	})
 }
+
+// Guards against streams that begin at a version of which an instance that still goes by an older list of endpoints hasn't heard.
+func TestSettlingVersion(t *testing.T) {
+	Convey("streams begin at a version once no list without it is current any more", t, func() {
+		begins := func(h *origin.History, at clock.Instant, version string) bool {
+			_, settling := h.Settling(at, wall.Add(at.Sub(now)), "llm", within)[version]
+			return !settling
+		}
+		recorded := map[string]origin.Versions{"llm": {"v1": 0}}
+		Convey("whenever the lists of two instances were read", func() {
+			const step = 50 * time.Millisecond
+			// v2 registers at now. One instance has read the list just before, the other one sees v2 at once.
+			cutOff, connected := origin.NewHistory(), origin.NewHistory()
+			for _, h := range []*origin.History{cutOff, connected} {
+				h.SetRecorded(origin.Record{Versions: recorded, Settled: map[string][]string{"llm": {"v1"}}})
+				h.Observe(now.Add(-time.Minute), serving("v1"))
+			}
+			listedAt := now.Add(-1)
+			connected.Observe(now, serving("v1", "v2"))
+			begun := false
+			for at := now; at.Before(now.Add(10 * time.Second)); at = at.Add(step) {
+				So(begins(connected, at, "v1"), ShouldBeTrue)
+				begun = begun || begins(connected, at, "v2")
+				_, sole := cutOff.Sole(at, wall.Add(at.Sub(now)), "llm", within)
+				So(begun && sole && origin.Current(at, listedAt), ShouldBeFalse)
+			}
+			So(begun, ShouldBeTrue)
+		})
+		h := origin.NewHistory()
+		Convey("at once if no other version of the service is known", func() {
+			So(begins(h, now, "v1"), ShouldBeTrue)
+			h.SetRecorded(origin.Record{})
+			h.Observe(now, serving("v1"))
+			So(begins(h, now, "v1"), ShouldBeTrue)
+		})
+		Convey("not before the record has been read", func() {
+			h.Observe(now, serving("v1"))
+			So(begins(h, now, "v1"), ShouldBeFalse)
+		})
+		Convey("at once if it is on record as settled, for an instance that has just started", func() {
+			h.SetRecorded(origin.Record{Versions: map[string]origin.Versions{"llm": {"v1": 0, "v2": 0}}, Settled: map[string][]string{"llm": {"v1"}}})
+			h.Observe(now, serving("v1", "v2"))
+			So(begins(h, now, "v1"), ShouldBeTrue)
+			So(begins(h, now, "v2"), ShouldBeFalse)
+			_, changed := h.DueSettled(now, wall, within)
+			So(changed, ShouldBeFalse)
+			settled, changed := h.DueSettled(now.Add(3*time.Second), wall.Add(3*time.Second), within)
+			So(changed, ShouldBeTrue)
+			So(settled, ShouldResemble, map[string][]string{"llm": {"v1", "v2"}})
+		})
+		Convey("at once if it was away for a moment only, but not after a longer time", func() {
+			h.SetRecorded(origin.Record{Versions: recorded, Settled: map[string][]string{"llm": {"v1"}}})
+			h.Observe(now, serving("v1", "v2"))
+			h.Observe(now.Add(5*time.Second), serving("v1"))
+			h.Observe(now.Add(8*time.Second), serving("v1", "v2"))
+			So(begins(h, now.Add(8*time.Second), "v2"), ShouldBeTrue)
+			h.Observe(now.Add(10*time.Second), serving("v1"))
+			h.Observe(now.Add(21*time.Second), serving("v1", "v2"))
+			So(begins(h, now.Add(21*time.Second), "v2"), ShouldBeFalse)
+			So(begins(h, now.Add(24*time.Second), "v2"), ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against a record of versions that a restored store has taken back, and which an instance that has just started takes for complete.
+func TestRecordOfRestoredStore(t *testing.T) {
+	Convey("a record from before a restoration tells no only version to an instance that has just started", t, func() {
+		h := origin.NewHistory()
+		h.SetRecorded(origin.Record{Versions: map[string]origin.Versions{"llm": {"v1": 0}}, Restored: true})
+		h.Observe(now, serving("v1"))
+		_, sole := h.Sole(now.Add(within-1), wall, "llm", within)
+		So(sole, ShouldBeFalse)
+		Convey("which writes a new one only once endpoints have had the time to register again", func() {
+			So(h.MayRecord(now.Add(time.Second)), ShouldBeFalse)
+			So(h.MayRecord(now.Add(3*time.Second)), ShouldBeTrue)
+			due, changed := h.Due(now.Add(3*time.Second), wall)
+			So(changed, ShouldBeTrue)
+			So(due, ShouldResemble, map[string]origin.Versions{"llm": {"v1": 0}})
+		})
+	})
+}
--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -100,6 +100,9 @@
 		if at := p.firstRoomAt(now, req); at != 0 {
 			return Choice{}, limitError(now, at, req)
 		}
+		if at := p.settledAt(now, req); at != 0 {
+			return Choice{}, &OverloadError{RetryAt: at, Expected: at.Sub(now), Settling: true}
+		}
 		return Choice{}, ErrNoEndpoint
 	}
 	if late := now.Add(best.choice.Expected); req.FirstEventDeadline != 0 && req.FirstEventDeadline.Before(late) &&
@@ -209,6 +212,8 @@
 		p.checks++
 		switch {
 		case s.version[req.Model] < oldest || contains(req.Avoid, s.ID) || p.unfit(s, req):
+		case p.settles(s, req):
+			busy = busy || q != nil && s.usable(now) && p.settling[s.Software].Before(req.FirstEventDeadline)
 		case p.barred(now, s, req):
 			busy = busy || q != nil && !p.leaves(now, s)
 		case p.refusesCold(now, s, req):
@@ -250,7 +255,7 @@
 // available reports whether an endpoint is usable, takes requests of the entry, is not in a zone that is evacuated, in no allowed region or seems
 // unreachable from the caller's, is warm or admits another request, and has not named a limit that the request would exceed.
 func (p *Pool) available(now clock.Instant, s *endpointState, req *Request) bool {
-	return s.usable(now) && !p.unfit(s, req) && !p.barred(now, s, req) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone) &&
+	return s.usable(now) && !p.unfit(s, req) && !p.settles(s, req) && !p.barred(now, s, req) && !p.cfg.Reachability.unreachable(now, req.Zone, s.Zone) &&
 		!p.refusesCold(now, s, req) && !p.exceedsLimit(now, s, req) && !p.lacksRoom(now, s, req)
 }
 
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -58,6 +58,8 @@
 	storeIndex storeIndex
 
 	warmups warmups
+	// settling holds the software versions at which no streams begin yet that may go on elsewhere, and when that ends.
+	settling map[string]clock.Instant
 	// limits holds the limits that endpoints have named, and limitListedAt when these were last seen registered.
 	limits        map[registration.Incarnation]*throttle.Endpoint
 	limitListedAt map[registration.Incarnation]clock.Instant
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -138,6 +138,8 @@
 type OriginError struct {
 	// Learning is true if that may soon be known.
 	Learning bool
+	// Outdated is true if the instance can't tell since its list of endpoints is old. Others may know.
+	Outdated bool
 }
 
 // Error describes the reason.
@@ -172,6 +174,8 @@
 	Paused bool
 	// Limited is true if all of them have named limits that the request would exceed.
 	Limited bool
+	// Settling is true if all of them are of versions at which no streams begin yet.
+	Settling bool
 }
 
 // Error describes the overload.
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -120,11 +120,11 @@
 	d.activate(readAt, revision, list)
 }
 
-// age returns how long ago the list of registrations was current.
-func (d *discovery) age(now clock.Instant) time.Duration {
+// listedAt returns when the registrations in use were current, or zero before the first read.
+func (d *discovery) listedAt() clock.Instant {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return now.Sub(d.readAt)
+	return d.readAt
 }
 
 func (d *discovery) revision() kv.Revision {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -146,14 +146,14 @@
 	case errors.As(err, &overload):
 		return peer.PlaceReply{
 			Verdict: peer.VerdictOverloaded, RetryAfter: overload.RetryAt.Sub(clock.Now()), Expected: overload.Expected,
-			Paused: overload.Paused, Limited: overload.Limited,
+			Paused: overload.Paused, Limited: overload.Limited, Settling: overload.Settling,
 		}
 	case errors.Is(err, placement.ErrNoEndpoint):
 		return peer.PlaceReply{Verdict: peer.VerdictNoEndpoint, ZonesEvacuated: errors.Is(err, placement.ErrZonesEvacuated)}
 	case errors.Is(err, placement.ErrBlocked):
 		return peer.PlaceReply{Verdict: peer.VerdictBlocked}
 	case errors.As(err, &unknown):
-		return peer.PlaceReply{Verdict: peer.VerdictOriginUnknown, Learning: unknown.Learning}
+		return peer.PlaceReply{Verdict: peer.VerdictOriginUnknown, Learning: unknown.Learning, Outdated: unknown.Outdated}
 	}
 	return peer.PlaceReply{Verdict: peer.VerdictNotOwner}
 }
@@ -252,10 +252,11 @@
 	case peer.VerdictBlocked:
 		return placement.ErrBlocked
 	case peer.VerdictOriginUnknown:
-		return &placement.OriginError{Learning: placed.Learning}
+		return &placement.OriginError{Learning: placed.Learning, Outdated: placed.Outdated}
 	case peer.VerdictOverloaded:
 		return &placement.OverloadError{
 			RetryAt: clock.Now().Add(placed.RetryAfter), Expected: placed.Expected, Paused: placed.Paused, Limited: placed.Limited,
+			Settling: placed.Settling,
 		}
 	}
 	return errNoOwner
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -112,7 +112,7 @@
 	}
 	m.node.retryBudgets.setInstances(clock.Now(), len(m.entries), restored)
 	m.node.blocks.apply(items, restored)
-	m.node.origins.apply(items)
+	m.node.origins.apply(revision, items)
 	return true
 }
 
--- a/internal/gateway/origin_records.go
+++ b/internal/gateway/origin_records.go
@@ -19,6 +19,8 @@
 const (
 	// versionsKey holds which software versions are, or lately were, in service.
 	versionsKey = "gypsum/versions"
+	// settledKey holds at which of them streams may begin, by service.
+	settledKey = "gypsum/settled"
 	// streamsPrefix begins the keys of the journal of streams. They aren't among this system's other keys, which all instances read: only a new
 	// leader reads them.
 	streamsPrefix = "gypsum-streams/"
@@ -130,44 +132,52 @@
 	return nil
 }
 
-// apply takes over the record of versions from this system's keys.
-func (o *origins) apply(items []kv.Item) {
-	var recorded map[string]origin.Versions
+// apply takes over the record of versions from this system's keys, as of a revision.
+func (o *origins) apply(current kv.Revision, items []kv.Item) {
+	var record origin.Record
 	var revision kv.Revision
-	for _, item := range items {
-		if item.Key != versionsKey {
-			continue
+	decode := func(item kv.Item, v any) {
+		if err := msgpack.Unmarshal(item.Data, v); err != nil {
+			o.node.log.Warn(event.RegistrationInvalid, "invalid record of software versions skipped", zap.String("key", item.Key), zap.Error(err))
 		}
-		revision = item.Revision
-		if err := msgpack.Unmarshal(item.Data, &recorded); err != nil {
-			o.node.log.Warn(event.RegistrationInvalid, "invalid record of software versions skipped", zap.Error(err))
-			recorded = nil
+	}
+	for _, item := range items {
+		switch item.Key {
+		case versionsKey:
+			revision, record.Restored = item.Revision, item.Revision.Era() != current.Era()
+			decode(item, &record.Versions)
+		case settledKey:
+			decode(item, &record.Settled)
 		}
 	}
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.history.SetRecorded(recorded)
+	o.history.SetRecorded(record)
 	o.recordedAt = revision
+	o.mu.Unlock()
 }
 
 // publish writes the record of versions once these have changed, which takes a few writes for each release.
 func (o *origins) publish(ctx context.Context) error {
+	now, wall := clock.Now(), time.Now()
 	o.mu.Lock()
-	due, changed := o.history.Due(clock.Now(), time.Now())
-	revision := o.recordedAt
+	versions, versionsChanged := o.history.Due(now, wall)
+	settled, settledChanged := o.history.DueSettled(now, wall, o.streamTime())
+	revision, may := o.recordedAt, o.history.MayRecord(now)
 	o.mu.Unlock()
-	if !changed {
+	if !may || !versionsChanged && !settledChanged {
 		return nil
 	}
-	data, err := msgpack.Marshal(due)
-	if err != nil {
-		return fmt.Errorf("encode software versions: %w", err)
+	transaction := kv.Transaction{Conditions: []kv.Condition{{Key: versionsKey, Revision: revision}}}
+	for key, v := range map[string]any{versionsKey: versions, settledKey: settled} {
+		data, err := msgpack.Marshal(v)
+		if err != nil {
+			return fmt.Errorf("encode software versions: %w", err)
+		}
+		transaction.Writes = append(transaction.Writes, kv.Write{Key: key, Data: data})
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
 	defer cancel()
-	written, err := o.node.deps.Store.Commit(ctx, kv.Transaction{
-		Conditions: []kv.Condition{{Key: versionsKey, Revision: revision}}, Writes: []kv.Write{{Key: versionsKey, Data: data}},
-	})
+	written, err := o.node.deps.Store.Commit(ctx, transaction)
 	o.node.countStoreCall("versions", err)
 	if errors.Is(err, kv.ErrConflict) {
 		// Another leader has written since this instance read the key.
@@ -179,7 +189,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.history.SetRecorded(due)
+	o.history.SetRecorded(origin.Record{Versions: versions, Settled: settled})
 	o.recordedAt = written
 	return nil
 }
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -39,7 +39,8 @@
 //	the entry that sent the stream's first event    that entry; it tells new leaders
 //	the leader that placed the stream               that leader
 //	registrars, while several versions serve        all of them
-//	the versions in service, if only one was        nothing: they are on record in the store
+//	the versions in service, if only one was and    nothing: they are on record in the store
+//	the list of endpoints is new
 //	the journal in the store, of streams that a     what was placed just before
 //	leader placed while several were in service
 //	the caches of engines: which version has read   the engines, or their memory
@@ -93,19 +94,29 @@
 	defer o.mu.Unlock()
 	began := origin.Origin{Service: req.Service, Software: software, Until: until, Own: own, Source: source, At: now}
 	o.table.Record(req.Stream, began)
-	if placed && o.several[req.Service] {
+	switch {
+	case !placed:
+	case o.several[req.Service]:
 		o.tell(req.Stream, began)
+	case !origin.Current(now, o.node.discovery.listedAt()):
+		// There may be several.
+		o.tellRegistrars(req.Stream, began)
 	}
 }
 
 // tell has the registrars told of a stream, and adds it to the journal; the caller holds the lock.
 func (o *origins) tell(stream uint64, began origin.Origin) {
+	o.tellRegistrars(stream, began)
+	o.journal.Add(time.Now(), stream, began)
+}
+
+// tellRegistrars has the registrars told of a stream; the caller holds the lock.
+func (o *origins) tellRegistrars(stream uint64, began origin.Origin) {
 	if len(o.unregistered) < maxRegistered {
 		o.unregistered = append(o.unregistered, peer.StreamOrigin{
 			Stream: stream, Service: began.Service, Software: began.Software, Left: began.Until.Sub(clock.Now()),
 		})
 	}
-	o.journal.Add(time.Now(), stream, began)
 }
 
 // recordPlaced records that a request that begins a stream was placed at an endpoint of a software version, so that the stream is known to the
@@ -167,8 +178,8 @@
 	return h.Sum64()
 }
 
-// observe records the versions that are in service.
-func (o *origins) observe(byService map[string][]*registration.Registration) {
+// observe records the versions that are in service, and returns those that are settling, by service.
+func (o *origins) observe(byService map[string][]*registration.Registration) map[string]map[string]clock.Instant {
 	present := make(map[string]map[string]bool)
 	for service, endpoints := range byService {
 		for _, r := range endpoints {
@@ -181,6 +192,22 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.history.Observe(clock.Now(), present)
+	return o.settling()
+}
+
+// settling returns the versions at which no streams may begin yet that may go on elsewhere, by service; the caller holds the lock.
+func (o *origins) settling() map[string]map[string]clock.Instant {
+	now, wall, within := clock.Now(), time.Now(), o.streamTime()
+	var settling map[string]map[string]clock.Instant
+	for _, service := range o.history.Services() {
+		if versions := o.history.Settling(now, wall, service, within); len(versions) > 0 {
+			if settling == nil {
+				settling = make(map[string]map[string]clock.Instant)
+			}
+			settling[service] = versions
+		}
+	}
+	return settling
 }
 
 // hasSeveral reports whether streams of a service may have begun at several versions.
@@ -190,39 +217,52 @@
 	return o.several[service]
 }
 
-// resolve sets the software version at which a request's stream began. The error is *placement.OriginError.
-func (o *origins) resolve(req *placement.Request) error {
+// resolveRecorded sets the software version at which a request's stream began if there is a record of that here. The error is
+// *placement.OriginError if the records contradict each other.
+func (o *origins) resolveRecorded(req *placement.Request) error {
 	if !req.TakesUp || req.Software != "" {
 		return nil
 	}
 	now := clock.Now()
-	within, learning := o.streamTime(), !o.node.leadership.hasLedFor(now, learningTime)
+	learning := !o.node.leadership.hasLedFor(now, learningTime)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	known, ok := o.table.Lookup(req.Stream)
-	last := lastPartHash(req)
-	if ok && known.Placed && (!known.Known() || o.readers.Contradicts(last, known.Software)) {
+	switch {
+	case !ok:
+		return nil
+	case known.Placed && (!known.Known() || o.readers.Contradicts(lastPartHash(req), known.Software)):
 		// The request was placed at several versions.
 		return &placement.OriginError{Learning: learning}
-	}
-	switch {
-	case ok && known.Service != req.Service:
+	case known.Service != req.Service:
 		// The operator has moved the route since.
 		return &placement.OriginError{}
-	case ok:
-		req.Software = known.Software
-		req.Origin = placement.StreamOrigin{Source: known.Source, Placed: known.Placed, Age: now.Sub(known.At)}
-		return nil
 	}
-	if sole, ok := o.history.Sole(now, time.Now(), req.Service, within); ok {
-		req.Software, req.Origin = sole, placement.StreamOrigin{Source: origin.Sole, Age: o.node.discovery.age(now)}
+	req.Software = known.Software
+	req.Origin = placement.StreamOrigin{Source: known.Source, Placed: known.Placed, Age: now.Sub(known.At)}
+	return nil
+}
+
+// resolve sets the software version at which a request's stream began: from a record of it, or since it can have begun at one version only. The
+// error is *placement.OriginError.
+func (o *origins) resolve(req *placement.Request) error {
+	if err := o.resolveRecorded(req); err != nil || !req.TakesUp || req.Software != "" {
+		return err
+	}
+	now := clock.Now()
+	within, learning, listedAt := o.streamTime(), !o.node.leadership.hasLedFor(now, learningTime), o.node.discovery.listedAt()
+	current := origin.Current(now, listedAt)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if sole, ok := o.history.Sole(now, time.Now(), req.Service, within); ok && current {
+		req.Software, req.Origin = sole, placement.StreamOrigin{Source: origin.Sole, Age: now.Sub(listedAt)}
 		return nil
 	}
-	if reader, ok := o.readers.Lookup(last); ok {
+	if reader, ok := o.readers.Lookup(lastPartHash(req)); ok {
 		req.Software, req.Origin = reader, placement.StreamOrigin{Source: origin.Cache}
 		return nil
 	}
-	return &placement.OriginError{Learning: learning}
+	return &placement.OriginError{Learning: learning && current, Outdated: !current}
 }
 
 // lastPartHash returns the hash of the last part of a request's prompt.
@@ -245,6 +285,7 @@
 func (o *origins) run(ctx context.Context) {
 	duty.Every(ctx, versionsPeriod, func(ctx context.Context) {
 		o.sweep()
+		o.node.placer.setSettling()
 		if !o.node.leadership.holdsLease(clock.Now()) || !o.node.discovery.loaded.Load() {
 			return
 		}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -245,7 +245,7 @@
 
 // setEndpoints sets the endpoints as registered at the instant readAt.
 func (p *placer) setEndpoints(readAt clock.Instant, byService map[string][]*registration.Registration) {
-	p.node.origins.observe(byService)
+	settling := p.node.origins.observe(byService)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.confirmedAt.Store(0)
@@ -253,19 +253,33 @@
 		p.pool(service)
 	}
 	for service, pool := range p.pools {
+		pool.SetSettling(settling[service])
 		pool.SetEndpoints(byService[service])
 		pool.ObserveRegistrations(clock.Now(), readAt)
 		p.node.metrics.Endpoints.WithLabelValues(service).Set(float64(pool.Endpoints()))
 	}
 }
 
+// setSettling updates at which versions no streams may begin yet.
+func (p *placer) setSettling() {
+	p.node.origins.mu.Lock()
+	settling := p.node.origins.settling()
+	p.node.origins.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for service, pool := range p.pools {
+		pool.SetSettling(settling[service])
+	}
+}
+
 // place selects an endpoint for a request: at the leader, which knows the load of all instances, or else from this instance's own counts.
 // It returns the name of the instance that decided, empty for this one. If alone is true, the leader isn't asked unless it is this instance.
 func (p *placer) place(ctx context.Context, req *placement.Request, alone bool) (placement.Choice, string, error) {
 	n := p.node
 	now := clock.Now()
 	req.Uncoordinated = false
-	if err := n.origins.resolve(req); isFinal(err) {
+	// What follows from this instance's list of endpoints alone is left to the leader, which may know more.
+	if err := n.origins.resolveRecorded(req); isFinal(err) {
 		return placement.Choice{}, "", err
 	}
 	// With its own number, a placement that was withdrawn and another one of the same request can't be taken for each other.
@@ -292,6 +306,10 @@
 		return choice, "", err
 	default:
 		choice, err := n.placeAt(ctx, leader, req)
+		if isOutdated(err) {
+			// The leader is cut off from the store. This instance may not be.
+			break
+		}
 		if !errors.Is(err, errNoOwner) {
 			n.leaderBackoff.record(leader, now, true)
 			n.metrics.Placements.WithLabelValues("peer").Inc()
@@ -323,6 +341,12 @@
 	return errors.As(err, &unknown) && !unknown.Learning
 }
 
+// isOutdated reports whether an error says that an instance doesn't know where a stream began since its list of endpoints is old.
+func isOutdated(err error) bool {
+	var unknown *placement.OriginError
+	return errors.As(err, &unknown) && unknown.Outdated
+}
+
 // goesOn reports whether the endpoint of a leader's choice may go on with the request's stream.
 func goesOn(req *placement.Request, choice *placement.Choice) bool {
 	if req.Software == "" {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -252,7 +252,7 @@
 		choice, owner, err := j.node.placer.place(ctx, &j.placementReq, j.withdrawals > maxGrantsWithdrawn)
 		var unknown *placement.OriginError
 		now := clock.Now()
-		if !errors.As(err, &unknown) || !unknown.Learning || now.Sub(j.arrived) > originWait {
+		if !errors.As(err, &unknown) || now.Sub(j.arrived) > originWait || !unknown.Learning && nextFind != 0 {
 			return choice, owner, err
 		}
 		if !now.Before(nextFind) {
@@ -417,7 +417,8 @@
 	var overload *placement.OverloadError
 	var unknown *placement.OriginError
 	switch {
-	case errors.As(err, &unknown) && unknown.Learning:
+	case errors.As(err, &unknown) && (unknown.Learning || unknown.Outdated):
+		// Another instance may know, or this one once it reaches the store again.
 		return unavailable("stream_origin_unknown", clock.Now().Add(shortRetryDelay))
 	case errors.As(err, &unknown):
 		// No later attempt can go on with the stream either.
@@ -426,6 +427,8 @@
 		return unavailable("endpoints_paused", overload.RetryAt)
 	case errors.As(err, &overload) && overload.Limited:
 		return unavailable("endpoints_limited", overload.RetryAt)
+	case errors.As(err, &overload) && overload.Settling:
+		return unavailable("versions_settling", overload.RetryAt)
 	case errors.As(err, &overload):
 		return unavailable("overload", overload.RetryAt)
 	case errors.Is(err, placement.ErrZonesEvacuated):
--- a/internal/gateway/software_versions_test.go
+++ b/internal/gateway/software_versions_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"gypsumvale/internal/gateway"
 	"gypsumvale/internal/standin/hosted"
@@ -47,9 +48,20 @@
 	for _, e := range s.entries {
 		e.expectReady(true)
 	}
+	if entryCount > 0 {
+		s.awaitSettled("v1", "v2")
+	}
 	return s
 }
 
+// awaitSettled waits until streams may begin at all of some versions.
+func (s *site) awaitSettled(versions ...string) {
+	eventually("streams may begin at all versions", func() bool {
+		var settled map[string][]string
+		return msgpack.Unmarshal(s.store.Value("gypsum/settled"), &settled) == nil && slices.Equal(settled["llm"], versions)
+	})
+}
+
 // allowOneAttempt has each stream read by one engine only.
 func (s *site) allowOneAttempt() {
 	spec := defaultSpec()
--- /dev/null
+++ b/internal/gateway/stale_versions_test.go
@@ -0,0 +1,108 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gypsumvale/internal/settings"
+	"gypsumvale/internal/standin/hosted"
+)
+
+// silentRelay forwards connections to an address, and drops all bytes both ways while the flag is set. It returns its own address.
+func silentRelay(address string, silent *atomic.Bool) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	Reset(func() { _ = l.Close() })
+	pipe := func(to, from net.Conn) {
+		defer func() { _ = to.Close() }()
+		buf := make([]byte, 1<<16)
+		for {
+			n, err := from.Read(buf)
+			if err != nil {
+				return
+			}
+			if silent.Load() {
+				continue
+			}
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			up, err := net.Dial("tcp", address)
+			if err != nil {
+				_ = c.Close()
+				continue
+			}
+			go pipe(up, c)
+			go pipe(c, up)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// addVersion starts engines of a software version.
+func (s *site) addVersion(software string, count int) {
+	for i := range count {
+		s.addEndpoint(hosted.EndpointConfig{
+			ID: fmt.Sprintf("llm-%s-%d", software, i), Service: "llm", Model: testModel, Version: 1, Software: software, Events: 6,
+			Work: 5 * time.Millisecond,
+		})
+	}
+}
+
+// Guards against streams that go on at an old version since an entry that is cut off has heard of no other one.
+func TestStreamTakenUpAtCutOffEntry(t *testing.T) {
+	t.Parallel()
+	Convey("streams of a version that came while an entry was cut off from store and peers", t, func() {
+		// takeUpTime is longer than the entry may use what it heard before the cut.
+		const takeUpTime = 6 * time.Second
+		s := newSite()
+		spec := defaultSpec()
+		spec.Version, spec.Routes[2].MaxAttempts, spec.Routes[2].Public = 9, 1, true
+		s.putConfiguration(spec)
+		s.addVersion("v1", 2)
+		var cut atomic.Bool
+		a := s.addEntryWith(func(cfg *settings.Hosted) { cfg.Advertise = silentRelay(cfg.Peers, &cut) })
+		a.expectReady(true)
+		store := s.cutOff(&cut)
+		b := s.addEntryWith(func(cfg *settings.Hosted) { cfg.Store, cfg.Advertise = store, silentRelay(cfg.Peers, &cut) })
+		b.expectReady(true)
+		eventually("the version is on record", func() bool { return s.store.ModRevision("gypsum/versions") > 0 })
+		time.Sleep(2 * time.Second)
+		cut.Store(true)
+		s.addVersion("v2", 2)
+		s.eachEndpoint(hosted.EndpointFault{CutAfter: 3})
+		taken, joined := 0, 0
+		for i, end := 0, time.Now().Add(takeUpTime); time.Now().Before(end); i++ {
+			parts := fmt.Sprintf("a%d:600,own%d:100", i, i)
+			first := s.call(a, http.MethodPost, "/redraft/", "plan", "Prompt-Prefix", parts)
+			runs := s.runs(first.id)
+			if len(runs) == 0 || softwareOf(runs[0].Endpoint) != "v2" || first.body != hosted.Stream(3) {
+				continue
+			}
+			taken++
+			next := s.call(b, http.MethodPost, "/redraft/", "plan", "Prompt-Prefix", parts, "Resumes", first.id, "Last-Event-Id", strconv.Itoa(3))
+			for _, run := range s.runs(next.id) {
+				if softwareOf(run.Endpoint) != "v2" {
+					joined++
+				}
+			}
+		}
+		So(taken, ShouldBeGreaterThan, 5)
+		So(joined, ShouldEqual, 0)
+	})
+}
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -84,6 +84,8 @@
 	Paused bool `msgpack:",omitempty"`
 	// Limited is true if it was rejected since all of them have named limits.
 	Limited bool `msgpack:",omitempty"`
+	// Settling is true if it was rejected since all of them are of versions at which no streams begin yet.
+	Settling bool `msgpack:",omitempty"`
 	// Limits holds the limits of endpoints that are in force, unless the requesting instance was told lately.
 	Limits []EndpointNotice `msgpack:",omitempty"`
 	// Held is the time from when the call arrived until the endpoint was chosen, if the placement of cold endpoints lapses. It is negative if
@@ -93,6 +95,8 @@
 	ZonesEvacuated bool `msgpack:",omitempty"`
 	// Learning is true if the origin of a stream may soon be known.
 	Learning bool `msgpack:",omitempty"`
+	// Outdated is true if the origin of a stream isn't known since the replying instance's list of endpoints is old.
+	Outdated bool `msgpack:",omitempty"`
 	// ReportRunning is true if the replying instance doesn't know the running requests that others have placed for the requesting one.
 	ReportRunning bool `msgpack:",omitempty"`
 }
