Have two entries of each zone know where its streams began

While a zone was cut off, its callers' streams that broke off and came back at another entry of the zone were rejected: the three registrars, chosen among all entries, may all be elsewhere, and the version on an old list doesn't count any more.

Entries now tell two of their own zone as well, and ask them. A stream that begins while several versions serve, or while lists are old, then goes on anywhere in its zone. It takes two messages more in 0.1 s from an entry that places streams, while that is so.

--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -284,6 +284,23 @@
 	return names
 }
 
+// names returns the names of all instances, this one included, and of those in its zone.
+func (m *members) names() (all, ownZone []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all, ownZone = []string{m.node.cfg.Name}, []string{m.node.cfg.Name}
+	for name, e := range m.entries {
+		if name == m.node.cfg.Name {
+			continue
+		}
+		all = append(all, name)
+		if e.Zone == m.node.cfg.Zone {
+			ownZone = append(ownZone, name)
+		}
+	}
+	return all, ownZone
+}
+
 // samplePeers returns up to limit other instances, chosen at random.
 func (m *members) samplePeers(limit int) []string {
 	names := m.peerNames()
--- a/internal/gateway/origin_registrars.go
+++ b/internal/gateway/origin_registrars.go
@@ -19,6 +19,8 @@
 	// when a third of all instances, the leader among them, fail at once. They are told once in registerPeriod.
 	originRegistrars = 3
 	registerPeriod   = 100 * time.Millisecond
+	// zoneRegistrars is how many of the sender's own zone are told besides, so that a zone that is cut off goes on with its streams.
+	zoneRegistrars = 2
 	// findTimeout bounds the query of a registrar, and findPause is the pause between two queries for one request.
 	findTimeout = 100 * time.Millisecond
 	findPause   = 400 * time.Millisecond
@@ -26,10 +28,18 @@
 	maxRegistered = 2048
 )
 
-// registrars returns the instances that are told of streams; all instances choose the same ones.
+// registrarSubject is the subject for which registrars are ranked.
+const registrarSubject = "origins"
+
+// registrars returns the instances that are told of streams, and are asked for them; all instances of a zone choose the same ones.
 func (o *origins) registrars() []string {
-	names := append(o.node.members.peerNames(), o.node.cfg.Name)
-	list := rank.Top("origins", names, originRegistrars)
+	all, ownZone := o.node.members.names()
+	list := rank.Top(registrarSubject, all, originRegistrars)
+	for _, name := range rank.Top(registrarSubject, ownZone, zoneRegistrars) {
+		if !slices.Contains(list, name) {
+			list = append(list, name)
+		}
+	}
 	return slices.DeleteFunc(list, func(name string) bool { return name == o.node.cfg.Name })
 }
 
--- a/internal/gateway/stale_versions_test.go
+++ b/internal/gateway/stale_versions_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"gypsumvale/internal/coordination/rank"
 	"gypsumvale/internal/settings"
 	"gypsumvale/internal/standin/hosted"
 )
@@ -106,3 +108,47 @@
 		So(joined, ShouldEqual, 0)
 	})
 }
+
+// Guards against streams that a zone can't go on with while it is cut off, though one of its entries has sent them.
+func TestStreamsOfCutOffZone(t *testing.T) {
+	t.Parallel()
+	Convey("streams that entries of a zone begin while it is cut off go on at the zone's other entries", t, func() {
+		const (
+			entryCount, zoneCount = 6, 3
+			streams               = 12
+		)
+		var names []string
+		for i := range entryCount {
+			names = append(names, fmt.Sprintf("entry-%d", i))
+		}
+		// The registrars of the whole site are in the other zone.
+		far := rank.Top("origins", names, entryCount-zoneCount)
+		s := newSite()
+		spec := defaultSpec()
+		spec.Version, spec.Routes[2].MaxAttempts, spec.Routes[2].Public = 9, 1, true
+		s.putConfiguration(spec)
+		s.addVersion("v1", 2)
+		s.addVersion("v2", 2)
+		var cut atomic.Bool
+		store := s.cutOff(&cut)
+		var zone []*entry
+		for _, name := range names {
+			if slices.Contains(far, name) {
+				s.addEntryWith(func(cfg *settings.Hosted) { cfg.Advertise = silentRelay(cfg.Peers, &cut) })
+				continue
+			}
+			zone = append(zone, s.addEntryWith(func(cfg *settings.Hosted) { cfg.Store, cfg.Zone = store, "almadies" }))
+		}
+		for _, e := range s.entries {
+			e.expectReady(true)
+		}
+		s.awaitSettled("v1", "v2")
+		time.Sleep(time.Second)
+		cut.Store(true)
+		// By now, lists are too old to tell anything.
+		time.Sleep(3 * time.Second)
+		wentOn, joined := s.takeUp(zone[1], s.breakStreams(zone[0], streams))
+		So(joined, ShouldEqual, 0)
+		So(wentOn, ShouldEqual, streams)
+	})
+}
