--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -56,6 +56,7 @@
 	LogLinesDropped         Number = 108
 	InstanceBehind          Number = 109
 	IntakeLimited           Number = 110
+	MemoryHigh              Number = 111
 	TableAdopted            Number = 310
 	TableInvalid            Number = 311
 	StoreUnreachable        Number = 312
@@ -86,6 +87,7 @@
 	PlacementOwnerChanged   Number = 813
 	PlacementStalled        Number = 814
 	RunningReported         Number = 815
+	HandlerPanicked         Number = 816
 	RelayChanged            Number = 613
 	StoreUsageReported      Number = 614
 	CacheStreamChanged      Number = 610
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -253,6 +253,16 @@
 	return m.network.Traffic.BytesOut.Load()
 }
 
+// peerConnections returns the number of open connections with peers.
+func (m *members) peerConnections() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.network == nil {
+		return 0
+	}
+	return m.network.Connections()
+}
+
 // relayCandidates returns the names of the zone's instances with the widest links and, among these, the largest processor share.
 func (m *members) relayCandidates(zone string) []string {
 	m.mu.Lock()
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -64,6 +64,7 @@
 	dispatchDelay *dispatchDelay
 	handOver      *handOver
 	intake        intakeReport
+	memoryUse     memoryUse
 
 	stopping atomic.Bool
 	ready    atomic.Bool
@@ -223,5 +224,6 @@
 		n.evacuations.sweep(now)
 		n.metrics.InFlight.Set(float64(n.inFlight.Load()))
 		n.reportIntake(now)
+		n.memoryUse.report(n, now)
 	})
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -110,6 +110,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer j.releaseMemory()
+	defer j.logPanic()
 	if refused := j.admit(); refused != nil {
 		j.writeRefusal(refused)
 		return
@@ -117,6 +118,19 @@
 	j.run()
 }
 
+// logPanic logs a panic other than that which closes the connection, and lets it go on: net/http closes the connection without an answer.
+func (j *job) logPanic() {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	if err, ok := fault.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		j.node.log.Warn(event.HandlerPanicked, "panic while a request was served", zap.String("request", j.r.Header.Get("Request-Id")),
+			zap.Any("panic", fault), zap.Stack("stack"))
+	}
+	panic(fault)
+}
+
 // rawTarget returns the path and query exactly as received, since normalizing them could change the route or what the endpoint sees.
 func rawTarget(r *http.Request) string {
 	target := r.RequestURI
@@ -467,7 +481,7 @@
 	}
 	n.metrics.Requests.WithLabelValues(kind, result).Inc()
 	n.metrics.Latency.WithLabelValues(kind).Observe(now.Sub(j.arrived).Seconds())
-	fields := make([]zap.Field, 0, 33)
+	fields := make([]zap.Field, 0, 34)
 	if j.head != nil {
 		fields = append(fields, zap.String("request", j.head.ID))
 		if j.head.LastEvent > 0 {
@@ -487,6 +501,9 @@
 	if j.workspace != nil {
 		fields = append(fields, zap.String("workspace", j.workspace.Name))
 	}
+	if result == "left" {
+		fields = append(fields, zap.String("connection", string(intake.ReadEndOf(j.r.Context()))))
+	}
 	if j.forwarded {
 		fields = append(fields, zap.Bool("forwarded", true))
 	}
--- a/internal/transport/intake/conn.go
+++ b/internal/transport/intake/conn.go
@@ -37,11 +37,16 @@
 	headerBytes, charged int64
 	headers              *memory.Charge
 	removed              atomic.Bool
+	// readEnd is how reading has ended since the current request's header section was complete.
+	readEnd atomic.Value
 }
 
 // Read reads from the connection, and charges header sections.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if err != nil {
+		c.readEnd.Store(readEndOf(err))
+	}
 	if n > 0 && c.awaiting.Load() && !c.chargeHeader(b[:n]) {
 		c.guard.count(reasonHeaders)
 		c.abort()
@@ -107,6 +112,7 @@
 	switch s {
 	case http.StateActive:
 		c.awaiting.Store(false)
+		c.readEnd.Store(ReadOpen)
 		g.setState(c, memory.StateServed)
 		if c.headers != nil {
 			g.mu.Lock()
--- a/internal/transport/peers/network.go
+++ b/internal/transport/peers/network.go
@@ -253,6 +253,19 @@
 	return nil
 }
 
+// Connections returns the number of open connections in both directions.
+func (n *Network) Connections() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := len(n.incoming)
+	for _, p := range n.clients {
+		if p.connected() {
+			count++
+		}
+	}
+	return count
+}
+
 func (n *Network) client(name string) *peerClient {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -401,14 +414,29 @@
 func (p *peerClient) openConn(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.conn == nil || p.address != address {
+	if p.address != address || !p.connectedLocked() {
 		return nil
 	}
+	return p.conn
+}
+
+// connected reports whether a connection to the peer is open.
+func (p *peerClient) connected() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.connectedLocked()
+}
+
+// connectedLocked is connected for a caller that holds the lock.
+func (p *peerClient) connectedLocked() bool {
+	if p.conn == nil {
+		return false
+	}
 	select {
 	case <-p.conn.closed:
-		return nil
+		return false
 	default:
-		return p.conn
+		return true
 	}
 }
 
