Don't serve another request on a connection whose context has ended

What callers saw: on a kept connection, a whole request ended with the connection, with neither an answer nor a refusal. The request before it had been refused because its body was late (408) or gave way to others for lack of memory (503), and the rest of that body had arrived by then.

Cause: a read deadline ends the read of such a body. net/http ends the context of the whole connection with it, and the contexts of all later requests on the connection are made from that. intake.Refuse read the rest of the body and kept the connection; the next request was then taken for one whose caller had left, and its connection closed without an answer. The same comes about if the body was complete when it gave way: the deadline then ends net/http's own read behind it.

Ruled out: the deadline of readRest itself. It is either met, and net/http clears it as it begins its own read, or the connection is closed.

Change: after such a body, and where the context has ended otherwise, the refusal closes the connection. Both edges refuse through intake.

--- a/internal/transport/intake/body.go
+++ b/internal/transport/intake/body.go
@@ -70,6 +70,9 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		err = ErrLate
 	}
+	if c := connOf(r.Context()); c != nil && (errors.Is(err, ErrLate) || errors.Is(err, ErrNoMemory)) {
+		c.interrupted = true
+	}
 	return body, held, err
 }
 
--- a/internal/transport/intake/conn.go
+++ b/internal/transport/intake/conn.go
@@ -37,6 +37,9 @@
 	headerBytes, charged int64
 	headers              *memory.Charge
 	removed              atomic.Bool
+	// interrupted is true once a read deadline may have ended a read of the current request, and with it the context of the connection. The
+	// goroutine that serves the request uses it.
+	interrupted bool
 	// readEnd is how reading has ended since the current request's header section was complete.
 	readEnd atomic.Value
 }
@@ -143,6 +146,12 @@
 
 type contextKey struct{}
 
+// connOf returns the connection of a request on a guarded listener, given the request's context, and nil for others.
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(contextKey{}).(*conn)
+	return c
+}
+
 func withConn(ctx context.Context, raw net.Conn) context.Context {
 	if c := unwrap(raw); c != nil {
 		return context.WithValue(ctx, contextKey{}, c)
@@ -158,8 +167,8 @@
 // the given time: closing a connection with unread bytes resets it, and the client would lose the refusal. The server must close the
 // connection afterwards, and nothing else may read from it. It does nothing if the context isn't that of a request on a guarded listener.
 func drain(ctx context.Context, timeout time.Duration) {
-	c, ok := ctx.Value(contextKey{}).(*conn)
-	if !ok {
+	c := connOf(ctx)
+	if c == nil {
 		return
 	}
 	c.guard.setState(c, memory.StateRefused)
--- a/internal/transport/intake/read_end.go
+++ b/internal/transport/intake/read_end.go
@@ -46,8 +46,8 @@
 // ReadEndOf returns how reading from the connection of a request has ended, given the request's context. It is empty if the context isn't that of a
 // request on a guarded listener.
 func ReadEndOf(ctx context.Context) ReadEnd {
-	c, ok := ctx.Value(contextKey{}).(*conn)
-	if !ok {
+	c := connOf(ctx)
+	if c == nil {
 		return ""
 	}
 	end, _ := c.readEnd.Load().(ReadEnd)
--- a/internal/transport/intake/refusal.go
+++ b/internal/transport/intake/refusal.go
@@ -18,10 +18,10 @@
 )
 
 // Refuse has a function write the refusal of a request whose body has not been read to its end. It closes the connection afterwards, unless
-// the rest of the body is there already. The refusal must state its length, as otherwise it would end only after Refuse has returned.
+// the rest of the body is there already and reading it was never interrupted. The refusal must state its length, as otherwise it would end only after Refuse has returned.
 func Refuse(w http.ResponseWriter, r *http.Request, write func()) {
 	control := http.NewResponseController(w)
-	if r.ContentLength == 0 || readRest(r, control) {
+	if r.ContentLength == 0 || reusable(r) && readRest(r, control) {
 		write()
 		return
 	}
@@ -32,6 +32,13 @@
 	}
 }
 
+// reusable reports whether the connection of a request may serve another one. If a read deadline has ended a read, net/http ends the context of the
+// connection, which all later requests on it share; while a body gives way, that may be about to happen.
+func reusable(r *http.Request) bool {
+	c := connOf(r.Context())
+	return r.Context().Err() == nil && (c == nil || !c.interrupted)
+}
+
 // readRest reads the rest of a body that is not needed, and reports whether it has read it to its end.
 func readRest(r *http.Request, control *http.ResponseController) bool {
 	// With this header, reading would ask the client for the body.
