Answer callers that have closed only their sending side

What callers saw: a caller that closes its sending side once its whole request is sent, as HTTP allows, got neither an answer nor a refusal when its request couldn't be served or was still under way: the connection was closed.

Cause: net/http ends the context of a request when it reads the end of what the caller sends, whether the caller still reads or not. job.fail took that for a caller that is gone. The same branch closed connections whose context had ended for another reason, such as a read deadline.

Change: such a request is refused, with 503 (caller_left) if it wasn't sent to an endpoint and 502 if it may have run, and the connection is closed. Work for it ends as before, since the two kinds of callers can't be told apart; for one that has closed its connection the refusal goes nowhere. It is still counted and logged as left.

--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -17,6 +17,14 @@
 	retryAt clock.Instant
 }
 
+// result returns how a request that was refused is counted.
+func (r *refusal) result() string {
+	if r.reason == reasonLeft {
+		return "left"
+	}
+	return "refused"
+}
+
 // unavailable returns a refusal with status 503, which states that the request has not run and never will.
 func unavailable(reason string, retryAt clock.Instant) *refusal {
 	return &refusal{http.StatusServiceUnavailable, reason, retryAt}
@@ -58,7 +66,7 @@
 			j.node.metrics.Forwarded.WithLabelValues("declined").Inc()
 			return
 		}
-		j.recordEnd("refused", refused.reason, refused.status)
+		j.recordEnd(refused.result(), refused.reason, refused.status)
 	}
 	if j.bodyRead {
 		write()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -452,6 +452,9 @@
 	return unavailable("no_endpoint", clock.Now().Add(shortRetryDelay))
 }
 
+// reasonLeft is the reason of a refusal to a caller that has closed its connection, or the sending side of it.
+const reasonLeft = "caller_left"
+
 // fail ends a request without an endpoint's answer. A request that has run, or may have run, never gets a status which states that it did
 // not run.
 func (j *job) fail(ctx context.Context, refused *refusal) {
@@ -461,8 +464,12 @@
 		// Once part of the answer has been sent, only closing the connection tells the caller that it is truncated.
 		panic(http.ErrAbortHandler)
 	case j.r.Context().Err() != nil:
-		j.recordEnd("left", "caller_left", 0)
-		panic(http.ErrAbortHandler)
+		// A caller that has only closed its sending side waits for an answer, and net/http ends the context for that too.
+		j.w.Header().Set("Connection", "close")
+		refused = unavailable(reasonLeft, clock.Now().Add(shortRetryDelay))
+		if j.attempts.Runs() > 0 {
+			refused = &refusal{http.StatusBadGateway, reasonLeft, 0}
+		}
 	case j.attempts.Runs() > 0 && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		refused = &refusal{http.StatusGatewayTimeout, "deadline", 0}
 	case j.attempts.Runs() > 0 && refused.status == http.StatusServiceUnavailable:
@@ -501,7 +508,7 @@
 	if j.workspace != nil {
 		fields = append(fields, zap.String("workspace", j.workspace.Name))
 	}
-	if result == "left" {
+	if reason == reasonLeft {
 		fields = append(fields, zap.String("connection", string(intake.ReadEndOf(j.r.Context()))))
 	}
 	if j.forwarded {
