--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -6,6 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,3 +78,100 @@
 		})
 	})
 }
+
+// A request that is under way while configurations remove or move its route, its key, its service or its engine, or lower time-outs and limits, must
+// end with a complete answer or a refusal.
+func TestRequestsMeetChangedConfigurations(t *testing.T) {
+	t.Parallel()
+	Convey("while configurations change what requests under way depend on", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		for i := range 2 {
+			s.addEndpoint(hosted.EndpointConfig{ID: fmt.Sprintf("cal-%d", i), Service: "calendar", Work: 20 * time.Millisecond, Slots: 2})
+		}
+		for i := range 2 {
+			s.addEndpoint(hosted.EndpointConfig{
+				ID: fmt.Sprintf("llm-%d", i), Service: "llm", Model: testModel, Version: 1, Events: 20, Work: 20 * time.Millisecond, Slots: 4,
+			})
+		}
+		for range 2 {
+			s.addEntryWith(func(cfg *settings.Hosted) { cfg.MaxRevocationDelay = time.Minute })
+		}
+		for _, e := range s.entries {
+			e.expectReady(true)
+		}
+		changes := []func(*hosted.Configuration){
+			func(c *hosted.Configuration) { c.Routes = c.Routes[4:] },
+			func(c *hosted.Configuration) {
+				for i := range c.Routes {
+					c.Routes[i].Backend = "elsewhere"
+				}
+			},
+			func(c *hosted.Configuration) {
+				// Streams end without an answer at their own time-out.
+				for i := range c.Routes[:2] {
+					c.Routes[i].TimeoutMs = 30
+				}
+			},
+			func(c *hosted.Configuration) { c.Tenants = nil },
+			func(c *hosted.Configuration) { c.Tenants[0].APIKeys = []string{"another"} },
+			func(c *hosted.Configuration) { c.Tenants[0].Name, c.Tenants[0].Isolated = "studio", true },
+			func(c *hosted.Configuration) { c.Services = c.Services[:1] },
+			func(c *hosted.Configuration) { c.Services[1] = hosted.PlainService("llm") },
+			func(c *hosted.Configuration) { c.Services = nil },
+			func(c *hosted.Configuration) {
+				c.Limits = map[string]int{"MaxHeaderBytes": 1, "MaxBodyBytes": 1, "HeaderTimeoutMs": 1, "IdleTimeoutMs": 1}
+			},
+		}
+		const senders, requests = 12, 12
+		faults := make(chan string, senders*requests)
+		var answered, refused atomic.Int64
+		var wg sync.WaitGroup
+		for i := range senders {
+			wg.Go(func() {
+				for k := range requests {
+					e := s.entries[(i+k)%2]
+					target := []string{"/read/x", "/book/x", "/redraft/x", "/brief/x"}[i%4]
+					a := s.send(e, http.MethodPost, target, strings.Repeat("b", 300))
+					if a.status == http.StatusOK {
+						answered.Add(1)
+					} else {
+						refused.Add(1)
+					}
+					if a.status == 0 || !a.complete {
+						faults <- fmt.Sprintf("%s %s: status %d, complete %v", a.id, target, a.status, a.complete)
+					}
+				}
+			})
+		}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			wg.Wait()
+		}()
+		version := 3
+		for running := true; running; {
+			select {
+			case <-ended:
+				running = false
+			case <-time.After(40 * time.Millisecond):
+				version++
+				spec := defaultSpec()
+				spec.Version = version
+				if version%2 == 0 {
+					changes[version/2%len(changes)](&spec)
+				}
+				s.putConfiguration(spec)
+			}
+		}
+		close(faults)
+		var list []string
+		for f := range faults {
+			list = append(list, f)
+		}
+		So(list, ShouldBeEmpty)
+		So(answered.Load(), ShouldBeGreaterThan, 0)
+		So(refused.Load(), ShouldBeGreaterThan, 0)
+		Printf("%d answered, %d refused ", answered.Load(), refused.Load())
+	})
+}
