Allocate the queue and the read buffer of a peer connection by need

Cause: each connection had a channel for 4,096 frames (96 KB) and a read buffer of 32 KB: 134,689 bytes of heap, idle or not. 600 connections, two with each of 300 entries, are 81 MB, which is the garbage collector's limit on a machine of 136 MB (0.6 of it). Most pages are never touched and aren't resident, but the collector counts them, and near its limit it runs all the time.

Change: the queue is a slice that grows and is released once it is empty; its length is limited as before. Longer frames are read past the buffer. Both edges use this package.

TestMemoryOfIdleConnections failed before (134,689 bytes for a bound of 55,924, a connection's share of the 32 MB for control) and passes now (11,829 bytes). TestMessagesSentAtOnce passes 3 of 3 under the race detector; it guards the new queue.

--- a/internal/transport/peers/conn.go
+++ b/internal/transport/peers/conn.go
@@ -20,8 +20,9 @@
 	handshakeTimeout   = 2 * time.Second
 	writeTimeout       = 5 * time.Second
 	directWriteTimeout = 100 * time.Millisecond
-	outboxLength       = 4096
 	bufferBytes        = 32 << 10
+	// readBufferBytes holds a few messages about placements; a longer frame is read without the buffer.
+	readBufferBytes = 8 << 10
 )
 
 // Errors that Call and Send wrap; match them with errors.Is.
@@ -46,7 +47,7 @@
 	raw     net.Conn
 	r       *bufio.Reader
 	remote  peer.Hello
-	outbox  chan []byte
+	outbox  *outbox
 	writeMu sync.Mutex
 	closed  chan struct{}
 	once    sync.Once
@@ -54,7 +55,7 @@
 }
 
 func newConn(raw net.Conn, r *bufio.Reader, remote peer.Hello, traffic *Traffic) *conn {
-	c := &conn{raw: raw, r: r, remote: remote, outbox: make(chan []byte, outboxLength), closed: make(chan struct{}), traffic: traffic}
+	c := &conn{raw: raw, r: r, remote: remote, outbox: newOutbox(), closed: make(chan struct{}), traffic: traffic}
 	go c.write()
 	return c
 }
@@ -73,27 +74,35 @@
 		select {
 		case <-c.closed:
 			return
-		case data := <-c.outbox:
-			c.writeMu.Lock()
-			err := c.flush(data, writeTimeout)
-			c.writeMu.Unlock()
-			if err != nil {
+		case <-c.outbox.waiting:
+			if c.writeQueued() != nil {
 				return
 			}
 		}
 	}
 }
 
+// writeQueued sends the frames that are in the outbox.
+func (c *conn) writeQueued() error {
+	for data := c.outbox.pop(); data != nil; data = c.outbox.pop() {
+		c.writeMu.Lock()
+		err := c.flush(data, writeTimeout)
+		c.writeMu.Unlock()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // flush writes a frame together with queued frames, up to about bufferBytes. The caller holds writeMu.
 func (c *conn) flush(data []byte, timeout time.Duration) error {
 	for len(data) < bufferBytes {
-		select {
-		case more := <-c.outbox:
-			data = append(data, more...)
-			continue
-		default:
+		more := c.outbox.pop()
+		if more == nil {
+			break
 		}
-		break
+		data = append(data, more...)
 	}
 	if err := c.raw.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 		return fmt.Errorf("set deadline: %w", err)
@@ -129,12 +138,10 @@
 		}
 		return nil
 	}
-	select {
-	case c.outbox <- data:
-		return nil
-	default:
+	if !c.outbox.push(data) {
 		return fmt.Errorf("send to %s: %w", c.remote.Name, ErrFull)
 	}
+	return nil
 }
 
 func (c *conn) read(limit int) (*peer.Frame, error) {
@@ -168,7 +175,7 @@
 	mine := peer.Hello{Version: peer.Version, Name: id.name, Incarnation: id.incarnation, Challenge: make([]byte, peer.ChallengeBytes)}
 	// crypto/rand.Read never returns an error.
 	_, _ = rand.Read(mine.Challenge)
-	r := bufio.NewReaderSize(raw, bufferBytes)
+	r := bufio.NewReaderSize(raw, readBufferBytes)
 	theirs, err := id.exchangeHello(raw, r, &mine)
 	if err != nil {
 		return nil, peer.Hello{}, err
