--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -110,6 +110,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer j.releaseMemory()
+	defer j.logPanic()
 	if refused := j.admit(); refused != nil {
 		j.writeRefusal(refused)
 		return
@@ -117,6 +118,19 @@
 	j.run()
 }
 
+// logPanic logs a panic other than that which closes the connection, and lets it go on: net/http closes the connection without an answer.
+func (j *job) logPanic() {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	if err, ok := fault.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		j.node.log.Warn(event.HandlerPanicked, "panic while a request was served", zap.String("request", j.r.Header.Get("Request-Id")),
+			zap.Any("panic", fault), zap.Stack("stack"))
+	}
+	panic(fault)
+}
+
 // rawTarget returns the path and query exactly as received, since normalizing them could change the route or what the endpoint sees.
 func rawTarget(r *http.Request) string {
 	target := r.RequestURI
@@ -441,6 +455,9 @@
 	return unavailable("no_endpoint", clock.Now().Add(shortRetryDelay))
 }
 
+// reasonLeft is the reason of a refusal to a caller that has closed its connection, or the sending side of it.
+const reasonLeft = "caller_left"
+
 // fail ends a request without an endpoint's answer. A request that has run, or may have run, never gets a status which states that it did
 // not run.
 func (j *job) fail(ctx context.Context, refused *refusal) {
@@ -450,8 +467,12 @@
 		// Once part of the answer has been sent, only closing the connection tells the caller that it is truncated.
 		panic(http.ErrAbortHandler)
 	case j.r.Context().Err() != nil:
-		j.recordEnd("left", "caller_left", 0)
-		panic(http.ErrAbortHandler)
+		// A caller that has only closed its sending side waits for an answer, and net/http ends the context for that too.
+		j.w.Header().Set("Connection", "close")
+		refused = unavailable(reasonLeft, clock.Now().Add(shortRetryDelay))
+		if j.attempts.Runs() > 0 {
+			refused = &refusal{http.StatusBadGateway, reasonLeft, 0}
+		}
 	case j.attempts.Runs() > 0 && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		refused = &refusal{http.StatusGatewayTimeout, "deadline", 0}
 	case j.attempts.Runs() > 0 && refused.status == http.StatusServiceUnavailable:
@@ -470,7 +491,7 @@
 	}
 	n.metrics.Requests.WithLabelValues(kind, result).Inc()
 	n.metrics.Latency.WithLabelValues(kind).Observe(now.Sub(j.arrived).Seconds())
-	fields := make([]zap.Field, 0, 33)
+	fields := make([]zap.Field, 0, 34)
 	if j.head != nil {
 		fields = append(fields, zap.String("request", j.head.ID))
 		if j.head.LastEvent > 0 {
@@ -490,6 +511,9 @@
 	if j.workspace != nil {
 		fields = append(fields, zap.String("workspace", j.workspace.Name))
 	}
+	if reason == reasonLeft {
+		fields = append(fields, zap.String("connection", string(intake.ReadEndOf(j.r.Context()))))
+	}
 	if j.forwarded {
 		fields = append(fields, zap.Bool("forwarded", true))
 	}
