Let a test proxy stall the connections of some of its clients

A proxy in front of an entry's address for its peers could only be held for all of them, and the entry's own calls to others went through. To cut a group of entries off, each link is held by who opened it.

--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,6 +21,19 @@
 	HoldUp, HoldDown bool
 	// Refuse accepts new connections and resets them at once.
 	Refuse bool
+	// HoldFrom stalls, in both directions, the connections of clients whose first bytes contain one of these names, so that a target can be
+	// unreachable for some of its clients.
+	HoldFrom []string
+}
+
+// holds reports whether a client's connections are stalled, given the first bytes that it sent.
+func (f Fault) holds(hello []byte) bool {
+	for _, name := range f.HoldFrom {
+		if bytes.Contains(hello, []byte(name)) {
+			return true
+		}
+	}
+	return false
 }
 
 // Proxy forwards TCP connections to a target.
@@ -117,8 +132,21 @@
 	}
 	defer p.closeConns(client, target)
 	var wg sync.WaitGroup
-	wg.Go(func() { p.copyOneWay(target, client, func(f Fault) bool { return f.HoldUp }) })
-	wg.Go(func() { p.copyOneWay(client, target, func(f Fault) bool { return f.HoldDown }) })
+	var hello atomic.Pointer[[]byte]
+	holds := func(f Fault) bool {
+		first := hello.Load()
+		return first != nil && f.holds(*first)
+	}
+	wg.Go(func() {
+		p.copyOneWay(target, client, func(block []byte, f Fault) bool {
+			if hello.Load() == nil {
+				first := bytes.Clone(block)
+				hello.Store(&first)
+			}
+			return f.HoldUp || holds(f)
+		})
+	})
+	wg.Go(func() { p.copyOneWay(client, target, func(_ []byte, f Fault) bool { return f.HoldDown || holds(f) }) })
 	wg.Wait()
 }
 
@@ -143,12 +171,13 @@
 // maxBlockBytes is the maximum number of bytes that are forwarded at once.
 const maxBlockBytes = 16 << 10
 
-// copyOneWay forwards bytes in one direction until the stream ends. An error on either connection resets the other one.
-func (p *Proxy) copyOneWay(to, from *net.TCPConn, held func(Fault) bool) {
+// copyOneWay forwards bytes in one direction until the stream ends, each block once held is false for it. An error on either connection resets
+// the other one.
+func (p *Proxy) copyOneWay(to, from *net.TCPConn, held func(block []byte, f Fault) bool) {
 	buf := make([]byte, maxBlockBytes)
 	for {
 		n, err := from.Read(buf)
-		if !p.waitToForward(held) {
+		if !p.waitToForward(func(f Fault) bool { return held(buf[:n], f) }) {
 			return
 		}
 		if n > 0 {
