--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -27,6 +27,10 @@
 	// began is the request that brought the stream's first event, if this one takes it up after lastEvent, or nil.
 	began     *request
 	lastEvent int
+	// events is the number of events in a whole stream.
+	events int
+	// hangUp is when the caller closes its connection, or zero if it waits for the whole answer.
+	hangUp time.Duration
 
 	// status is zero if there was no response.
 	status   int
@@ -70,7 +74,7 @@
 	c.sentCount++
 	r := &request{
 		id: fmt.Sprintf("c%d-%d", c.id, c.sentCount), path: pick(c.random, []string{readPath, bookPath, redraftPath, redraftPath, briefPath}),
-		entry: pick(c.random, c.site.entries),
+		entry: pick(c.random, c.site.entries), events: streamEvents,
 	}
 	r.body = "body of " + r.id
 	if c.random.IntN(20) == 0 {
@@ -80,6 +84,13 @@
 	return r
 }
 
+// drawHangUp makes one request in ten one whose caller leaves early.
+func (c *caller) drawHangUp(r *request) {
+	if c.random.IntN(10) == 0 {
+		r.hangUp = time.Duration(1+c.random.IntN(80)) * time.Millisecond
+	}
+}
+
 // send sends the request and records its result.
 func (c *caller) send(r *request, timeout time.Duration) {
 	r.sent = time.Now()
@@ -87,9 +98,9 @@
 	c.requests = append(c.requests, r)
 	ctx, cancel := context.WithDeadline(context.Background(), r.deadline.Add(deadlineTolerance))
 	defer cancel()
-	if r.began == nil && c.random.IntN(10) == 0 {
+	if r.hangUp > 0 {
 		r.abandoned = true
-		cancelled, cancelEarly := context.WithTimeout(ctx, time.Duration(1+c.random.IntN(80))*time.Millisecond)
+		cancelled, cancelEarly := context.WithTimeout(ctx, r.hangUp)
 		defer cancelEarly()
 		ctx = cancelled
 	}
@@ -105,9 +116,9 @@
 	req.Header.Set("Request-Id", r.id)
 	req.Header.Set("Credential", r.key)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
-	if r.path == redraftPath || r.path == briefPath {
+	if r.stream() {
 		req.Header.Set("Model", hosted.SiteModel)
-		req.Header.Set("Token-Usage", fmt.Sprintf("1500,%d", streamEvents))
+		req.Header.Set("Token-Usage", fmt.Sprintf("1500,%d", r.events))
 		if r.began == nil {
 			r.parts = fmt.Sprintf("a%d:1000,%s:500", c.random.IntN(20), r.id)
 		} else {
@@ -132,7 +143,9 @@
 func (c *caller) run(end time.Time) {
 	for time.Now().Before(end) {
 		r := c.nextRequest()
-		c.send(r, time.Duration(300+c.random.IntN(2700))*time.Millisecond)
+		timeout := time.Duration(300+c.random.IntN(2700)) * time.Millisecond
+		c.drawHangUp(r)
+		c.send(r, timeout)
 		c.takeUp(r)
 		time.Sleep(time.Duration(c.random.Int64N(int64(maxCallerPause))))
 	}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -31,6 +31,9 @@
 func (s *site) readJournal() *journal {
 	j := &journal{runs: make(map[string][]hosted.JournalEntry), records: make(map[string][]hosted.JournalEntry)}
 	for _, m := range s.endpoints {
+		if m.process() == nil {
+			continue
+		}
 		f, err := os.Open(s.logPath(m.name))
 		if err != nil {
 			s.breach("open journal: %v", err)
@@ -90,9 +93,8 @@
 // checkResponse checks that a response belongs to its request, that its content is correct, and that an incomplete one is a prefix of
 // the correct content.
 func (s *site) checkResponse(r *request, runs []hosted.JournalEntry) {
-	stream := r.path == redraftPath || r.path == briefPath
 	want := hosted.Body(r.id)
-	if stream {
+	if r.stream() {
 		want = r.wantedStream()
 	}
 	signed := false
@@ -116,7 +118,7 @@
 	}
 }
 
-func idempotent(path string) bool { return path == readPath || path == redraftPath }
+func idempotent(path string) bool { return path == readPath || isRedraft(path) }
 
 // refused reports whether a status states that the request has not run.
 func refused(status int) bool {
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -22,6 +22,9 @@
 // operator changes the configuration, and records which keys it revoked and when.
 type operator struct {
 	site *site
+	// routes and services are the same in all versions of the configuration.
+	routes   []hosted.Route
+	services []map[string]any
 
 	mu      sync.Mutex
 	version int
@@ -36,9 +39,17 @@
 	revokedAt, issuedAt, replacedAt map[string]time.Time
 }
 
-func newOperator(s *site) *operator {
+// newRoute returns a route whose name is its path prefix.
+func newRoute(path, kind, service string, attempts int, resumable bool) hosted.Route {
+	return hosted.Route{
+		Name: path, Hostname: hosted.SiteHostname, PathPrefix: path, Type: kind, Backend: service, TimeoutMs: 5000, TargetLatencyMs: 400,
+		MaxAttempts: attempts, Resumable: resumable, Sticky: kind == "streaming",
+	}
+}
+
+func newOperator(s *site, routes []hosted.Route, services []map[string]any) *operator {
 	o := &operator{
-		site: s, weights: 1, keys: make(map[string]string), previousKeys: make(map[string]string), keyWorkspaces: make(map[string]string),
+		site: s, routes: routes, services: services, weights: 1, keys: make(map[string]string), previousKeys: make(map[string]string), keyWorkspaces: make(map[string]string),
 		revokedAt: make(map[string]time.Time), issuedAt: make(map[string]time.Time), replacedAt: make(map[string]time.Time),
 	}
 	for _, name := range workspaceNames {
@@ -70,21 +81,7 @@
 }
 
 func (o *operator) writeConfiguration() {
-	route := func(path, kind, service string, attempts int, resumable bool) hosted.Route {
-		return hosted.Route{
-			Name: path, Hostname: hosted.SiteHostname, PathPrefix: path, Type: kind, Backend: service, TimeoutMs: 5000, TargetLatencyMs: 400,
-			MaxAttempts: attempts, Resumable: resumable, Sticky: service == "engines",
-		}
-	}
-	cfg := hosted.Configuration{
-		Version: o.version,
-		Routes: []hosted.Route{
-			route(readPath, "idempotent", "calendar", 3, false), route(bookPath, "non_idempotent", "calendar", 1, false),
-			route(redraftPath, "streaming", "engines", 3, true), route(briefPath, "streaming", "engines", 1, false),
-		},
-		Services: []map[string]any{hosted.PlainService("calendar"), hosted.EngineService("engines", hosted.SiteModel, 16)},
-		Limits:   hosted.DefaultLimits(),
-	}
+	cfg := hosted.Configuration{Version: o.version, Routes: o.routes, Services: o.services, Limits: hosted.DefaultLimits()}
 	for _, name := range workspaceNames {
 		cfg.Tenants = append(cfg.Tenants, hosted.Tenant{Name: name, APIKeys: []string{o.keys[name]}})
 	}
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -80,6 +80,8 @@
 type node struct {
 	name string
 	args []string
+	// zone is the availability zone of an entry.
+	zone string
 	// proxies are the proxies on connections to and from the node, by name.
 	proxies map[string]*proxy.Proxy
 	// callers and readiness are an entry's addresses; callers is that of a proxy.
@@ -93,9 +95,12 @@
 
 // site is an installation of real processes with proxies on the connections between them.
 type site struct {
-	t       *testing.T
-	dir     string
-	entries []*node
+	t   *testing.T
+	dir string
+	// zones are the availability zones over which entries and endpoints are spread, and revocation is that bound in the entries' settings.
+	zones      []string
+	revocation time.Duration
+	entries    []*node
 	// endpoints holds the engines, then the plain services.
 	endpoints []*node
 	store     *node
@@ -106,6 +111,11 @@
 	callers      []*caller
 	// inUse holds the parts that a fault disturbs now.
 	inUse map[string]bool
+	// serving holds the engines that releases have started and not ended.
+	serving []*node
+
+	cutsMu sync.Mutex
+	cuts   []*cut
 }
 
 // breach records a violated guarantee.
@@ -137,9 +147,10 @@
 	return address
 }
 
-func newSite(t *testing.T) *site {
+// newStore returns a site that has only its store so far.
+func newStore(t *testing.T, zones []string, revocation time.Duration) *site {
 	t.Helper()
-	s := &site{t: t, dir: t.TempDir(), inUse: make(map[string]bool)}
+	s := &site{t: t, dir: t.TempDir(), zones: zones, revocation: revocation, inUse: make(map[string]bool)}
 	store := s.freeAddress()
 	s.store = &node{name: "store", controlAddress: store, args: []string{"gypsum-standin", "hosted-store", "--listen", store}}
 	s.start(s.store)
@@ -150,6 +161,12 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
+	return s
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := newStore(t, zones, maxRevocationDelay)
 	for i := range engineCount {
 		s.addEndpoint(fmt.Sprintf("engine-%d", i), zones[i%len(zones)], "--service", "engines", "--model", hosted.SiteModel, "--events", fmt.Sprint(streamEvents),
 			"--software", softwareOf(i), "--work", eventTime.String())
@@ -164,16 +181,21 @@
 }
 
 func (s *site) addEndpoint(name, zone string, extra ...string) {
+	s.start(s.newEndpoint(name, zone, extra...))
+}
+
+// newEndpoint returns an endpoint whose process isn't started yet.
+func (s *site) newEndpoint(name, zone string, extra ...string) *node {
 	m := &node{name: name, controlAddress: s.freeAddress(), proxies: make(map[string]*proxy.Proxy)}
 	args := []string{"gypsum-standin", "hosted-endpoint", "--listen", m.controlAddress, "--advertise", s.startProxy(m, "endpoint", m.controlAddress), "--store", s.store.controlAddress,
 		"--id", name, "--zone", zone, "--slots", "16"}
 	m.args = append(args, extra...)
 	s.endpoints = append(s.endpoints, m)
-	s.start(m)
+	return m
 }
 
 func (s *site) addEntry(i int) {
-	m := &node{name: fmt.Sprintf("entry-%d", i), readiness: s.freeAddress(), proxies: make(map[string]*proxy.Proxy)}
+	m := &node{name: fmt.Sprintf("entry-%02d", i), zone: s.zones[i%len(s.zones)], readiness: s.freeAddress(), proxies: make(map[string]*proxy.Proxy)}
 	callers, peers := s.freeAddress(), s.freeAddress()
 	m.callers = s.startProxy(m, "callers", callers)
 	path := filepath.Join(s.dir, m.name+".ini")
@@ -194,8 +216,8 @@
 lease = %v
 retry_share = %v
 retry_slack = %d
-`, m.name, zones[i%len(zones)], callers, m.readiness, peers, s.startProxy(m, "peers", peers), s.startProxy(m, "store", s.store.controlAddress),
-		maxRevocationDelay, maxLeavingDelay, stopTimeout, lease, retryShare, retryReserve)
+`, m.name, m.zone, callers, m.readiness, peers, s.startProxy(m, "peers", peers), s.startProxy(m, "store", s.store.controlAddress),
+		s.revocation, maxLeavingDelay, stopTimeout, lease, retryShare, retryReserve)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -271,6 +293,9 @@
 // killAll kills all processes and waits for their ends.
 func (s *site) killAll() {
 	for _, m := range append(append([]*node{s.store}, s.entries...), s.endpoints...) {
+		if m.process() == nil {
+			continue
+		}
 		<-m.signal(syscall.SIGKILL).exited
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"gypsumvale/internal/standin/hosted"
 )
 
 // regressions are seeds that found a fault, with its cause.
@@ -54,7 +56,10 @@
 func runSoak(t *testing.T, seed uint64, duration time.Duration) {
 	t.Helper()
 	s := newSite(t)
-	o := newOperator(s)
+	o := newOperator(s, []hosted.Route{
+		newRoute(readPath, "idempotent", "calendar", 3, false), newRoute(bookPath, "non_idempotent", "calendar", 1, false),
+		newRoute(redraftPath, "streaming", "engines", 3, true), newRoute(briefPath, "streaming", "engines", 1, false),
+	}, []map[string]any{hosted.PlainService("calendar"), hosted.EngineService("engines", hosted.SiteModel, 16)})
 	s.waitReady(time.Now().Add(readyTimeout))
 	done := make(chan struct{})
 	defer close(done)
@@ -91,6 +96,7 @@
 			o.mu.Lock()
 			r.key = o.keys[r.workspace]
 			o.mu.Unlock()
+			c.drawHangUp(r)
 			c.send(r, 3*time.Second)
 			if !r.abandoned && s.undisturbed(r.sent.Add(-maxRevocationDelay), r.finished, machine) && (r.status != http.StatusOK || !r.complete) {
 				s.breach("%s %s through %s failed without any fault: status %d, %v, %.100s", r.id, r.path, m.name, r.status, r.err, r.received)
@@ -153,15 +159,26 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	fmt.Printf("SOAK     seed %d: %d faults; requests: %d whole, %d refused, %d failed, %d left by callers; %d of %d streams taken up went on; "+
+		"machine stalled %v; %d breaches\n", seed, faults, counts["whole"], counts["refused"], counts["other"], counts["left"], counts["went on"],
+		counts["taken up"], s.stalled().Round(time.Millisecond), len(s.breaches))
+	s.reportBreaches(fmt.Sprintf("gypsum-soak-%d", seed))
+}
+
+// stalled returns for how long the machine was too busy; the caller holds the lock.
+func (s *site) stalled() time.Duration {
 	stalled := time.Duration(0)
 	for _, f := range s.disturbances {
 		if f.part == machine {
 			stalled += f.to.Sub(f.from)
 		}
 	}
-	fmt.Printf("SOAK     seed %d: %d faults; requests: %d whole, %d refused, %d failed, %d left by callers; %d of %d streams taken up went on; "+
-		"machine stalled %v; %d breaches\n", seed, faults, counts["whole"], counts["refused"], counts["other"], counts["left"], counts["went on"],
-		counts["taken up"], stalled.Round(time.Millisecond), len(s.breaches))
+	return stalled
+}
+
+// reportBreaches fails the test with the breaches, if there are any, and saves the outputs of the processes in a folder; the caller holds the
+// lock.
+func (s *site) reportBreaches(folder string) {
 	if len(s.breaches) == 0 {
 		return
 	}
@@ -173,7 +190,7 @@
 		}
 		s.t.Error(b)
 	}
-	saved := filepath.Join(os.TempDir(), fmt.Sprintf("gypsum-soak-%d", seed))
+	saved := filepath.Join(os.TempDir(), folder)
 	_ = os.RemoveAll(saved)
 	if err := os.CopyFS(saved, os.DirFS(s.dir)); err != nil {
 		s.t.Errorf("save outputs: %v", err)
