Don't take where a stream was placed for where it began

Callers got streams that began at one software version and went on at another, after all entries had been restarted and the engine that began them was gone (ORDER).

A leader that is slow, or whose reply is lost, places and records a request that the entry then places alone, at another version. The engine that began the stream and could contradict is gone, as is usual for a stream that is broken off. Class: what isn't known (that the stream began where it was placed) is taken for what isn't so.

A placement now counts only beside something that names the version by itself, the only version in service or the only one that has read the prompt's last part, and contradicts it otherwise.

--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -82,7 +82,7 @@
 // StreamOrigin is how the instance that chose an endpoint knew at which software version a stream began.
 type StreamOrigin struct {
 	Source origin.Source
-	// Placed is true if it knew only where the stream was placed.
+	// Placed is true if the only record of the stream says where it was placed.
 	Placed bool `msgpack:",omitempty"`
 	// Age is for how long it had known that; for origin.Sole, it is the age of the list of endpoints.
 	Age time.Duration
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -231,15 +231,18 @@
 	switch {
 	case !ok:
 		return nil
-	case known.Placed && (!known.Known() || o.readers.Contradicts(lastPartHash(req), known.Software)):
+	case known.Placed && !known.Known():
 		// The request was placed at several versions.
 		return &placement.OriginError{Learning: learning}
 	case known.Service != req.Service:
 		// The operator has moved the route since.
 		return &placement.OriginError{}
+	case known.Placed:
+		// An entry that the reply hasn't reached may have begun the stream elsewhere.
+		return nil
 	}
 	req.Software = known.Software
-	req.Origin = placement.StreamOrigin{Source: known.Source, Placed: known.Placed, Age: now.Sub(known.At)}
+	req.Origin = placement.StreamOrigin{Source: known.Source, Age: now.Sub(known.At)}
 	return nil
 }
 
@@ -254,15 +257,20 @@
 	current := origin.Current(now, listedAt)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	software, source := "", placement.StreamOrigin{}
 	if sole, ok := o.history.Sole(now, time.Now(), req.Service, within); ok && current {
-		req.Software, req.Origin = sole, placement.StreamOrigin{Source: origin.Sole, Age: now.Sub(listedAt)}
-		return nil
+		software, source = sole, placement.StreamOrigin{Source: origin.Sole, Age: now.Sub(listedAt)}
+	} else if reader, ok := o.readers.Lookup(lastPartHash(req)); ok {
+		software, source = reader, placement.StreamOrigin{Source: origin.Cache}
 	}
-	if reader, ok := o.readers.Lookup(lastPartHash(req)); ok {
-		req.Software, req.Origin = reader, placement.StreamOrigin{Source: origin.Cache}
-		return nil
+	// Where the request was placed doesn't tell the version, but may contradict what does.
+	known, ok := o.table.Lookup(req.Stream)
+	if software == "" || ok && known.Software != software {
+		return &placement.OriginError{Learning: learning && current, Outdated: !current}
 	}
-	return &placement.OriginError{Learning: learning && current, Outdated: !current}
+	source.Placed = known.Placed
+	req.Software, req.Origin = software, source
+	return nil
 }
 
 // lastPartHash returns the hash of the last part of a request's prompt.
