--- a/internal/gateway/origin_records.go
+++ b/internal/gateway/origin_records.go
@@ -64,16 +64,27 @@
 	if o.recordedAt != 0 && len(o.several) > 0 {
 		return true
 	}
+	o.restartJournal(fence, nil)
+	return false
+}
+
+// restartJournal begins the journal of a term with the streams that are known here to have begun and weren't read from it; the caller holds the
+// lock.
+func (o *origins) restartJournal(fence uint64, read map[uint64]bool) {
 	o.journal.Restart(time.Now())
 	o.journalRead = fence
-	return false
+	for stream, began := range o.table.All() {
+		if o.several[began.Service] && !began.Placed && !read[stream] {
+			o.journal.Add(time.Now(), stream, began)
+		}
+	}
 }
 
 // readJournal reads the streams of earlier leaders.
 func (o *origins) readJournal(ctx context.Context, fence uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeReadTimeout)
 	defer cancel()
-	within, known := o.streamTime(), 0
+	within, known, begun := o.streamTime(), 0, make(map[uint64]bool)
 	for after := ""; ; {
 		list, err := o.node.deps.Store.Range(ctx, streamsPrefix, after)
 		o.node.countStoreCall("read_streams", err)
@@ -86,6 +97,11 @@
 				o.node.log.Warn(event.RegistrationInvalid, "invalid page of streams skipped", zap.String("key", item.Key), zap.Error(err))
 			}
 			known += len(streams)
+			for stream, began := range streams {
+				if !began.Placed {
+					begun[stream] = true
+				}
+			}
 			o.recordStored(streams, clock.Now().Add(within))
 		}
 		if after = list.After; after == "" {
@@ -93,8 +109,7 @@
 		}
 	}
 	o.mu.Lock()
-	o.journal.Restart(time.Now())
-	o.journalRead = fence
+	o.restartJournal(fence, begun)
 	o.mu.Unlock()
 	o.node.log.Info(event.StreamsRead, "journal of streams read", zap.Int("streams", known))
 	return nil
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -93,17 +93,26 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	began := origin.Origin{Service: req.Service, Software: software, Until: until, Own: own, Source: source, At: now}
-	o.table.Record(req.Stream, began)
-	switch {
-	case !placed:
-	case o.several[req.Service]:
-		o.tell(req.Stream, began)
-	case !origin.Current(now, o.node.discovery.listedAt()):
-		// There may be several.
+	o.recordBegun(req.Stream, began)
+	if placed && (o.several[req.Service] || !origin.Current(now, o.node.discovery.listedAt())) {
+		// There are several versions, or may be.
 		o.tellRegistrars(req.Stream, began)
 	}
 }
 
+// recordBegun records where a stream began, and adds it to the journal if that is new, or the stream may be taken up for longer than was known. The
+// caller holds the lock.
+func (o *origins) recordBegun(stream uint64, began origin.Origin) {
+	held, ok := o.table.Lookup(stream)
+	o.table.Record(stream, began)
+	if !o.several[began.Service] {
+		return
+	}
+	if !ok || held.Placed || began.Until.Sub(held.Until) > lateTakeUp {
+		o.journal.Add(time.Now(), stream, began)
+	}
+}
+
 // tell has the registrars told of a stream, and adds it to the journal; the caller holds the lock.
 func (o *origins) tell(stream uint64, began origin.Origin) {
 	o.tellRegistrars(stream, began)
@@ -138,7 +147,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, s := range streams {
-		o.table.Record(s.Stream, origin.Origin{Service: s.Service, Software: s.Software, Until: now.Add(s.Left), Source: origin.Told, At: now})
+		o.recordBegun(s.Stream, origin.Origin{Service: s.Service, Software: s.Software, Until: now.Add(s.Left), Source: origin.Told, At: now})
 	}
 }
 
--- a/internal/gateway/placed_elsewhere_test.go
+++ b/internal/gateway/placed_elsewhere_test.go
@@ -154,5 +154,20 @@
 			_, joined := s.takeUp(e, broken)
 			So(joined, ShouldEqual, 0)
 		})
+		Convey("go on where they began if all entries were restarted after the leader has heard of it", func() {
+			release()
+			time.Sleep(time.Second)
+			for _, e := range others {
+				s.call(e, http.MethodPost, "/redraft/", "plan")
+			}
+			time.Sleep(600 * time.Millisecond)
+			stopAll(s.entries)
+			s.stopBeganAt(broken)
+			e := s.addEntry()
+			e.expectReady(true)
+			wentOn, joined := s.takeUp(e, broken)
+			So(joined, ShouldEqual, 0)
+			So(wentOn, ShouldEqual, streams)
+		})
 	})
 }
