Tell the registrars of all streams that began before a second version came

Callers were rejected after the leader, the entry that had sent their stream and its engine were gone, if the stream had begun while one version served and a second one has come since.

Cause: when a second version comes, only the leader told the registrars of earlier streams, of those that it knew. An entry that had begun streams alone, since the leader was slow or its replies were lost, kept them to itself until it next reported its running requests.

Each entry now tells the registrars of the streams that it has sent, when it sees that a service gets a second version: one message per entry and release, or a few.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -313,7 +313,7 @@
 }
 
 // sweep drops old streams, and determines which services have several versions. When a service gets a second one, a leader tells of the streams
-// that began before.
+// that began before, and other instances of those that they have sent.
 func (o *origins) sweep() {
 	now, within := clock.Now(), o.streamTime()
 	leads := o.node.leadership.holdsLease(now)
@@ -328,11 +328,11 @@
 	}
 	previous := o.several
 	o.several = several
-	if !leads || !added {
+	if !added {
 		return
 	}
 	for stream, began := range o.table.All() {
-		if several[began.Service] && !previous[began.Service] && !began.Placed {
+		if several[began.Service] && !previous[began.Service] && !began.Placed && (leads || began.Own) {
 			o.tell(stream, began)
 		}
 	}
--- a/internal/gateway/placed_elsewhere_test.go
+++ b/internal/gateway/placed_elsewhere_test.go
@@ -171,3 +171,32 @@
 		})
 	})
 }
+
+// Guards against take-ups that are rejected since only an entry that is gone knew of streams that began before a second version came.
+func TestStreamBegunAloneBeforeSecondVersion(t *testing.T) {
+	t.Parallel()
+	Convey("streams that an entry began alone before a second version came go on after that entry, the leader and their engine are gone", t, func() {
+		const streams = 12
+		s := newSite()
+		spec := defaultSpec()
+		spec.Version, spec.Routes[2].MaxAttempts = 9, 1
+		s.putConfiguration(spec)
+		s.addVersion("v1", 2)
+		leader, others := s.startRegistrars()
+		eventually("the version is on record", func() bool { return s.store.ModRevision("gypsum/versions") > 0 })
+		time.Sleep(time.Second)
+		alone, last := others[1], others[3]
+		broken, release := s.breakAlone(leader, []*entry{alone}, streams)
+		release()
+		recorded := s.store.ModRevision("gypsum/versions")
+		s.addVersion("v2", 1)
+		eventually("both versions are on record", func() bool { return s.store.ModRevision("gypsum/versions") > recorded })
+		time.Sleep(time.Second)
+		stopAll([]*entry{leader, alone})
+		s.stopBeganAt(broken)
+		time.Sleep(time.Second)
+		wentOn, joined := s.takeUp(last, broken)
+		So(joined, ShouldEqual, 0)
+		So(wentOn, ShouldEqual, streams)
+	})
+}
