Tell a zone's registrars of streams that were sent before it was cut off

While a zone was cut off, streams that had begun just before were rejected at the zone's other entries: the leader that had placed them was to tell the registrars, which it couldn't any more.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -56,6 +56,8 @@
 	recordedAt kv.Revision
 	// several holds the services at which streams may have begun at several versions, as of the last sweep.
 	several map[string]bool
+	// outdated is true if the list of endpoints was too old at the last sweep to tell the only version in service.
+	outdated bool
 	// journal holds the streams for the store; journalRead is the fencing number of the term in which it was read.
 	journal     origin.Journal
 	journalRead uint64
@@ -313,9 +315,10 @@
 }
 
 // sweep drops old streams, and determines which services have several versions. When a service gets a second one, a leader tells of the streams
-// that began before, and other instances of those that they have sent.
+// that began before, and other instances of those that they have sent. The latter also holds when the list of endpoints grows old, since the instance
+// may be cut off with its zone.
 func (o *origins) sweep() {
-	now, within := clock.Now(), o.streamTime()
+	now, within, listedAt := clock.Now(), o.streamTime(), o.node.discovery.listedAt()
 	leads := o.node.leadership.holdsLease(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -326,14 +329,18 @@
 			several[service], added = true, added || !o.several[service]
 		}
 	}
-	previous := o.several
-	o.several = several
-	if !added {
+	previous, wasOutdated := o.several, o.outdated
+	o.several, o.outdated = several, !origin.Current(now, listedAt)
+	if !added && (!o.outdated || wasOutdated) {
 		return
 	}
 	for stream, began := range o.table.All() {
-		if several[began.Service] && !previous[began.Service] && !began.Placed && (leads || began.Own) {
+		switch {
+		case began.Placed || !leads && !began.Own:
+		case several[began.Service] && !previous[began.Service]:
 			o.tell(stream, began)
+		case o.outdated && !wasOutdated && began.Own:
+			o.tellRegistrars(stream, began)
 		}
 	}
 }
--- a/internal/gateway/stale_versions_test.go
+++ b/internal/gateway/stale_versions_test.go
@@ -112,7 +112,7 @@
 // Guards against streams that a zone can't go on with while it is cut off, though one of its entries has sent them.
 func TestStreamsOfCutOffZone(t *testing.T) {
 	t.Parallel()
-	Convey("streams that entries of a zone begin while it is cut off go on at the zone's other entries", t, func() {
+	Convey("streams that an entry of a zone has sent go on at the zone's other entries while it is cut off", t, func() {
 		const (
 			entryCount, zoneCount = 6, 3
 			streams               = 12
@@ -121,7 +121,7 @@
 		for i := range entryCount {
 			names = append(names, fmt.Sprintf("entry-%d", i))
 		}
-		// The registrars of the whole site are in the other zone.
+		// The registrars of the whole site are in the other zone, as is the leader, which has a larger share of a processor.
 		far := rank.Top("origins", names, entryCount-zoneCount)
 		s := newSite()
 		spec := defaultSpec()
@@ -137,18 +137,30 @@
 				s.addEntryWith(func(cfg *settings.Hosted) { cfg.Advertise = silentRelay(cfg.Peers, &cut) })
 				continue
 			}
-			zone = append(zone, s.addEntryWith(func(cfg *settings.Hosted) { cfg.Store, cfg.Zone = store, "almadies" }))
+			zone = append(zone, s.addEntryWith(func(cfg *settings.Hosted) { cfg.Store, cfg.Zone, cfg.CPUCores = store, "almadies", 0.5 }))
 		}
 		for _, e := range s.entries {
 			e.expectReady(true)
 		}
 		s.awaitSettled("v1", "v2")
 		time.Sleep(time.Second)
-		cut.Store(true)
-		// By now, lists are too old to tell anything.
-		time.Sleep(3 * time.Second)
-		wentOn, joined := s.takeUp(zone[1], s.breakStreams(zone[0], streams))
-		So(joined, ShouldEqual, 0)
-		So(wentOn, ShouldEqual, streams)
+		// cutOff cuts the zone off, until lists are too old to tell anything.
+		cutOff := func() {
+			cut.Store(true)
+			time.Sleep(3 * time.Second)
+		}
+		Convey("if they begin meanwhile", func() {
+			cutOff()
+			wentOn, joined := s.takeUp(zone[1], s.breakStreams(zone[0], streams))
+			So(joined, ShouldEqual, 0)
+			So(wentOn, ShouldEqual, streams)
+		})
+		Convey("if they began before", func() {
+			broken := s.breakStreams(zone[0], streams)
+			cutOff()
+			wentOn, joined := s.takeUp(zone[1], broken)
+			So(joined, ShouldEqual, 0)
+			So(wentOn, ShouldEqual, streams)
+		})
 	})
 }
