--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -463,7 +463,11 @@
 func (j *job) fail(ctx context.Context, refused *refusal) {
 	switch {
 	case j.attempts.ResponseSent():
-		j.recordEnd("cut", refused.reason, 0)
+		if j.r.Context().Err() != nil {
+			j.recordEnd("left", reasonLeft, 0)
+		} else {
+			j.recordEnd("cut", refused.reason, 0)
+		}
 		// Once part of the answer has been sent, only closing the connection tells the caller that it is truncated.
 		panic(http.ErrAbortHandler)
 	case j.r.Context().Err() != nil:
