--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -301,12 +301,14 @@
 	}
 	j.writeHead(resp.Status, resp.Header, false)
 	if _, err := j.w.Write(prefix); err != nil {
+		j.writeFailed = true
 		return retry.Broken, placement.OutcomeWithdrawn
 	}
 	rest := &errorRecorder{r: resp}
 	if _, err := io.Copy(j.w, rest); rest.err != nil {
 		return j.classifyError(ctx, choice, rest.err)
 	} else if err != nil {
+		j.writeFailed = true
 		return retry.Broken, placement.OutcomeWithdrawn
 	}
 	if resp.Status >= http.StatusInternalServerError {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -77,6 +77,8 @@
 	headReceived bool
 	begun        bool
 	sentAt       clock.Instant
+	// writeFailed is true once the caller's connection has taken no more of the answer.
+	writeFailed bool
 	// trace is how the current attempt was sent, and answer the head of the last response to it. framed is true if the head states where its body
 	// ends.
 	trace  upstream.Trace
@@ -463,7 +465,7 @@
 func (j *job) fail(ctx context.Context, refused *refusal) {
 	switch {
 	case j.attempts.ResponseSent():
-		if j.r.Context().Err() != nil {
+		if j.writeFailed || j.r.Context().Err() != nil {
 			j.recordEnd("left", reasonLeft, 0)
 		} else {
 			j.recordEnd("cut", refused.reason, 0)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -102,6 +102,7 @@
 					j.recordFirstEvent()
 				}
 				if err := j.writeEvents(resp, flusher, events); err != nil {
+					j.writeFailed = true
 					return retry.Broken, placement.OutcomeWithdrawn
 				}
 				j.lastEvent = splitter.last
@@ -113,6 +114,7 @@
 				return j.classifyError(ctx, choice, err)
 			}
 			if err := j.writeEvents(resp, flusher, splitter.pending); err != nil {
+				j.writeFailed = true
 				return retry.Broken, placement.OutcomeWithdrawn
 			}
 			return retry.Answered, placement.OutcomeAnswered
