Answer requests whose handler panics, and log the fault

What callers would see: a whole request ends with its connection, without an answer, and no log names it. net/http closes the connection of a handler that panics, and its own log is discarded here.

The caller gets 500, which doesn't promise that the request hasn't run, and the connection is closed; once an answer has begun, closing the connection is all that is left, as before. The native edge closes the connection still; its faults are in net/http's log.

--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -38,6 +38,7 @@
 
 // writeRefusal sends a refusal to the caller and records the end of the request.
 func (j *job) writeRefusal(refused *refusal) {
+	j.refusing = true
 	h := j.w.Header()
 	if j.head != nil {
 		for name, values := range j.node.deps.Headers.LocalReplyHeader(j.head.ID) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -77,6 +77,8 @@
 	headReceived bool
 	begun        bool
 	sentAt       clock.Instant
+	// refusing is true once a refusal is written.
+	refusing bool
 	// writeFailed is true once the caller's connection has taken no more of the answer.
 	writeFailed bool
 	// trace is how the current attempt was sent, and answer the head of the last response to it. framed is true if the head states where its body
@@ -112,7 +114,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer j.releaseMemory()
-	defer j.logPanic()
+	defer j.endAfterPanic()
 	if refused := j.admit(); refused != nil {
 		j.writeRefusal(refused)
 		return
@@ -120,17 +122,26 @@
 	j.run()
 }
 
-// logPanic logs a panic other than that which closes the connection, and lets it go on: net/http closes the connection without an answer.
-func (j *job) logPanic() {
+// endAfterPanic ends a request whose handler has panicked, unless that was to close the connection. What has begun to answer it closes the
+// connection; before that, the status promises nothing, since the request may have run.
+func (j *job) endAfterPanic() {
 	fault := recover()
 	if fault == nil {
 		return
 	}
-	if err, ok := fault.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-		j.node.log.Warn(event.HandlerPanicked, "panic while a request was served", zap.String("request", j.r.Header.Get("Request-Id")),
-			zap.Any("panic", fault), zap.Stack("stack"))
+	if err, ok := fault.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(fault)
 	}
-	panic(fault)
+	name := j.r.Header.Get("Request-Id")
+	if j.head != nil {
+		name = j.head.ID
+	}
+	j.node.log.Warn(event.HandlerPanicked, "panic while a request was served", zap.String("request", name), zap.Any("panic", fault), zap.Stack("stack"))
+	if j.refusing || j.attempts.ResponseSent() {
+		panic(http.ErrAbortHandler)
+	}
+	j.w.Header().Set("Connection", "close")
+	j.writeRefusal(&refusal{http.StatusInternalServerError, "internal", 0})
 }
 
 // rawTarget returns the path and query exactly as received, since normalizing them could change the route or what the endpoint sees.
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -58,6 +58,8 @@
 	requests  atomic.Int64
 	// schema decodes what is in the store.
 	schema gateway.StoreSchema
+	// headers translates the headers of requests and answers.
+	headers gateway.HeaderCodec
 	// dial opens the connections to endpoints of entries that are started from now on; nil selects TCP.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -72,7 +74,7 @@
 }
 
 func newSite() *site {
-	s := &site{store: hosted.NewStore(), schema: platform.StoreSchema{}}
+	s := &site{store: hosted.NewStore(), schema: platform.StoreSchema{}, headers: platform.HeaderCodec{}}
 	s.server = httptest.NewServer(s.store.Handler())
 	Reset(s.close)
 	return s
@@ -166,7 +168,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &entry{cfg: cfg, cancel: cancel, done: make(chan struct{})}
 	e.node = gateway.New(cfg, event.Discard(), gateway.Dependencies{
-		Store: platform.NewStoreClient(cfg.Store), Schema: s.schema, Headers: platform.HeaderCodec{},
+		Store: platform.NewStoreClient(cfg.Store), Schema: s.schema, Headers: s.headers,
 		Engines: platform.NewEngineClient(), Caches: platform.NewCacheClient(), Delay: probe,
 		DialEndpoint: s.dial,
 	})
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -14,8 +14,11 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"gypsumvale/internal/protocol/exchange"
 	"gypsumvale/internal/settings"
 	"gypsumvale/internal/standin/hosted"
+	"gypsumvale/internal/state/clock"
+	"gypsumvale/platform"
 )
 
 // rawCaller is a caller that writes and reads its own connection.
@@ -175,3 +178,28 @@
 		Printf("%d answered, %d refused ", answered.Load(), refused.Load())
 	})
 }
+
+// faultyCodec panics when a request with the header Panic is sent to an endpoint.
+type faultyCodec struct{ platform.HeaderCodec }
+
+func (c faultyCodec) WriteHead(h http.Header, d *exchange.Dispatch, now clock.Instant) {
+	if h.Get("Panic") != "" {
+		panic("a fault")
+	}
+	c.HeaderCodec.WriteHead(h, d, now)
+}
+
+// A fault of this program closed the connection of a whole request without an answer, and was logged nowhere.
+func TestPanicWhileRequestIsServed(t *testing.T) {
+	t.Parallel()
+	Convey("a request whose handler panics gets a status that promises nothing", t, func() {
+		s := startSite(0)
+		s.headers = faultyCodec{}
+		e := s.addEntryWith(func(cfg *settings.Hosted) { cfg.MaxRevocationDelay = time.Minute })
+		e.expectReady(true)
+		c := e.dial()
+		c.send("panics", "/read/x", "Panic: yes\r\nDeadline-Ms: 3000\r\n")
+		So(c.receive(), ShouldEqual, http.StatusInternalServerError)
+		s.expectAnswered(s.call(e, http.MethodPost, "/read/x", "a body"))
+	})
+}
