--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -175,7 +175,7 @@
 		So(list, ShouldBeEmpty)
 		So(answered.Load(), ShouldBeGreaterThan, 0)
 		So(refused.Load(), ShouldBeGreaterThan, 0)
-		Printf("%d answered, %d refused ", answered.Load(), refused.Load())
+		t.Logf("%d answered, %d refused", answered.Load(), refused.Load())
 	})
 }
 
