--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -176,10 +176,13 @@
 	return stalled
 }
 
-// reportBreaches fails the test with the breaches, if there are any, and saves the outputs of the processes in a folder; the caller holds the
-// lock.
+// keepOutputs is true if the outputs of runs without a breach are saved too.
+var keepOutputs = os.Getenv("SOAK_KEEP") != ""
+
+// reportBreaches fails the test with the breaches, if there are any, and then saves the outputs of the processes in a folder; the caller holds
+// the lock.
 func (s *site) reportBreaches(folder string) {
-	if len(s.breaches) == 0 {
+	if len(s.breaches) == 0 && !keepOutputs {
 		return
 	}
 	const maxPrinted = 20
