--- a/internal/soak/release_checks_test.go
+++ b/internal/soak/release_checks_test.go
@@ -147,7 +147,7 @@
 	if !isRedraft(r.path) || r.abandoned && !went {
 		return
 	}
-	calm := s.undisturbed(r.sent.Add(-settleTime), r.finished, machine, "store", r.entry.name, r.entry.name+" callers", r.entry.name+" store", r.entry.name+" peers",
+	calm := s.undisturbed(r.sent.Add(-settleTime), r.finished, machine, r.entry.name, r.entry.name+" callers", r.entry.name+" store", r.entry.name+" peers",
 		"zone "+r.entry.zone)
 	if r.began == nil {
 		sum.began.add(went)
@@ -175,7 +175,7 @@
 			continue
 		}
 		from := r.sent.Add(-settleTime)
-		if records[0].At.Before(from) && s.undisturbed(from, r.finished, m.name, m.name+" endpoint") {
+		if records[0].At.Before(from) && s.undisturbed(from, r.finished, m.name) && s.undisturbed(r.sent, r.finished, m.name+" endpoint") {
 			n++
 		}
 	}
--- a/internal/soak/releases_test.go
+++ b/internal/soak/releases_test.go
@@ -180,6 +180,9 @@
 	maxBreakInterval      = 300 * time.Millisecond
 	maxEntryKillInterval  = 8 * time.Second
 	maxStoreFaultInterval = 8 * time.Second
+	maxFreezeInterval     = 6 * time.Second
+	// maxFreezeTime is the longest time for which entries are frozen: lists that they have read before are old then.
+	maxFreezeTime = 5 * time.Second
 	// maxEntryDowntime is the longest time that a killed entry is away.
 	maxEntryDowntime = 500 * time.Millisecond
 )
@@ -187,31 +190,33 @@
 // injectReleases runs all releases and faults of a seed until the given time, waits until all are restored, and returns how many of each.
 func (s *site) injectReleases(seed uint64, o *operator, rollouts []*rollout, end time.Time) (faults, releases int) {
 	var wg sync.WaitGroup
-	counts := make([]int, 3+len(rollouts))
+	released, injected := make([]int, len(rollouts)), make([]int, 4)
 	for i, rel := range rollouts {
-		wg.Go(func() { counts[3+i] = rel.run(s, rand.New(rand.NewPCG(seed, 1<<41+uint64(i))), end) })
+		wg.Go(func() { released[i] = rel.run(s, rand.New(rand.NewPCG(seed, 1<<41+uint64(i))), end) })
 	}
 	wg.Go(func() {
-		counts[0] = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<32)), maxBreakInterval, end, s.breakFault)
+		injected[0] = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<32)), maxBreakInterval, end, s.breakFault)
 	})
 	wg.Go(func() {
-		counts[1] = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<33)), maxEntryKillInterval, end, s.entriesFault)
+		injected[1] = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<33)), maxEntryKillInterval, end, s.entriesFault)
 	})
 	wg.Go(func() {
-		counts[2] = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<34)), maxStoreFaultInterval, end, func(random *rand.Rand) fault {
+		injected[2] = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<34)), maxStoreFaultInterval, end, func(random *rand.Rand) fault {
 			if random.IntN(3) == 0 {
 				return s.restoreFault(random, o)
 			}
 			return s.storeFault(random)
 		})
 	})
+	wg.Go(func() {
+		injected[3] = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<35)), maxFreezeInterval, end, s.freezeFault)
+	})
 	wg.Wait()
-	for i, n := range counts {
-		if i < 3 {
-			faults += n
-		} else {
-			releases += n
-		}
+	for _, n := range injected {
+		faults += n
+	}
+	for _, n := range released {
+		releases += n
 	}
 	return faults, releases
 }
@@ -259,11 +264,7 @@
 		list = append(list, s.leader())
 	}
 	return fault{kind: "kills", part: "entries", do: func() {
-		var names []string
-		for _, m := range list {
-			names = append(names, m.name)
-		}
-		s.disturbAll("kill", names, func() {
+		s.disturbAll("kill", names(list), func() {
 			for _, m := range list {
 				<-m.signal(syscall.SIGKILL).exited
 			}
@@ -274,3 +275,30 @@
 		})
 	}}
 }
+
+// freezeFault returns a fault that freezes some entries.
+func (s *site) freezeFault(random *rand.Rand) fault {
+	duration, list := randomDuration(random, maxFreezeTime), make([]*node, 0, len(s.entries))
+	for _, i := range random.Perm(len(s.entries))[:1+random.IntN(4)] {
+		list = append(list, s.entries[i])
+	}
+	return fault{kind: "freezes", part: "frozen", do: func() {
+		s.disturbAll("freeze", names(list), func() {
+			for _, m := range list {
+				m.signal(syscall.SIGSTOP)
+			}
+			time.Sleep(duration)
+			for _, m := range list {
+				m.signal(syscall.SIGCONT)
+			}
+		})
+	}}
+}
+
+func names(list []*node) []string {
+	var names []string
+	for _, m := range list {
+		names = append(names, m.name)
+	}
+	return names
+}
