--- a/internal/soak/releases_test.go
+++ b/internal/soak/releases_test.go
@@ -17,7 +17,7 @@
 	defaultReleaseSeed    = 2
 	defaultReleaseSeconds = 25
 	releaseEntryCount     = 15
-	releaseCallerCount    = 30
+	releaseCallerCount    = 60
 	releaseServiceCount   = 3
 	// releaseEngineCount is the number of engines of a service at one software version.
 	releaseEngineCount = 3
@@ -151,8 +151,8 @@
 	<-m.signal(syscall.SIGKILL).exited
 }
 
-// run releases a service's generations one after another, until the given time, and returns how many. Mostly entries are cut off from shortly before
-// the first new engine registers.
+// run releases a service's generations one after another, until the given time, and returns how many. Beside the first one, and most others, entries
+// are cut off from shortly before the first new engine registers.
 func (rel *rollout) run(s *site, random *rand.Rand, end time.Time) int {
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -160,13 +160,13 @@
 	time.Sleep(time.Second + time.Duration(random.Int64N(int64(maxFirstRelease-time.Second))))
 	for i := 1; i < len(rel.generations) && time.Now().Before(end); i++ {
 		releases++
-		if c := s.drawCut(random); random.IntN(5) > 0 {
+		if c := s.drawCut(random); random.IntN(5) > 0 || i == 1 {
 			wg.Go(func() { s.cutOff(c) })
 			time.Sleep(time.Duration(random.IntN(1200)) * time.Millisecond)
 		}
 		for j, m := range rel.generations[i].engines {
 			s.startServing(m)
-			time.Sleep(time.Duration(500+random.IntN(1000)) * time.Millisecond)
+			time.Sleep(time.Duration(500+random.IntN(1500)) * time.Millisecond)
 			old, kill := rel.generations[i-1].engines[j], random.IntN(3) == 0
 			wg.Go(func() { s.retire(old, kill) })
 		}
@@ -177,9 +177,12 @@
 
 const (
 	// Longest times between the starts of two faults of a kind, chosen so that parts are undisturbed for long enough to be judged.
-	maxBreakInterval      = 400 * time.Millisecond
+	maxBreakInterval      = 300 * time.Millisecond
 	maxEntryKillInterval  = 8 * time.Second
 	maxStoreFaultInterval = 8 * time.Second
+	maxFreezeInterval     = 6 * time.Second
+	// maxFreezeTime is the longest time for which entries are frozen: lists that they have read before are old then.
+	maxFreezeTime = 5 * time.Second
 	// maxEntryDowntime is the longest time that a killed entry is away.
 	maxEntryDowntime = 500 * time.Millisecond
 )
@@ -187,31 +190,33 @@
 // injectReleases runs all releases and faults of a seed until the given time, waits until all are restored, and returns how many of each.
 func (s *site) injectReleases(seed uint64, o *operator, rollouts []*rollout, end time.Time) (faults, releases int) {
 	var wg sync.WaitGroup
-	counts := make([]int, 3+len(rollouts))
+	released, injected := make([]int, len(rollouts)), make([]int, 4)
 	for i, rel := range rollouts {
-		wg.Go(func() { counts[3+i] = rel.run(s, rand.New(rand.NewPCG(seed, 1<<41+uint64(i))), end) })
+		wg.Go(func() { released[i] = rel.run(s, rand.New(rand.NewPCG(seed, 1<<41+uint64(i))), end) })
 	}
 	wg.Go(func() {
-		counts[0] = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<32)), maxBreakInterval, end, s.breakFault)
+		injected[0] = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<32)), maxBreakInterval, end, s.breakFault)
 	})
 	wg.Go(func() {
-		counts[1] = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<33)), maxEntryKillInterval, end, s.entriesFault)
+		injected[1] = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<33)), maxEntryKillInterval, end, s.entriesFault)
 	})
 	wg.Go(func() {
-		counts[2] = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<34)), maxStoreFaultInterval, end, func(random *rand.Rand) fault {
+		injected[2] = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<34)), maxStoreFaultInterval, end, func(random *rand.Rand) fault {
 			if random.IntN(3) == 0 {
 				return s.restoreFault(random, o)
 			}
 			return s.storeFault(random)
 		})
 	})
+	wg.Go(func() {
+		injected[3] = s.injectFaults(rand.New(rand.NewPCG(seed, 1<<35)), maxFreezeInterval, end, s.freezeFault)
+	})
 	wg.Wait()
-	for i, n := range counts {
-		if i < 3 {
-			faults += n
-		} else {
-			releases += n
-		}
+	for _, n := range injected {
+		faults += n
+	}
+	for _, n := range released {
+		releases += n
 	}
 	return faults, releases
 }
@@ -259,11 +264,7 @@
 		list = append(list, s.leader())
 	}
 	return fault{kind: "kills", part: "entries", do: func() {
-		var names []string
-		for _, m := range list {
-			names = append(names, m.name)
-		}
-		s.disturbAll("kill", names, func() {
+		s.disturbAll("kill", names(list), func() {
 			for _, m := range list {
 				<-m.signal(syscall.SIGKILL).exited
 			}
@@ -274,3 +275,30 @@
 		})
 	}}
 }
+
+// freezeFault returns a fault that freezes some entries.
+func (s *site) freezeFault(random *rand.Rand) fault {
+	duration, list := randomDuration(random, maxFreezeTime), make([]*node, 0, len(s.entries))
+	for _, i := range random.Perm(len(s.entries))[:1+random.IntN(4)] {
+		list = append(list, s.entries[i])
+	}
+	return fault{kind: "freezes", part: "frozen", do: func() {
+		s.disturbAll("freeze", names(list), func() {
+			for _, m := range list {
+				m.signal(syscall.SIGSTOP)
+			}
+			time.Sleep(duration)
+			for _, m := range list {
+				m.signal(syscall.SIGCONT)
+			}
+		})
+	}}
+}
+
+func names(list []*node) []string {
+	var names []string
+	for _, m := range list {
+		names = append(names, m.name)
+	}
+	return names
+}
