Don't begin streams by a list that is so old that others may have forgotten their version

Callers' streams went on at another version after theirs had left: an entry that was cut off, and whose list of endpoints showed the version still, had begun them there more than 20 s after others had seen it leave. For those the version that was left was the only one.

Cause: lateNotice assumed that nobody begins streams at a version later than 5 s after others see it leave, and nothing held anybody to that.

A list may now be 28 s old at most for resumable streams to begin by it, and a version that has left counts for 30 s longer than streams last, so that the two bounds meet with the second for which a stream may be taken up after its deadline. Streams on routes that need no fresh configuration are rejected in cuts longer than 28 s; on others the bound on revocation ends service sooner. After a release, records of streams are kept 25 s longer.

--- a/internal/coordination/origin/history.go
+++ b/internal/coordination/origin/history.go
@@ -20,6 +20,13 @@
 	// returnTime is for how long a version may be out of service and still counts as settled when it returns, so that an endpoint that starts
 	// again takes streams at once. It is shorter than the time for which others take it for one at which streams may have begun.
 	returnTime = 10 * time.Second
+	// LateNotice is how much longer than a stream lasts a version counts as one at which streams may have begun after it has left. Instances that
+	// read no list meanwhile go on beginning streams there until their list is maxBeginAge old: on routes that need no fresh configuration, a cut
+	// zone serves for that long. The difference covers the time after its deadline for which a stream may be taken up.
+	LateNotice  = 30 * time.Second
+	maxBeginAge = 28 * time.Second
+	// oldListRetryDelay is after what time a stream may be tried again that didn't begin since the list of endpoints was too old.
+	oldListRetryDelay = time.Second
 	// reappearTime is how long endpoints may take to register again what a restored store has lost.
 	reappearTime = 2500 * time.Millisecond
 )
@@ -108,8 +115,16 @@
 }
 
 // Settling returns the versions of a service that have come too lately for streams to begin there, and when that ends for each of them as far as
-// known here. A service of which no other version is known within a time has none.
-func (h *History) Settling(now clock.Instant, wall time.Time, service string, within time.Duration) map[string]clock.Instant {
+// known here. A service of which no other version is known within a time has none. If the list of endpoints, which was read at an instant, is so
+// old that others may have seen the versions leave a while ago, it returns all of them.
+func (h *History) Settling(now clock.Instant, wall time.Time, service string, within time.Duration, listedAt clock.Instant) map[string]clock.Instant {
+	if now.Sub(listedAt) > maxBeginAge {
+		all := make(map[string]clock.Instant)
+		for version := range h.present[service] {
+			all[version] = now.Add(oldListRetryDelay)
+		}
+		return all
+	}
 	if h.recordRead && len(h.possible(now, wall, service, within)) <= 1 {
 		return nil
 	}
@@ -134,10 +149,10 @@
 }
 
 // DueSettled returns which versions the store should have on record as settled, and whether that differs from what it has.
-func (h *History) DueSettled(now clock.Instant, wall time.Time, within time.Duration) (map[string][]string, bool) {
+func (h *History) DueSettled(now clock.Instant, wall time.Time, within time.Duration, listedAt clock.Instant) (map[string][]string, bool) {
 	due, changed := make(map[string][]string), false
 	for service, present := range h.present {
-		settling := h.Settling(now, wall, service, within)
+		settling := h.Settling(now, wall, service, within, listedAt)
 		for version := range present {
 			if _, unsettled := settling[version]; !unsettled && version != "" {
 				due[service] = append(due[service], version)
--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -247,7 +247,7 @@
 func TestSettlingVersion(t *testing.T) {
 	Convey("streams begin at a version once no list without it is current any more", t, func() {
 		begins := func(h *origin.History, at clock.Instant, version string) bool {
-			_, settling := h.Settling(at, wall.Add(at.Sub(now)), "llm", within)[version]
+			_, settling := h.Settling(at, wall.Add(at.Sub(now)), "llm", within, at)[version]
 			return !settling
 		}
 		recorded := map[string]origin.Versions{"llm": {"v1": 0}}
@@ -286,9 +286,9 @@
 			h.Observe(now, serving("v1", "v2"))
 			So(begins(h, now, "v1"), ShouldBeTrue)
 			So(begins(h, now, "v2"), ShouldBeFalse)
-			_, changed := h.DueSettled(now, wall, within)
+			_, changed := h.DueSettled(now, wall, within, now)
 			So(changed, ShouldBeFalse)
-			settled, changed := h.DueSettled(now.Add(3*time.Second), wall.Add(3*time.Second), within)
+			settled, changed := h.DueSettled(now.Add(3*time.Second), wall.Add(3*time.Second), within, now.Add(3*time.Second))
 			So(changed, ShouldBeTrue)
 			So(settled, ShouldResemble, map[string][]string{"llm": {"v1", "v2"}})
 		})
@@ -306,6 +306,35 @@
 	})
 }
 
+// Guards against streams that begin by an old list at a version that has left, after others have stopped to reckon with it.
+func TestVersionThatLeftForOthers(t *testing.T) {
+	Convey("streams begin at a version only as long as others take it for one at which they may have begun", t, func() {
+		const longestStream, lateTakeUp = 15 * time.Second, time.Second
+		versions := origin.Record{
+			Versions: map[string]origin.Versions{"llm": {"v1": 0, "v2": 0}}, Settled: map[string][]string{"llm": {"v1", "v2"}},
+		}
+		cutOff, connected := origin.NewHistory(), origin.NewHistory()
+		for _, h := range []*origin.History{cutOff, connected} {
+			h.SetRecorded(versions)
+			h.Observe(now.Add(-time.Minute), serving("v1", "v2"))
+		}
+		// v1 leaves at now. One instance sees that at once, the other one has read the list just before.
+		connected.Observe(now, serving("v2"))
+		connected.SetRecorded(origin.Record{Versions: map[string]origin.Versions{"llm": {"v1": wall.UnixMilli(), "v2": 0}}, Settled: map[string][]string{"llm": {"v2"}}})
+		listedAt, lastBegun := now.Add(-1), clock.Instant(0)
+		for at := now; at.Before(now.Add(2 * time.Minute)); at = at.Add(100 * time.Millisecond) {
+			clockTime := wall.Add(at.Sub(now))
+			if _, settling := cutOff.Settling(at, clockTime, "llm", longestStream+origin.LateNotice, listedAt)["v1"]; !settling {
+				lastBegun = at
+			}
+			if _, sole := connected.Sole(at, clockTime, "llm", longestStream+origin.LateNotice); sole {
+				So(at.Sub(lastBegun), ShouldBeGreaterThan, longestStream+lateTakeUp)
+			}
+		}
+		So(lastBegun.Sub(now), ShouldBeGreaterThan, 20*time.Second)
+	})
+}
+
 // Guards against a record of versions that a restored store has taken back, and which an instance that has just started takes for complete.
 func TestRecordOfRestoredStore(t *testing.T) {
 	Convey("a record from before a restoration tells no only version to an instance that has just started", t, func() {
--- a/internal/gateway/origin_records.go
+++ b/internal/gateway/origin_records.go
@@ -173,10 +173,10 @@
 
 // publish writes the record of versions once these have changed, which takes a few writes for each release.
 func (o *origins) publish(ctx context.Context) error {
-	now, wall := clock.Now(), time.Now()
+	now, wall, listedAt := clock.Now(), time.Now(), o.node.discovery.listedAt()
 	o.mu.Lock()
 	versions, versionsChanged := o.history.Due(now, wall)
-	settled, settledChanged := o.history.DueSettled(now, wall, o.streamTime())
+	settled, settledChanged := o.history.DueSettled(now, wall, o.streamTime(), listedAt)
 	revision, may := o.recordedAt, o.history.MayRecord(now)
 	o.mu.Unlock()
 	if !may || !versionsChanged && !settledChanged {
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -22,10 +22,8 @@
 const (
 	// lateTakeUp is how long after its caller's deadline a stream may still be taken up, since callers count from when they sent the request.
 	lateTakeUp = time.Second
-	// minStreamTime and lateNotice bound how long ago a stream that is taken up may have begun: the longest timeout of a route, and the time
-	// for which an instance may have placed streams on a version after others saw it leave. Clocks may differ by less than the latter.
+	// minStreamTime is the shortest time for which streams are assumed to last at most; a route's timeout may be longer.
 	minStreamTime = 15 * time.Second
-	lateNotice    = 5 * time.Second
 	// learningTime is how long a new leader may need until entries have told it of their streams, and engines of their caches.
 	learningTime = 3 * time.Second
 	// originWait bounds how long a take-up waits for that, and originRetryPause is the pause between two attempts to place it.
@@ -189,8 +187,8 @@
 	return h.Sum64()
 }
 
-// observe records the versions that are in service, and returns those that are settling, by service.
-func (o *origins) observe(byService map[string][]*registration.Registration) map[string]map[string]clock.Instant {
+// observe records the versions that are in service.
+func (o *origins) observe(byService map[string][]*registration.Registration) {
 	present := make(map[string]map[string]bool)
 	for service, endpoints := range byService {
 		for _, r := range endpoints {
@@ -203,15 +201,16 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.history.Observe(clock.Now(), present)
-	return o.settling()
 }
 
-// settling returns the versions at which no streams may begin yet that may go on elsewhere, by service; the caller holds the lock.
-func (o *origins) settling() map[string]map[string]clock.Instant {
+// settling returns the versions at which no streams may begin yet that may go on elsewhere, by service, given when the list of endpoints was read.
+func (o *origins) settling(listedAt clock.Instant) map[string]map[string]clock.Instant {
 	now, wall, within := clock.Now(), time.Now(), o.streamTime()
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	var settling map[string]map[string]clock.Instant
 	for _, service := range o.history.Services() {
-		if versions := o.history.Settling(now, wall, service, within); len(versions) > 0 {
+		if versions := o.history.Settling(now, wall, service, within, listedAt); len(versions) > 0 {
 			if settling == nil {
 				settling = make(map[string]map[string]clock.Instant)
 			}
@@ -292,13 +291,14 @@
 	return partHash(req.Service, req.Parts[len(req.Parts)-1].ID)
 }
 
-// streamTime returns how long ago a stream may have begun that is taken up now.
+// streamTime returns how long ago a version may have left at which a stream began that is taken up now. Clocks may differ by less than
+// origin.LateNotice.
 func (o *origins) streamTime() time.Duration {
 	longest := minStreamTime
 	if table := o.node.table.Load(); table != nil {
 		longest = max(longest, table.LongestStream())
 	}
-	return longest + lateNotice
+	return longest + origin.LateNotice
 }
 
 func (o *origins) run(ctx context.Context) {
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -245,10 +245,11 @@
 
 // setEndpoints sets the endpoints as registered at the instant readAt.
 func (p *placer) setEndpoints(readAt clock.Instant, byService map[string][]*registration.Registration) {
-	settling := p.node.origins.observe(byService)
+	p.node.origins.observe(byService)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.confirmedAt.Store(0)
+	settling := p.node.origins.settling(readAt)
 	for service := range byService {
 		p.pool(service)
 	}
@@ -262,9 +263,7 @@
 
 // setSettling updates at which versions no streams may begin yet.
 func (p *placer) setSettling() {
-	p.node.origins.mu.Lock()
-	settling := p.node.origins.settling()
-	p.node.origins.mu.Unlock()
+	settling := p.node.origins.settling(p.node.discovery.listedAt())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for service, pool := range p.pools {
--- a/internal/gateway/stale_versions_test.go
+++ b/internal/gateway/stale_versions_test.go
@@ -164,3 +164,37 @@
 		})
 	})
 }
+
+// Guards against streams that go on at another version since theirs has left, though an entry that is cut off still begins streams there.
+func TestStreamOfVersionThatLeftForOthers(t *testing.T) {
+	t.Parallel()
+	Convey("streams that a cut-off entry begins at a version whose endpoints have lost their registrations a while ago", t, func() {
+		const (
+			streams = 12
+			// awayTime is longer than a stream lasts, and shorter than an entry may begin streams by an old list.
+			awayTime = 23 * time.Second
+		)
+		s := newSite()
+		spec := defaultSpec()
+		spec.Version, spec.Routes[2].MaxAttempts, spec.Routes[2].Public = 9, 1, true
+		s.putConfiguration(spec)
+		s.addVersion("v1", 2)
+		s.addVersion("v2", 2)
+		var cut atomic.Bool
+		a := s.addEntryWith(func(cfg *settings.Hosted) { cfg.Advertise = silentRelay(cfg.Peers, &cut) })
+		a.expectReady(true)
+		store := s.cutOff(&cut)
+		b := s.addEntryWith(func(cfg *settings.Hosted) { cfg.Store, cfg.Advertise = store, silentRelay(cfg.Peers, &cut) })
+		b.expectReady(true)
+		s.awaitSettled("v1", "v2")
+		time.Sleep(2 * time.Second)
+		cut.Store(true)
+		time.Sleep(time.Second)
+		for i := range 2 {
+			s.store.Delete(fmt.Sprintf("servers/llm-v1-%d", i))
+		}
+		time.Sleep(awayTime)
+		_, joined := s.takeUp(a, s.breakStreams(b, streams))
+		So(joined, ShouldEqual, 0)
+	})
+}
