Determine under the placement's lock at which versions no streams begin yet

The periodic update could replace what a newer list had brought, so that streams began for up to 250 ms at a version that had just come.

--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -263,9 +263,10 @@
 
 // setSettling updates at which versions no streams may begin yet.
 func (p *placer) setSettling() {
-	settling := p.node.origins.settling(p.node.discovery.listedAt())
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// Determined under the lock, so that it doesn't replace what a newer list has brought.
+	settling := p.node.origins.settling(p.node.discovery.listedAt())
 	for service, pool := range p.pools {
 		pool.SetSettling(settling[service])
 	}
