Put a list into effect that equals changes which didn't match

An entry may go on with an old list of endpoints that counts as current: a relay's changes that don't match what the entry holds have changed its catalog already when that is found, and are dropped. The next read of the same list then shows no difference, so that neither the endpoints nor the versions in service are updated, while the time of the list is. The only version on that list would be taken for the only one in service.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -35,6 +35,8 @@
 	// changeSource is the incarnation of the relay whose changes are applied, and changeNumber is the number of the last one.
 	changeSource string
 	changeNumber uint64
+	// unapplied is true if the catalog has been changed by changes that didn't match, and isn't in effect.
+	unapplied bool
 	// wantsAll is true if the next query has to ask for all registrations, since those held come from an earlier release and lack the software
 	// versions that the relay can name.
 	wantsAll bool
@@ -64,8 +66,9 @@
 	}
 	d.mu.Lock()
 	d.changeSource = ""
-	if revision >= d.heldRevision && d.catalog.Replace(list) || !d.loaded.Load() {
+	if newest := revision >= d.heldRevision; newest && (d.catalog.Replace(list) || d.unapplied) || !d.loaded.Load() {
 		list = d.catalog.List()
+		d.unapplied = false
 	} else {
 		list = nil
 	}
@@ -186,12 +189,15 @@
 		d.changeSource, d.changeNumber = update.Run, update.Changes.Number
 		if !d.catalog.Apply(update.Changes) {
 			// The changes apply to a different state than the one held here; the next query requests everything.
-			d.changeSource = ""
+			d.changeSource, d.unapplied = "", true
 			d.mu.Unlock()
 			return
 		}
 		list = d.catalog.List()
+	} else if d.unapplied {
+		list = d.catalog.List()
 	}
+	d.unapplied = false
 	d.wantsAll = update.NamesSoftware && d.catalog.LacksSoftware()
 	d.mu.Unlock()
 	d.activate(readAt, revision, list)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"net/http"
 
+	"gypsumvale/internal/coordination/registry"
+	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/state/clock"
 )
 
@@ -42,3 +46,26 @@
 
 // KnowsLeader reports whether a node knows which instance leads.
 func KnowsLeader(n *Node) bool { return n.members.owner() != "" }
+
+// ReadAfterMismatchedChanges has a node receive the registrations in the store as a relay's changes with another digest, and then read the same list
+// itself. It returns the number of usable endpoints afterwards.
+func ReadAfterMismatchedChanges(ctx context.Context, n *Node) (usable int, err error) {
+	list, err := n.deps.Store.Range(ctx, n.deps.Schema.RegistrationPrefix(), "")
+	if err != nil {
+		return 0, fmt.Errorf("read registrations: %w", err)
+	}
+	changes := registry.Changes{Number: 9, Sum: 1}
+	for _, item := range list.Items {
+		r, err := n.deps.Schema.Registration(item)
+		if err != nil {
+			return 0, fmt.Errorf("decode registration: %w", err)
+		}
+		changes.Changed = append(changes.Changed, *r)
+	}
+	n.discovery.applyRelayed(clock.Now(), &peer.SyncReply{RegistrationsRevision: uint64(list.Revision), Changes: &changes})
+	n.discovery.applyListing(clock.Now(), list.Revision, list.Items)
+	for _, endpoints := range n.discovery.snapshot() {
+		usable += len(endpoints)
+	}
+	return usable, nil
+}
--- a/internal/gateway/stale_versions_test.go
+++ b/internal/gateway/stale_versions_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gypsumvale/internal/coordination/rank"
+	"gypsumvale/internal/gateway"
 	"gypsumvale/internal/settings"
 	"gypsumvale/internal/standin/hosted"
 )
@@ -198,3 +200,20 @@
 		So(joined, ShouldEqual, 0)
 	})
 }
+
+// Guards against a list of endpoints that is confirmed as current though it was never put into effect.
+func TestListAfterMismatchedChanges(t *testing.T) {
+	t.Parallel()
+	Convey("a list that is the same as changes that didn't match is put into effect", t, func() {
+		s := newSite()
+		s.putConfiguration(defaultSpec())
+		s.addVersion("v1", 2)
+		e := s.addEntry()
+		e.expectReady(true)
+		e.stop()
+		s.addVersion("v2", 2)
+		usable, err := gateway.ReadAfterMismatchedChanges(context.Background(), e.node)
+		So(err, ShouldBeNil)
+		So(usable, ShouldEqual, 4)
+	})
+}
