Have versions settle again after a time without a list of endpoints

Streams could begin at once at a version that had left and returned while an entry read no list, and others, which had seen it leave, went on with them at another version by a list of a moment before. The same held for a version that an older record, as that of a restored store, calls settled though this entry has seen it leave.

--- a/internal/coordination/origin/history.go
+++ b/internal/coordination/origin/history.go
@@ -94,6 +94,20 @@
 	h.present = present
 }
 
+// RecordGap records that no list was read between two instants. If that is long enough for a version to have left and returned unnoticed, what was seen
+// before tells nothing of how long a version has been in service.
+func (h *History) RecordGap(since, now clock.Instant) {
+	if h.since == 0 || now.Sub(since) < returnTime {
+		return
+	}
+	h.since = now
+	for service, versions := range h.present {
+		for version := range versions {
+			h.firstSeen[service][version] = now
+		}
+	}
+}
+
 // Services returns the services that have endpoints.
 func (h *History) Services() []string {
 	return slices.Collect(maps.Keys(h.present))
@@ -142,8 +156,11 @@
 	return settling
 }
 
-// recordedSettled reports whether a version is on record as settled and in service.
+// recordedSettled reports whether a version is on record as settled and in service. The record may be older than what was seen here.
 func (h *History) recordedSettled(service, version string) bool {
+	if _, seenLeaving := h.lastSeen[service][version]; seenLeaving {
+		return false
+	}
 	left, ok := h.recorded[service][version]
 	return ok && left == 0 && slices.Contains(h.settled[service], version)
 }
--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -335,6 +335,48 @@
 	})
 }
 
+// Guards against streams that begin at once at a version that has been away while this instance read no list.
+func TestVersionAwayDuringGap(t *testing.T) {
+	Convey("a version that has left and returned while no list was read", t, func() {
+		h := origin.NewHistory()
+		h.SetRecorded(origin.Record{Versions: map[string]origin.Versions{"llm": {"v1": 0, "v2": 0}}})
+		h.Observe(now, serving("v1", "v2"))
+		begins := func(at clock.Instant) bool {
+			_, settling := h.Settling(at, wall.Add(at.Sub(now)), "llm", within, at)["v2"]
+			return !settling
+		}
+		Convey("settles again", func() {
+			at := now.Add(41 * time.Second)
+			h.RecordGap(now.Add(time.Second), at)
+			h.Observe(at, serving("v1", "v2"))
+			So(begins(at), ShouldBeFalse)
+			So(begins(at.Add(3*time.Second)), ShouldBeTrue)
+		})
+		Convey("settles no longer if it is on record as settled", func() {
+			at := now.Add(41 * time.Second)
+			h.SetRecorded(origin.Record{Versions: map[string]origin.Versions{"llm": {"v1": 0, "v2": 0}}, Settled: map[string][]string{"llm": {"v1", "v2"}}})
+			h.RecordGap(now.Add(time.Second), at)
+			So(begins(at), ShouldBeTrue)
+		})
+		Convey("doesn't after a short gap", func() {
+			at := now.Add(8 * time.Second)
+			h.RecordGap(now.Add(time.Second), at)
+			So(begins(at), ShouldBeTrue)
+		})
+	})
+	Convey("a version that was seen to leave and returns settles again, whatever an older record says", t, func() {
+		h := origin.NewHistory()
+		h.SetRecorded(origin.Record{
+			Versions: map[string]origin.Versions{"llm": {"v1": 0, "v2": 0}}, Settled: map[string][]string{"llm": {"v1", "v2"}}, Restored: true,
+		})
+		h.Observe(now, serving("v1", "v2"))
+		h.Observe(now.Add(time.Second), serving("v1"))
+		at := now.Add(41 * time.Second)
+		h.Observe(at, serving("v1", "v2"))
+		So(h.Settling(at, wall.Add(41*time.Second), "llm", within, at), ShouldContainKey, "v2")
+	})
+}
+
 // Guards against a record of versions that a restored store has taken back, and which an instance that has just started takes for complete.
 func TestRecordOfRestoredStore(t *testing.T) {
 	Convey("a record from before a restoration tells no only version to an instance that has just started", t, func() {
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -82,6 +82,9 @@
 // is one without changes.
 func (d *discovery) activate(readAt clock.Instant, revision kv.Revision, list []*registration.Registration) bool {
 	n := d.node
+	if previous := d.listedAt(); previous != 0 {
+		n.origins.recordGap(previous, clock.Now())
+	}
 	d.mu.Lock()
 	d.heldRevision = max(d.heldRevision, revision)
 	if list == nil {
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -86,7 +86,7 @@
 	if req.Stream == 0 || software == "" {
 		return
 	}
-	until, now, source := req.Deadline.Add(lateTakeUp), clock.Now(), origin.Begun
+	until, now, listedAt, source := req.Deadline.Add(lateTakeUp), clock.Now(), o.node.discovery.listedAt(), origin.Begun
 	if own {
 		source = origin.Sent
 	}
@@ -94,7 +94,7 @@
 	defer o.mu.Unlock()
 	began := origin.Origin{Service: req.Service, Software: software, Until: until, Own: own, Source: source, At: now}
 	o.recordBegun(req.Stream, began)
-	if placed && (o.several[req.Service] || !origin.Current(now, o.node.discovery.listedAt())) {
+	if placed && (o.several[req.Service] || !origin.Current(now, listedAt)) {
 		// There are several versions, or may be.
 		o.tellRegistrars(req.Stream, began)
 	}
@@ -187,6 +187,13 @@
 	return h.Sum64()
 }
 
+// recordGap records that no list of endpoints was read between two instants.
+func (o *origins) recordGap(since, now clock.Instant) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.history.RecordGap(since, now)
+}
+
 // observe records the versions that are in service.
 func (o *origins) observe(byService map[string][]*registration.Registration) {
 	present := make(map[string]map[string]bool)
