Go by the engines' caches only where they are followed

A take-up could go on at a version whose engine had read the prompt for an attempt without a first event, while the stream had begun at another one: an entry that was cut off had not heard of the engines there, or had followed the caches as the leader of an earlier term only. That nothing was heard of another reader was taken for that there was none.

Caches now tell the version only at the leader, which follows them, and with a list of endpoints that is new. TestStreamByCachesNotFollowed failed before.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -6,9 +6,12 @@
 	"net"
 	"net/http"
 
+	"gypsumvale/internal/coordination/origin"
+	"gypsumvale/internal/coordination/placement"
 	"gypsumvale/internal/coordination/registry"
 	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/state/clock"
+	"gypsumvale/internal/state/prompt"
 )
 
 // HoldPlacement keeps a node's placement from running until the returned function is called.
@@ -69,3 +72,16 @@
 	}
 	return usable, nil
 }
+
+// TakeUpAfterRead has a node hear that an engine of a software version has read a prompt, and returns the version at which it goes on with a stream of
+// that prompt of which it knows nothing else. It is empty if the node rejects that.
+func TakeUpAfterRead(n *Node, service, software string) string {
+	req := &placement.Request{Service: service, Stream: 1, TakesUp: true, Parts: []prompt.Part{{ID: "own", Tokens: 100}}}
+	n.origins.mu.Lock()
+	n.origins.readers.Record(clock.Now(), lastPartHash(req), software)
+	n.origins.mu.Unlock()
+	if err := n.origins.resolve(req); err != nil || req.Origin.Source != origin.Cache {
+		return ""
+	}
+	return req.Software
+}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -272,12 +272,14 @@
 	now := clock.Now()
 	within, learning, listedAt := o.streamTime(), !o.node.leadership.hasLedFor(now, learningTime), o.node.discovery.listedAt()
 	current := origin.Current(now, listedAt)
+	// Only the leader follows the caches of engines, and of those that it has heard of.
+	followsCaches := current && o.node.leadership.holdsLease(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	software, source := "", placement.StreamOrigin{}
 	if sole, ok := o.history.Sole(now, time.Now(), req.Service, within); ok && current {
 		software, source = sole, placement.StreamOrigin{Source: origin.Sole, Age: now.Sub(listedAt)}
-	} else if reader, ok := o.readers.Lookup(lastPartHash(req)); ok {
+	} else if reader, ok := o.readers.Lookup(lastPartHash(req)); ok && followsCaches {
 		software, source = reader, placement.StreamOrigin{Source: origin.Cache}
 	}
 	// Where the request was placed doesn't tell the version, but may contradict what does.
--- a/internal/gateway/stale_versions_test.go
+++ b/internal/gateway/stale_versions_test.go
@@ -217,3 +217,16 @@
 		So(usable, ShouldEqual, 4)
 	})
 }
+
+// Guards against streams that go on at the only version whose engines an instance has heard of, though it doesn't follow the engines' caches any more.
+func TestStreamByCachesNotFollowed(t *testing.T) {
+	t.Parallel()
+	Convey("a stream of which only the engines' caches tell goes on where the leader follows them, and nowhere else", t, func() {
+		s := startVersions(1)
+		e := s.entries[0]
+		eventually("the entry leads", func() bool { return gateway.Leads(e.node) })
+		So(gateway.TakeUpAfterRead(e.node, "llm", "v1"), ShouldEqual, "v1")
+		e.stop()
+		So(gateway.TakeUpAfterRead(e.node, "llm", "v1"), ShouldBeEmpty)
+	})
+}
