Give a request that is placed without the leader a number of its own

Callers got streams that began at one software version and went on at another, while nothing had been restarted or killed (ORDER): the leader told other entries a version at which the stream hadn't begun.

Cause: an entry that got no reply from the leader placed the request alone under the number under which it had asked. Where the leader had placed it, and the withdrawal was lost like the reply, its own placement stayed: the report of running requests was ignored as known (Pool.Adopt), and the first event, reported by that number, was recorded as one of the endpoint that the leader had chosen. Class: a name (the number) that stands for two things.

TestStreamOfLostPlacement loses replies for 50 ms, all messages for 150 ms, then nothing. An entry of an earlier release still reuses its numbers until it is upgraded.

--- a/internal/gateway/placed_elsewhere_test.go
+++ b/internal/gateway/placed_elsewhere_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 	"gypsumvale/internal/coordination/origin"
 	"gypsumvale/internal/coordination/rank"
 	"gypsumvale/internal/gateway"
+	"gypsumvale/internal/settings"
 	"gypsumvale/internal/standin/hosted"
 )
 
@@ -64,9 +67,11 @@
 }
 
 // startVersionsKnownToLeader starts a site of two software versions as startRegistrars. The leader knows that an engine of v2 has read the text that
-// the streams of breakAlone share, so that it places these streams there; entries that place alone don't know that.
-func startVersionsKnownToLeader() (s *site, leader *entry, others []*entry) {
-	s = startVersions(1)
+// the streams of breakShared have in common, so that it places these streams there; entries that place alone don't know that.
+func startVersionsKnownToLeader(configure func(leader *settings.Hosted)) (s *site, leader *entry, others []*entry) {
+	s = startVersions(0)
+	s.addEntryWith(configure).expectReady(true)
+	s.awaitSettled("v1", "v2")
 	leader, others = s.startRegistrars()
 	spec := defaultSpec()
 	spec.Version, spec.Routes[2].MaxAttempts = 9, 1
@@ -89,12 +94,12 @@
 	return s, leader, others
 }
 
-// breakAlone begins streams at entries that place alone, since their leader doesn't answer in time, and that are broken off after three events.
-func (s *site) breakAlone(leader *entry, entries []*entry, count int) (broken []brokenStream, release func()) {
-	s.eachEndpoint(hosted.EndpointFault{CutAfter: 3})
-	release = gateway.HoldPlacement(leader.node)
+// breakShared begins streams at entries at once, whose prompts share a text, and that are broken off after three events. It makes no assertions, so
+// that it may run in a goroutine; streams that don't begin, or not as they should, are left out.
+func (s *site) breakShared(entries []*entry, count int) []brokenStream {
 	var calls sync.WaitGroup
 	var mu sync.Mutex
+	var broken []brokenStream
 	for i := range count {
 		calls.Go(func() {
 			parts := fmt.Sprintf("shared:12000,own%d:100", i)
@@ -107,8 +112,16 @@
 		})
 	}
 	calls.Wait()
-	So(broken, ShouldHaveLength, count)
+	return broken
+}
+
+// breakAlone is breakShared at entries that place alone, since the leader doesn't answer in time.
+func (s *site) breakAlone(leader *entry, entries []*entry, count int) (broken []brokenStream, release func()) {
+	s.eachEndpoint(hosted.EndpointFault{CutAfter: 3})
+	release = gateway.HoldPlacement(leader.node)
+	broken = s.breakShared(entries, count)
 	s.eachEndpoint(hosted.EndpointFault{})
+	So(broken, ShouldHaveLength, count)
 	return broken, release
 }
 
@@ -134,7 +147,7 @@
 	t.Parallel()
 	Convey("streams that the leader placed, and that entries without its reply began, some at another version", t, func() {
 		const streams = 24
-		s, leader, others := startVersionsKnownToLeader()
+		s, leader, others := startVersionsKnownToLeader(func(*settings.Hosted) {})
 		broken, release := s.breakAlone(leader, others, streams)
 		Convey("aren't joined if all entries were restarted before the leader heard where they began", func() {
 			stopAll(others)
@@ -200,3 +213,77 @@
 		So(wentOn, ShouldEqual, streams)
 	})
 }
+
+// lossyRelay forwards connections to an address, and drops what arrives while a flag is set: requests, or replies. It returns its own address.
+func lossyRelay(address string, dropRequests, dropReplies *atomic.Bool) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	Reset(func() { _ = l.Close() })
+	pipe := func(to, from net.Conn, drop *atomic.Bool) {
+		defer func() { _ = to.Close() }()
+		buf := make([]byte, 1<<16)
+		for {
+			n, err := from.Read(buf)
+			if err != nil {
+				return
+			}
+			if drop.Load() {
+				continue
+			}
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			up, err := net.Dial("tcp", address)
+			if err != nil {
+				_ = c.Close()
+				continue
+			}
+			go pipe(up, c, dropRequests)
+			go pipe(c, up, dropReplies)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a leader that takes the first event of a request that an entry has placed alone for that of its own placement of the request,
+// whose reply and withdrawal were lost.
+func TestStreamOfLostPlacement(t *testing.T) {
+	t.Parallel()
+	Convey("streams that an entry began alone, while the leader still counts its own placement of them at another version", t, func() {
+		const streams, begins = 16, 700 * time.Millisecond
+		var dropRequests, dropReplies atomic.Bool
+		s, _, others := startVersionsKnownToLeader(func(cfg *settings.Hosted) {
+			cfg.Advertise = lossyRelay(cfg.Peers, &dropRequests, &dropReplies)
+		})
+		alone, last := others[1], others[3]
+		s.eachEndpoint(hosted.EndpointFault{CutAfter: 3, StartDelay: begins})
+		dropReplies.Store(true)
+		var calls sync.WaitGroup
+		var broken []brokenStream
+		calls.Go(func() { broken = s.breakShared([]*entry{alone}, streams) })
+		time.Sleep(50 * time.Millisecond)
+		// The leader has placed the requests. The entry withdraws them 80 ms after it has asked.
+		dropRequests.Store(true)
+		time.Sleep(150 * time.Millisecond)
+		dropRequests.Store(false)
+		dropReplies.Store(false)
+		time.Sleep(100 * time.Millisecond)
+		// The entry reports its running requests once the leader answers.
+		calls.Go(func() { s.send(alone, http.MethodPost, "/redraft/", "plan") })
+		calls.Wait()
+		s.eachEndpoint(hosted.EndpointFault{})
+		So(broken, ShouldHaveLength, streams)
+		time.Sleep(300 * time.Millisecond)
+		wentOn, joined := s.takeUp(last, broken)
+		So(joined, ShouldEqual, 0)
+		So(wentOn, ShouldEqual, streams)
+	})
+}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -289,6 +289,7 @@
 		// Only the leader knows what all instances send to an endpoint that has named a limit, and where streams of other instances began.
 		leader = n.members.owner()
 	}
+	var unplaced error
 	switch {
 	case leader == "" || alone && leader != n.cfg.Name || n.leaderBackoff.active(now, leader):
 	case leader == n.cfg.Name:
@@ -325,10 +326,15 @@
 				zap.Int("weights", choice.Version), zap.String("software", choice.Software))
 		} else if ctx.Err() == nil {
 			n.leaderBackoff.record(leader, now, false)
-			n.log.Info(event.PlacementOwnerChanged, "leader did not place the request", zap.String("leader", leader),
-				zap.Uint64("placement", req.ID.Number), zap.Error(err))
+			unplaced = err
 		}
 	}
+	// The leader may have placed the request at another endpoint, and would take the first event for one from there.
+	req.ID.Number = p.nextNumber()
+	if unplaced != nil {
+		n.log.Info(event.PlacementOwnerChanged, "leader did not place the request", zap.String("leader", leader),
+			zap.Uint64("placement", req.ID.Number), zap.Error(unplaced))
+	}
 	n.metrics.Placements.WithLabelValues("alone").Inc()
 	req.Uncoordinated = true
 	choice, err := p.placeLocally(req)
