--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -484,9 +484,12 @@
 func (j *job) fail(ctx context.Context, refused *refusal) {
 	switch {
 	case j.attempts.ResponseSent():
-		if j.writeFailed || j.r.Context().Err() != nil {
+		switch {
+		case j.writeFailed || j.r.Context().Err() != nil:
 			j.recordEnd("left", reasonLeft, 0)
-		} else {
+		case errors.Is(ctx.Err(), context.DeadlineExceeded):
+			j.recordEnd("cut", "deadline", 0)
+		default:
 			j.recordEnd("cut", refused.reason, 0)
 		}
 		// Once part of the answer has been sent, only closing the connection tells the caller that it is truncated.
