--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -155,12 +155,15 @@
 	return nil
 }
 
-// mayRerun takes the attempt from the retry budget that follows if this one is ended. It reports false if nothing is left of the budget, since the
-// request would end without an answer, or if the endpoint is no longer silent.
+// mayRerun reports whether the attempt may be ended, which it may not if the endpoint is no longer silent. If a part of the answer has arrived, the
+// next attempt is taken from the retry budget: without one the answer would be cut, while a request without an answer gets a status.
 func (d *watchdog) mayRerun() bool {
 	if remaining, active := d.remaining(); !active || remaining > 0 {
 		return false
 	}
+	if !d.hasStarted() {
+		return true
+	}
 	if !d.job.takeRetry() {
 		return false
 	}
