Don't end answers because an entry with a full link takes itself for isolated

Change: an answer that has begun is ended then only if one more dial to its endpoint fails within a second too, and the endpoint and the isolation are still as they were.

--- a/internal/gateway/full_link_test.go
+++ b/internal/gateway/full_link_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -52,35 +55,55 @@
 // that these went on with.
 func TestStreamsWhileOwnLinkIsFull(t *testing.T) {
 	t.Parallel()
-	// expectWhole has a stream meet a full link and expects that its caller gets it whole, from one run.
-	expectWhole := func(configure func(*settings.Hosted)) {
+	// expectWhole has a stream meet a full link, beside a number of other requests, and expects that its caller gets it whole, from one run.
+	expectWhole := func(attempts, others int, configure func(*settings.Hosted)) {
+		const events, streamTimeout = 30, 20 * time.Second
 		link := &fullLink{dialDelay: 300 * time.Millisecond}
 		s := newSite()
 		s.dial = link.dial
-		s.putConfiguration(defaultSpec())
+		spec := defaultSpec()
+		spec.Routes[2].MaxAttempts, spec.Routes[2].TimeoutMs = attempts, int(streamTimeout.Milliseconds())
+		s.putConfiguration(spec)
 		for _, id := range []string{"llm-0", "llm-1"} {
-			s.addEndpoint(hosted.EndpointConfig{ID: id, Service: "llm", Model: testModel, Version: 1, Events: 30, Work: 30 * time.Millisecond})
+			s.addEndpoint(hosted.EndpointConfig{ID: id, Service: "llm", Model: testModel, Version: 1, Events: events, Work: 30 * time.Millisecond})
 		}
 		e := s.addEntryWith(func(cfg *settings.Hosted) {
 			cfg.MaxRevocationDelay = time.Minute
 			configure(cfg)
 		})
 		e.expectReady(true)
-		done := make(chan response, 1)
-		go func() { done <- s.send(e, http.MethodPost, "/redraft/x", "a body") }()
-		eventually("the stream runs", func() bool { return len(s.endpoints[0].Runs())+len(s.endpoints[1].Runs()) > 0 })
-		time.Sleep(200 * time.Millisecond)
+		const id = "full-link"
+		c := e.dial()
+		So(c.conn.SetDeadline(time.Now().Add(streamTimeout)), ShouldBeNil)
+		c.send(id, "/redraft/x", fmt.Sprintf("Model: %s\r\nToken-Usage: 1000,30\r\nPrompt-Prefix: a1:600,b2:300\r\nDeadline-Ms: %d\r\n", testModel,
+			streamTimeout.Milliseconds()))
+		resp, err := http.ReadResponse(c.r, nil)
+		So(err, ShouldBeNil)
+		Reset(func() { _ = resp.Body.Close() })
+		So(resp.StatusCode, ShouldEqual, http.StatusOK)
+		begin := make([]byte, 100)
+		_, err = io.ReadFull(resp.Body, begin)
+		So(err, ShouldBeNil)
 		link.full.Store(true)
+		var wg sync.WaitGroup
+		for range others {
+			wg.Go(func() { s.send(e, http.MethodPost, "/redraft/x", "another body") })
+		}
 		time.Sleep(1200 * time.Millisecond)
 		link.full.Store(false)
-		a := <-done
-		s.expectAnswered(a)
-		So(len(s.runs(a.id)), ShouldEqual, 1)
+		rest, err := io.ReadAll(resp.Body)
+		wg.Wait()
+		So(err, ShouldBeNil)
+		So(string(begin)+string(rest), ShouldEqual, hosted.Stream(events))
+		So(len(s.runs(id)), ShouldEqual, 1)
 	}
 	Convey("a stream whose entry has no path but a full one for a moment is whole", t, func() {
-		Convey("if it could be resumed elsewhere", func() { expectWhole(func(*settings.Hosted) {}) })
+		Convey("if it could be resumed elsewhere", func() { expectWhole(2, 0, func(*settings.Hosted) {}) })
 		Convey("if the retry budget is used up", func() {
-			expectWhole(func(cfg *settings.Hosted) { cfg.RetryShare, cfg.RetryReserve = 0, 0 })
+			expectWhole(2, 0, func(cfg *settings.Hosted) { cfg.RetryShare, cfg.RetryReserve = 0, 0 })
+		})
+		Convey("if it may not be sent again, and other requests find that no endpoint can be reached", func() {
+			expectWhole(1, 4, func(*settings.Hosted) {})
 		})
 	})
 }
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -70,7 +70,7 @@
 	case j.attempts.CanRerun():
 		d.timer = time.AfterFunc(d.timeout, func() { d.checkSilence(ctx) })
 	case j.attempts.Repeatable:
-		d.timer = time.AfterFunc(d.timeout, func() { d.checkIsolation() })
+		d.timer = time.AfterFunc(d.timeout, func() { d.checkIsolation(ctx) })
 	}
 	return ctx, d
 }
@@ -171,6 +171,17 @@
 	return true
 }
 
+// confirmIsolation reports whether the endpoint of an answer that has begun accepts no connection and is still silent. This instance also counts as
+// isolated while its own link is full.
+func (d *watchdog) confirmIsolation(ctx context.Context) bool {
+	if !d.hasStarted() {
+		return true
+	}
+	err := d.job.node.upstreams.ProbeWithin(ctx, d.address, patientTimeout)
+	remaining, active := d.remaining()
+	return err != nil && active && remaining <= 0 && d.job.node.links.isolated.Load()
+}
+
 func (d *watchdog) hasStarted() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -179,12 +190,12 @@
 
 // checkIsolation ends an attempt that can't be repeated here if its endpoint is silent while this entry is isolated: its caller may repeat it, and a
 // peer serves it then. Without isolation a silent endpoint is left alone.
-func (d *watchdog) checkIsolation() {
+func (d *watchdog) checkIsolation(ctx context.Context) {
 	remaining, active := d.remaining()
 	if !active {
 		return
 	}
-	if remaining <= 0 && d.job.node.links.isolated.Load() {
+	if remaining <= 0 && d.job.node.links.isolated.Load() && d.confirmIsolation(ctx) {
 		d.job.node.log.Info(event.EndpointDown, "silent endpoint can't be reached", zap.String("request", d.job.head.ID),
 			zap.String("endpoint", d.endpoint), zap.Int64("silent_ms", d.silentFor().Milliseconds()))
 		d.cancel(errSilent)
