Let the soak's releases and cuts outlast the time for which a version settles

Each step of a release now takes 1 to 4 s, cuts last up to 12 s, and revocation is 15 s for even seeds.

--- a/internal/soak/cuts_test.go
+++ b/internal/soak/cuts_test.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// A cut lasts longer than an engine takes to start and register, and at most as long as a zone's may.
+	// The longest cuts outlast the start of an engine and the time for which its version settles, so that its streams are taken up at cut entries.
 	minCutTime = time.Second
-	maxCutTime = 8 * time.Second
+	maxCutTime = 12 * time.Second
 	// minCutGroup and maxCutGroup bound how many entries of any zones are cut off at once.
 	minCutGroup = 2
 	maxCutGroup = 6
--- a/internal/soak/releases_test.go
+++ b/internal/soak/releases_test.go
@@ -25,11 +25,11 @@
 	releaseEvents    = 20
 	releaseEventTime = 60 * time.Millisecond
 	// longRevocation is the bound on revocation for even seeds, during which an entry serves without the store; others have maxRevocationDelay.
-	longRevocation = 8 * time.Second
+	longRevocation = 15 * time.Second
 	// maxFirstRelease is the latest start of a service's first release. Only that one replaces the only version that was in service lately.
 	maxFirstRelease = 10 * time.Second
-	// minReleaseTime is shorter than any release takes.
-	minReleaseTime = 2 * time.Second
+	// minReleaseTime is the shortest time between the starts of two releases.
+	minReleaseTime = 3500 * time.Millisecond
 	// maxDrainTime is how long a leaving engine may run on.
 	maxDrainTime = 10 * time.Second
 )
@@ -166,7 +166,7 @@
 		}
 		for j, m := range rel.generations[i].engines {
 			s.startServing(m)
-			time.Sleep(time.Duration(500+random.IntN(1500)) * time.Millisecond)
+			time.Sleep(time.Duration(1000+random.IntN(3000)) * time.Millisecond)
 			old, kill := rel.generations[i-1].engines[j], random.IntN(3) == 0
 			wg.Go(func() { s.retire(old, kill) })
 		}
