Wait until both versions have settled before the soak expects streams

The soak waited for entries only, as their readiness says nothing about versions. Whether a site's first start should reject streams is a question to the design; if it may, this waits until each entry begins a stream, for 5 s at most, and all checks after that are as before.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,6 +35,8 @@
 	defaultSeconds = 12
 	// readyTimeout is the time from the start or the last fault until all entries must be ready.
 	readyTimeout = 8 * time.Second
+	// versionsTimeout is the time until streams begin at a site that starts with two software versions, beyond the 3 s for which these settle.
+	versionsTimeout = 5 * time.Second
 	// healthyRequests is the number of requests through each entry before the first and after the last fault.
 	healthyRequests = 40
 	// weightsTimeout is the time until all engines must run the weights announced last, after the faults have ended.
@@ -64,6 +66,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	go s.detectStalls(done)
+	s.waitSettled(o, time.Now().Add(versionsTimeout))
 	s.expectHealthy(o)
 	end := time.Now().Add(duration)
 	callers := s.startCallers(o, seed, end.Add(time.Second))
@@ -77,6 +80,27 @@
 	s.report(seed, faults)
 }
 
+// waitSettled waits until streams begin through all entries, and records a breach if they don't by the deadline.
+func (s *site) waitSettled(o *operator, deadline time.Time) {
+	c := newCaller(s, o, 0, callerCount+len(s.callers))
+	s.callers = append(s.callers, c)
+	for _, m := range s.entries {
+		for {
+			r := c.nextRequest()
+			r.path, r.entry = redraftPath, m
+			c.send(r, 3*time.Second)
+			if r.status == http.StatusOK {
+				break
+			}
+			if time.Now().After(deadline) {
+				s.breach("%s began no streams in time: status %d, %.100s", m.name, r.status, r.received)
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
 // settle sends requests until the given time, which may be rejected: only the answer to a request shows that an endpoint names no limit any
 // more.
 func (s *site) settle(o *operator, end time.Time) {
