Record a stream at the software version that its endpoint had when it was chosen

Class: a name that outlives what it named.

An assignment keeps the version of its choice. TestAssignedSoftware had v2 for v1 before.

--- a/internal/coordination/placement/adopt.go
+++ b/internal/coordination/placement/adopt.go
@@ -1,6 +1,10 @@
 package placement
 
-import "gypsumvale/internal/state/clock"
+import (
+	"cmp"
+
+	"gypsumvale/internal/state/clock"
+)
 
 // Adopt counts a running request that another instance has placed, and reports whether it wasn't known. The caller mustn't change the request
 // afterwards. One whose endpoint isn't known, or has restarted, is ignored.
@@ -16,6 +20,8 @@
 	a := &assignment{
 		req: req, endpoint: s, space: choice.CacheSpace, version: choice.Version, sentAt: now, saves: choice.SaveTo != nil && !begun,
 		gapTarget: p.gapTarget(req),
+		// An entry of an earlier release names no software version.
+		software: cmp.Or(choice.Software, s.Software),
 	}
 	if !begun {
 		a.prefillTokens = max(1, req.Prompt-choice.Cached-choice.Fetched)
--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -335,7 +335,7 @@
 func (p *Pool) assign(now clock.Instant, req *Request, best *candidate) {
 	s, c := best.endpoint, &best.choice
 	a := &assignment{
-		req: req, endpoint: s, space: c.CacheSpace, version: c.Version, sentAt: now, expected: c.Expected,
+		req: req, endpoint: s, space: c.CacheSpace, version: c.Version, software: c.Software, sentAt: now, expected: c.Expected,
 		prefillTokens: max(1, req.Prompt-c.Cached-c.Fetched), saves: c.SaveTo != nil,
 		gapTarget: p.gapTarget(req), healthyTime: best.healthyTime,
 	}
--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -23,7 +23,9 @@
 	endpoint *endpointState
 	space    string
 	// version is the weight version that the endpoint must run, or zero if any will do.
-	version  int
+	version int
+	// software is the software version that the endpoint had when it was chosen. It may start again with another one under its identifier.
+	software string
 	sentAt   clock.Instant
 	expected time.Duration
 	// prefillTokens is the number of prompt tokens still to be prefilled; it is zero after the first event.
--- a/internal/coordination/placement/pool.go
+++ b/internal/coordination/placement/pool.go
@@ -207,13 +207,13 @@
 	return a.req
 }
 
-// Assigned returns the request of an assignment and the software version of its endpoint, or nil if it is unknown or has ended.
+// Assigned returns the request of an assignment and the software version of the endpoint that was chosen, or nil if it is unknown or has ended.
 func (p *Pool) Assigned(id AssignmentID) (req *Request, software string) {
 	a := p.assignments[id]
 	if a == nil {
 		return nil, ""
 	}
-	return a.req, a.endpoint.Software
+	return a.req, a.software
 }
 
 // Outcome is the outcome of an assignment.
--- a/internal/coordination/placement/settling_test.go
+++ b/internal/coordination/placement/settling_test.go
@@ -9,6 +9,7 @@
 
 	"gypsumvale/internal/coordination/placement"
 	"gypsumvale/internal/state/clock"
+	"gypsumvale/internal/state/registration"
 )
 
 // Guards against streams that begin at a version before all instances have heard of it.
@@ -73,3 +74,21 @@
 		})
 	})
 }
+
+// Guards against a stream's version that is taken from an endpoint which has started again with other software since it was chosen.
+func TestAssignedSoftware(t *testing.T) {
+	Convey("an assignment keeps the software version that its endpoint had when it was chosen", t, func() {
+		list := endpoints(1)
+		list[0].Software = "v1"
+		p := placement.NewPool(placement.Config{PrefillRate: prefillRate})
+		p.SetEngine(&placement.Engine{Slots: 32, CacheTokens: 100000, TokenSeconds: 1e-6})
+		p.SetEndpoints(list)
+		req := newRequest("c", 100)
+		So(place(p, start, req).Software, ShouldEqual, "v1")
+		next := *list[0]
+		next.Software, next.StartMilli = "v2", 2
+		p.SetEndpoints([]*registration.Registration{&next})
+		_, software := p.Assigned(req.ID)
+		So(software, ShouldEqual, "v1")
+	})
+}
