--- a/internal/gateway/origin_registrars.go
+++ b/internal/gateway/origin_registrars.go
@@ -84,7 +84,9 @@
 			}
 			o.mu.Lock()
 			defer o.mu.Unlock()
-			o.recordBegun(req.Stream, origin.Origin{Service: reply.Service, Software: reply.Software, Until: req.Deadline.Add(lateTakeUp), Source: origin.Registrar, At: clock.Now()})
+			o.recordBegun(req.Stream, origin.Origin{
+				Service: reply.Service, Software: reply.Software, Until: req.Deadline.Add(lateTakeUp), Source: origin.Registrar, At: clock.Now(),
+			})
 		})
 	}
 	queries.Wait()
--- a/internal/transport/intake/refusal.go
+++ b/internal/transport/intake/refusal.go
@@ -18,7 +18,8 @@
 )
 
 // Refuse has a function write the refusal of a request whose body has not been read to its end. It closes the connection afterwards, unless
-// the rest of the body is there already and reading it was never interrupted. The refusal must state its length, as otherwise it would end only after Refuse has returned.
+// the rest of the body is there already and reading it was never interrupted. The refusal must state its length, as otherwise it would end only
+// after Refuse has returned.
 func Refuse(w http.ResponseWriter, r *http.Request, write func()) {
 	control := http.NewResponseController(w)
 	if r.ContentLength == 0 || reusable(r) && readRest(r, control) {
