Log large frames, failed queries and why connections between entries end

What a reply with a configuration weighs, how long its write takes, why a connection closes and why a query to a relay fails was in no line: a reply that isn't sent was dropped silently, and so was the error of a query.

205 tells the length and duration of each frame of 64 KB or more, 201 the cause of each closed connection, 320 the error of a failed query, and 310 the size of the configuration and how long decoding and activation took.

No logic changes.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -172,7 +172,6 @@
 		return
 	}
 	h.members.markDisconnected(from.Name, from.Incarnation)
-	h.log.Debug(event.PeerClosed, "connection to peer closed", zap.String("peer", from.Name))
 }
 
 // ConnectionRejected logs a peer whose connection was refused.
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -102,7 +102,7 @@
 	n.platform = keyvalue.New(cfg.Name, cfg.KeyValue, limits)
 	n.network = peers.New(peers.Config{
 		Name: cfg.Name, Incarnation: n.incarnation, Address: cfg.Peers, Secret: []byte(cfg.Secret), Blocked: n.blockedPeers.blocks,
-		CountFrame: n.guard.CountFrame,
+		CountFrame: n.guard.CountFrame, Observer: peers.NewLogObserver(log),
 	}, (*handler)(n))
 	n.tickets = &ticket.Committer{Store: n.kvClient(budget.PriorityTicket), Now: time.Now}
 	n.members = newMembership(n, seed)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -23,6 +23,7 @@
 	MemberJoined         Number = 202
 	MemberLost           Number = 203
 	ProcessPaused        Number = 204
+	LargeFrameSent       Number = 205
 	RevisionAdopted      Number = 300
 	RevisionFailed       Number = 301
 	TicketDecided        Number = 302
@@ -67,6 +68,7 @@
 	UpdatesDistributed      Number = 317
 	StreamsRead             Number = 318
 	ConfirmationLate        Number = 319
+	QueryFailed             Number = 320
 	RegistrationChanged     Number = 410
 	RegistrationInvalid     Number = 411
 	EndpointUnresponsive    Number = 412
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -252,7 +252,9 @@
 // adopt activates a newer configuration; an older or undecodable one changes nothing.
 func (c *configuration) adopt(from provenance, item kv.Item) {
 	n := c.node
+	decoding := clock.Now()
 	table, err := n.deps.Schema.Configuration(item)
+	decoded := clock.Now()
 	c.mu.Lock()
 	switch {
 	case err != nil:
@@ -278,7 +280,8 @@
 	size := table.Size()
 	n.log.Info(event.TableAdopted, "configuration adopted", zap.Uint64("table", table.Version), zap.Uint64("revision", item.Revision.Number()),
 		zap.Int("routes", size.Routes), zap.Int("keys", size.Keys), zap.Int("workspaces", size.Workspaces), zap.String("source", from.source),
-		zap.Int64("read_ms", clock.Now().Sub(from.readAt).Milliseconds()))
+		zap.Int64("read_ms", clock.Now().Sub(from.readAt).Milliseconds()), zap.Int("bytes", len(item.Data)),
+		zap.Int64("decode_ms", decoded.Sub(decoding).Milliseconds()), zap.Int64("activate_ms", clock.Now().Sub(decoded).Milliseconds()))
 }
 
 // activate puts a configuration into force unless a newer one is, and reports whether it did. Several tasks adopt configurations side by side, and
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -172,6 +172,7 @@
 	n := m.node
 	network := peers.New(peers.Config{
 		Name: n.cfg.Name, Incarnation: n.incarnation, Address: n.cfg.Peers, Secret: secret, CountFrame: n.guard.CountFrame,
+		Observer: peers.NewLogObserver(n.log),
 	}, (*handler)(n))
 	if _, err := network.Listen(); err != nil {
 		// Without peers, every request is placed by this instance's own counts.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -204,6 +204,8 @@
 	r.mu.Unlock()
 	n.discovery.fillQuery(&query)
 	if err := network.Call(ctx, name, address, peer.KindSync, query, &update); err != nil {
+		n.log.Info(event.QueryFailed, "query to relay failed", zap.String("relay", name), zap.Int64("hold_ms", hold.Milliseconds()),
+			zap.Int64("took_ms", clock.Now().Sub(sent).Milliseconds()), zap.Error(err))
 		return syncFailed
 	}
 	if !update.Ready {
--- a/internal/transport/peers/conn.go
+++ b/internal/transport/peers/conn.go
@@ -51,17 +51,24 @@
 	writeMu sync.Mutex
 	closed  chan struct{}
 	once    sync.Once
-	traffic *Traffic
+	// cause is why the connection was closed; it may be read once closed is.
+	cause    error
+	traffic  *Traffic
+	observer Observer
 }
 
-func newConn(raw net.Conn, r *bufio.Reader, remote peer.Hello, traffic *Traffic) *conn {
-	c := &conn{raw: raw, r: r, remote: remote, outbox: newOutbox(), closed: make(chan struct{}), traffic: traffic}
+func newConn(raw net.Conn, r *bufio.Reader, remote peer.Hello, n *Network) *conn {
+	c := &conn{
+		raw: raw, r: r, remote: remote, outbox: newOutbox(), closed: make(chan struct{}), traffic: &n.Traffic, observer: n.cfg.Observer,
+	}
 	go c.write()
 	return c
 }
 
-func (c *conn) close() {
+// close closes the connection for a cause, unless it is closed.
+func (c *conn) close(cause error) {
 	c.once.Do(func() {
+		c.cause = cause
 		close(c.closed)
 		_ = c.raw.Close()
 	})
@@ -69,13 +76,13 @@
 
 // write sends the frames in the outbox until the connection closes. Queued frames are combined into one system call.
 func (c *conn) write() {
-	defer c.close()
 	for {
 		select {
 		case <-c.closed:
 			return
 		case <-c.outbox.waiting:
-			if c.writeQueued() != nil {
+			if err := c.writeQueued(); err != nil {
+				c.close(err)
 				return
 			}
 		}
@@ -132,8 +139,13 @@
 	c.traffic.FramesOut.Add(1)
 	if c.writeMu.TryLock() {
 		defer c.writeMu.Unlock()
-		if err := c.flush(data, directWriteTimeout); err != nil {
-			c.close()
+		started := time.Now()
+		err := c.flush(data, directWriteTimeout)
+		if len(data) >= MinReportedFrame {
+			c.observer.FrameSent(FrameReport{Peer: c.remote.Name, Kind: f.Kind, Bytes: len(data), Took: time.Since(started), Err: err})
+		}
+		if err != nil {
+			c.close(err)
 			return fmt.Errorf("send to %s (%v): %w", c.remote.Name, err, ErrClosed)
 		}
 		return nil
--- a/internal/transport/peers/network.go
+++ b/internal/transport/peers/network.go
@@ -40,6 +40,8 @@
 	// CountFrame is called with the length of a large frame before it is handled, and with the negative length after. If nil, frames aren't
 	// counted.
 	CountFrame func(n int64)
+	// Observer is told of large frames and of connections that have ended. If nil, nobody is.
+	Observer Observer
 }
 
 // minCountedFrame is the shortest frame that is counted: those of placements are shorter, and far more frequent.
@@ -88,6 +90,9 @@
 	if cfg.CountFrame == nil {
 		cfg.CountFrame = func(int64) {}
 	}
+	if cfg.Observer == nil {
+		cfg.Observer = silent{}
+	}
 	return &Network{
 		cfg:       cfg,
 		id:        identity{name: cfg.Name, incarnation: cfg.Incarnation, secret: cfg.Secret},
@@ -142,13 +147,20 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for c := range n.incoming {
-		c.close()
+		c.close(errStopped)
 	}
 	for _, p := range n.clients {
-		p.disconnect()
+		p.disconnect(errStopped)
 	}
 }
 
+// Causes for which this side closes a connection.
+var (
+	errStopped    = errors.New("this instance stops")
+	errBlocked    = errors.New("traffic with the peer is blocked")
+	errSuperseded = errors.New("another connection to the peer was opened")
+)
+
 func (n *Network) accept(ctx context.Context, raw net.Conn) {
 	r, remote, err := n.id.handshake(ctx, raw)
 	if err == nil && n.cfg.Blocked(remote.Name) {
@@ -160,7 +172,7 @@
 		return
 	}
 	remote.Connection = n.accepted.Add(1)
-	c := newConn(raw, r, remote, &n.Traffic)
+	c := newConn(raw, r, remote, n)
 	n.mu.Lock()
 	n.incoming[c] = true
 	n.mu.Unlock()
@@ -168,21 +180,26 @@
 	n.mu.Lock()
 	delete(n.incoming, c)
 	n.mu.Unlock()
+	n.cfg.Observer.ConnectionEnded(remote, true, c.cause)
 	n.handler.ConnectionClosed(remote, true)
 }
 
 func (n *Network) serve(ctx context.Context, c *conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer c.close()
 	for {
 		f, err := c.read(peer.MaxFrameBytes)
-		if err != nil || n.cfg.Blocked(c.remote.Name) {
+		if err == nil && n.cfg.Blocked(c.remote.Name) {
+			err = errBlocked
+		}
+		if err != nil {
+			c.close(err)
 			return
 		}
 		select {
 		case n.callSlots <- struct{}{}:
 		case <-ctx.Done():
+			c.close(errStopped)
 			return
 		}
 		go func() {
@@ -362,7 +379,7 @@
 // may, and dials that were given up and repeated would keep the leader from completing any.
 func (p *peerClient) connect(ctx context.Context, address string) (*conn, error) {
 	if p.network.cfg.Blocked(p.name) {
-		p.disconnect()
+		p.disconnect(errBlocked)
 		return nil, ErrUnreachable
 	}
 	if c := p.openConn(address); c != nil {
@@ -460,26 +477,29 @@
 		_ = raw.Close()
 		return fmt.Errorf("handshake: %w", err)
 	}
-	c := newConn(raw, r, remote, &p.network.Traffic)
+	c := newConn(raw, r, remote, p.network)
 	p.mu.Lock()
 	if p.conn != nil {
-		p.conn.close()
+		p.conn.close(errSuperseded)
 	}
 	p.conn, p.address = c, address
 	p.mu.Unlock()
 	if p.network.closed.Load() {
-		c.close()
+		c.close(errStopped)
 	}
 	go p.readReplies(c)
 	return nil
 }
 
 func (p *peerClient) readReplies(c *conn) {
-	defer p.network.handler.ConnectionClosed(c.remote, false)
-	defer c.close()
+	defer func() {
+		p.network.cfg.Observer.ConnectionEnded(c.remote, false, c.cause)
+		p.network.handler.ConnectionClosed(c.remote, false)
+	}()
 	for {
 		f, err := c.read(peer.MaxFrameBytes)
 		if err != nil {
+			c.close(err)
 			return
 		}
 		p.mu.Lock()
@@ -496,10 +516,11 @@
 	}
 }
 
-func (p *peerClient) disconnect() {
+// disconnect closes the connection to the peer, if there is one, for a cause.
+func (p *peerClient) disconnect(cause error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conn != nil {
-		p.conn.close()
+		p.conn.close(cause)
 	}
 }
