End queries and reads for want of progress, not at a total time

Cause: a query may take its hold time and 300 ms, a read of the store 0.36 or 0.6 s, whatever has arrived by then. A reply that was arriving was thrown away, its relay counted as failed, and the fallback began a larger transfer from its start.

These calls now end when nothing has arrived for that time. Replies in slices are decoded apart from the goroutine that reads the connection.

--- a/internal/coordination/freshness/budget.go
+++ b/internal/coordination/freshness/budget.go
@@ -33,7 +33,7 @@
 	return b.share(ownShare)
 }
 
-// ReadTimeout returns how long such a read may take, after some reads have failed to confirm the configuration.
+// ReadTimeout returns how long such a read may take until its answer begins, and without progress from then on, after some reads have failed to confirm the configuration.
 func (b Budget) ReadTimeout(failed int) time.Duration {
 	if failed < promptReads {
 		return b.share(readShare)
--- a/internal/coordination/transfer/transfer_test.go
+++ b/internal/coordination/transfer/transfer_test.go
@@ -67,7 +67,8 @@
 		})
 		Convey("is full before it takes much memory, and takes frames again once something was sent", func() {
 			pushed := 0
-			for ; q.Push(frame('L', 64)) == nil; pushed++ {
+			for q.Push(frame('L', 64)) == nil {
+				pushed++
 			}
 			So(pushed, ShouldEqual, 16)
 			So(errors.Is(q.Push(frame('L', 1)), transfer.ErrFull), ShouldBeTrue)
--- a/internal/gateway/catch_up.go
+++ b/internal/gateway/catch_up.go
@@ -18,7 +18,7 @@
 	catchUpPeriod = 250 * time.Millisecond
 	// catchUpPeers is how many peers are queried at once: enough that one of them has run for long while others are restarted too.
 	catchUpPeers = 4
-	// catchUpTimeout bounds one query, which peers answer at once.
+	// catchUpTimeout bounds one query until its answer begins, and without progress from then on; peers answer at once.
 	catchUpTimeout = 400 * time.Millisecond
 	// maxCatchUpRounds bounds the queries of a process whose peers don't know either.
 	maxCatchUpRounds = 20
@@ -86,8 +86,6 @@
 
 // query queries some peers, and reports whether any has answered.
 func (c *catchUp) query(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel()
 	var answered atomic.Bool
 	var queries sync.WaitGroup
 	for _, name := range c.node.members.samplePeers(catchUpPeers) {
@@ -113,6 +111,8 @@
 	if table := c.node.table.Load(); table != nil {
 		request.TableVersion = table.Version
 	}
+	ctx, cancel := duty.WithProgress(ctx, catchUpTimeout, catchUpTimeout)
+	defer cancel()
 	var reply peer.CatchUpReply
 	if err := network.Call(ctx, name, address, peer.KindCatchUp, request, &reply); err != nil {
 		return false
--- a/internal/gateway/confirmer.go
+++ b/internal/gateway/confirmer.go
@@ -44,7 +44,8 @@
 		n.log.Info(event.ConfirmationLate, "configuration not confirmed in time, reading the operator's keys",
 			zap.Int64("age_ms", now.Sub(confirmedAt).Milliseconds()))
 	}
-	readCtx, cancel := context.WithTimeout(ctx, budget.ReadTimeout(c.failed))
+	timeout := budget.ReadTimeout(c.failed)
+	readCtx, cancel := duty.WithProgress(ctx, timeout, timeout)
 	defer cancel()
 	if err := c.read(readCtx, now); err != nil {
 		n.log.Debug(event.StoreUnreachable, "failed to read the operator's keys", zap.Error(err))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -22,8 +22,8 @@
 	// holdMargin is how much longer than the poll period a relay holds a query open: a poll is late by the time that the read itself
 	// takes. A relay that has failed is detected only after this time.
 	holdMargin = 150 * time.Millisecond
-	// syncTimeout is allowed for a query in addition to its hold time; firstSyncTimeout bounds a query that is answered with the complete
-	// state.
+	// syncTimeout is allowed for a query in addition to its hold time until the reply begins, and without progress from then on;
+	// firstSyncTimeout is allowed until the reply to the first query begins, which is held until the relay has read the store.
 	syncTimeout      = 300 * time.Millisecond
 	firstSyncTimeout = 2 * time.Second
 )
@@ -191,7 +191,7 @@
 	if !n.discovery.loaded.Load() {
 		timeout = firstSyncTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := duty.WithProgress(ctx, timeout, syncTimeout)
 	defer cancel()
 	sent := clock.Now()
 	var update peer.SyncReply
--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"gypsumvale/internal/duty"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/settings"
 	"gypsumvale/internal/state/clock"
@@ -20,7 +21,8 @@
 	// pollShare is the poll period as a share of the bound for leaving endpoints; the rest covers slow and lost answers, and the
 	// forwarding from a zone's relay to its entries.
 	pollShare = 0.25
-	// storeReadTimeout bounds one read of the store, which answers within milliseconds in normal operation.
+	// storeReadTimeout bounds one read of the store until its answer begins, and without progress from then on; the store answers within
+	// milliseconds in normal operation.
 	storeReadTimeout = 600 * time.Millisecond
 	// maxBackoffDoublings bounds how often the read timeout, and the pause after a failed read, are doubled.
 	maxBackoffDoublings = 2
@@ -258,7 +260,7 @@
 	if s.multiPage {
 		timeout <<= min(s.failures, maxBackoffDoublings)
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := duty.WithProgress(ctx, timeout, timeout)
 	defer cancel()
 	list, err := s.node.deps.Store.Range(ctx, prefix, after)
 	s.node.countStoreCall("survey", err)
@@ -309,7 +311,7 @@
 	n := s.node
 	err := n.configuration.checkOutdated(operator)
 	if err == nil {
-		gapCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+		gapCtx, cancel := duty.WithProgress(ctx, storeReadTimeout, storeReadTimeout)
 		defer cancel()
 		err = n.configuration.fillGap(gapCtx)
 	}
--- a/internal/transport/peers/conn.go
+++ b/internal/transport/peers/conn.go
@@ -64,6 +64,8 @@
 	// arriving holds the frames that arrive in slices; countFrame counts their bytes. Only read uses them.
 	arriving   transfer.Assembly
 	countFrame func(int64)
+	// answerProgress is called with the number of a call and the length of each slice of its answer; nil on incoming connections.
+	answerProgress func(call uint64, n int)
 }
 
 func newConn(raw net.Conn, r *bufio.Reader, remote peer.Hello, n *Network) *conn {
@@ -236,8 +238,25 @@
 	return c.outbox.push(large)
 }
 
-// read reads the next frame.
-func (c *conn) read(limit int) (*peer.Frame, error) {
+// arrival is a frame that has arrived, or the data of one that came in slices and isn't decoded yet.
+type arrival struct {
+	frame      *peer.Frame
+	data       []byte
+	compressed bool
+	// answers is the number of the call that data answers, or zero.
+	answers uint64
+}
+
+// decode returns the frame. For one that came in slices, this takes long enough that it isn't done by the goroutine that reads.
+func (a *arrival) decode() (*peer.Frame, error) {
+	if a.frame != nil {
+		return a.frame, nil
+	}
+	return peer.DecodeSlices(a.data, a.compressed)
+}
+
+// read reads until a frame has arrived.
+func (c *conn) read(limit int) (*arrival, error) {
 	for {
 		f, err := peer.Read(c.r, limit)
 		if err != nil {
@@ -245,30 +264,35 @@
 		}
 		c.traffic.FramesIn.Add(1)
 		c.traffic.BytesIn.Add(int64(len(f.Body)) + frameOverheadBytes)
-		if f.Kind == peer.KindSlice {
-			if f, err = c.addSlice(f); err != nil {
-				return nil, fmt.Errorf("read from %s: %w", c.remote.Name, err)
-			}
+		if f.Kind != peer.KindSlice {
+			return &arrival{frame: f}, nil
 		}
-		if f != nil {
-			return f, nil
+		a, err := c.addSlice(f)
+		if err != nil {
+			return nil, fmt.Errorf("read from %s: %w", c.remote.Name, err)
+		}
+		if a != nil {
+			return a, nil
 		}
 	}
 }
 
 // addSlice adds a slice to its frame, and returns the frame if it is complete.
-func (c *conn) addSlice(f *peer.Frame) (*peer.Frame, error) {
+func (c *conn) addSlice(f *peer.Frame) (*arrival, error) {
 	var slice peer.Slice
 	if err := msgpack.Unmarshal(f.Body, &slice); err != nil {
 		return nil, fmt.Errorf("decode slice (%v): %w", err, peer.ErrFrame)
 	}
+	if slice.Answers != 0 && c.answerProgress != nil {
+		c.answerProgress(slice.Answers, len(slice.Data))
+	}
 	before := c.arriving.Held()
 	data, err := c.arriving.Add(f.Call, slice.Length, peer.MaxFrameBytes, slice.Data)
 	c.countFrame(int64(c.arriving.Held() - before))
 	if err != nil || data == nil {
 		return nil, err
 	}
-	return peer.DecodeSlices(data, slice.Compressed)
+	return &arrival{data: data, compressed: slice.Compressed, answers: slice.Answers}, nil
 }
 
 // releaseSlices returns the bytes of frames that won't be completed. It is called after the last read.
--- a/internal/transport/peers/large_frame_test.go
+++ b/internal/transport/peers/large_frame_test.go
@@ -15,6 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gypsumvale/internal/coordination/transfer"
+	"gypsumvale/internal/duty"
 	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/transport/peers"
 )
@@ -88,7 +89,7 @@
 
 func (c *thinConn) SetDeadline(t time.Time) error {
 	_ = c.SetWriteDeadline(t)
-	return c.Conn.SetReadDeadline(t)
+	return c.SetReadDeadline(t)
 }
 
 func (c *thinConn) SetWriteDeadline(t time.Time) error {
@@ -190,6 +191,34 @@
 	})
 }
 
+// A query whose reply was arriving ended at a total time, and what had arrived was thrown away.
+func TestReplySlowerThanTimeout(t *testing.T) {
+	Convey("a call over a thin link", t, func() {
+		const timeout = 150 * time.Millisecond
+		h, link := newLargeAnswerer(), newThinLink()
+		background, end := context.WithTimeout(context.Background(), 20*time.Second)
+		Reset(end)
+		_, address := startThinNetwork(background, h, link)
+		a, _ := startNetwork("a")
+		So(a.Connect(background, "b", address), ShouldBeNil)
+		ctx, cancel := duty.WithProgress(background, timeout, timeout)
+		Reset(cancel)
+		var reply []byte
+		Convey("goes on while its reply arrives", func() {
+			So(a.Call(ctx, "b", address, peer.KindSync, peer.Empty{}, &reply), ShouldBeNil)
+			So(string(reply) == string(h.body), ShouldBeTrue)
+		})
+		Convey("ends once nothing arrives any more", func() {
+			go func() {
+				<-h.queried
+				time.Sleep(20 * time.Millisecond)
+				link.bytesPerSecond.Store(0)
+			}()
+			So(errors.Is(a.Call(ctx, "b", address, peer.KindSync, peer.Empty{}, &reply), duty.ErrStalled), ShouldBeTrue)
+		})
+	})
+}
+
 // dialAs connects to a network as an instance of another release would, with the fields of its hello.
 func dialAs(address string, hello peer.Hello) net.Conn {
 	c, err := net.Dial("tcp", address)
@@ -283,7 +312,7 @@
 			}
 			So(held.Load(), ShouldEqual, 50_000)
 			So(c.Close(), ShouldBeNil)
-			<-o.causes
+			So(<-o.causes, ShouldNotBeNil)
 			So(held.Load(), ShouldEqual, 0)
 		})
 	})
--- a/internal/transport/peers/network.go
+++ b/internal/transport/peers/network.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gypsumvale/internal/duty"
 	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/transport/intake"
 )
@@ -189,7 +190,7 @@
 	defer cancel()
 	defer c.releaseSlices()
 	for {
-		f, err := c.read(peer.MaxFrameBytes)
+		a, err := c.read(peer.MaxFrameBytes)
 		if err == nil && n.cfg.Blocked(c.remote.Name) {
 			err = errBlocked
 		}
@@ -205,6 +206,11 @@
 		}
 		go func() {
 			defer func() { <-n.callSlots }()
+			f, err := a.decode()
+			if err != nil {
+				c.close(fmt.Errorf("read from %s: %w", c.remote.Name, err))
+				return
+			}
 			if size := int64(len(f.Body)); size >= minCountedFrame {
 				n.cfg.CountFrame(size)
 				defer n.cfg.CountFrame(-size)
@@ -296,7 +302,7 @@
 	defer n.mu.Unlock()
 	p := n.clients[name]
 	if p == nil {
-		p = &peerClient{network: n, name: name, pending: make(map[uint64]chan *peer.Frame)}
+		p = &peerClient{network: n, name: name, pending: make(map[uint64]pendingCall)}
 		n.clients[name] = p
 	}
 	return p
@@ -315,7 +321,13 @@
 	dialErr  error
 	failedAt time.Time
 	lastCall uint64
-	pending  map[uint64]chan *peer.Frame
+	pending  map[uint64]pendingCall
+}
+
+// pendingCall is a call that waits for its reply, with the context that ends it.
+type pendingCall struct {
+	ctx   context.Context
+	reply chan *peer.Frame
 }
 
 func (p *peerClient) call(ctx context.Context, address string, kind peer.Kind, msg any) (*peer.Frame, error) {
@@ -327,7 +339,7 @@
 	if err != nil {
 		return nil, err
 	}
-	number, reply := p.registerCall()
+	number, reply := p.registerCall(ctx)
 	defer p.removeCall(number)
 	if err := c.send(&peer.Frame{Kind: kind, Call: number, Body: body}); err != nil {
 		return nil, err
@@ -338,7 +350,7 @@
 	case <-c.closed:
 		return nil, ErrClosed
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return nil, context.Cause(ctx)
 	}
 }
 
@@ -366,12 +378,12 @@
 	return c.send(&peer.Frame{Kind: kind, Body: body})
 }
 
-func (p *peerClient) registerCall() (uint64, chan *peer.Frame) {
+func (p *peerClient) registerCall(ctx context.Context) (uint64, chan *peer.Frame) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastCall++
 	reply := make(chan *peer.Frame, 1)
-	p.pending[p.lastCall] = reply
+	p.pending[p.lastCall] = pendingCall{ctx, reply}
 	return p.lastCall, reply
 }
 
@@ -486,6 +498,7 @@
 		return fmt.Errorf("handshake: %w", err)
 	}
 	c := newConn(raw, r, remote, p.network)
+	c.answerProgress = p.recordProgress
 	p.mu.Lock()
 	if p.conn != nil {
 		p.conn.close(errSuperseded)
@@ -506,25 +519,60 @@
 		p.network.handler.ConnectionClosed(c.remote, false)
 	}()
 	for {
-		f, err := c.read(peer.MaxFrameBytes)
+		a, err := c.read(peer.MaxFrameBytes)
 		if err != nil {
 			c.close(err)
 			return
 		}
-		p.mu.Lock()
-		reply := p.pending[f.Call]
-		p.mu.Unlock()
-		if reply == nil {
-			continue
-		}
-		select {
-		case reply <- f:
-		default:
-			// A second reply to the same call is discarded.
+		switch {
+		case a.frame != nil:
+			p.deliver(a.frame)
+		case p.waits(a.answers):
+			go func() {
+				f, err := a.decode()
+				if err != nil {
+					c.close(fmt.Errorf("read from %s: %w", c.remote.Name, err))
+					return
+				}
+				p.deliver(f)
+			}()
 		}
 	}
 }
 
+// deliver passes a reply to its call.
+func (p *peerClient) deliver(f *peer.Frame) {
+	p.mu.Lock()
+	call, waits := p.pending[f.Call]
+	p.mu.Unlock()
+	if !waits {
+		return
+	}
+	select {
+	case call.reply <- f:
+	default:
+		// A second reply to the same call is discarded.
+	}
+}
+
+// waits reports whether a call waits for its reply.
+func (p *peerClient) waits(number uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, waits := p.pending[number]
+	return waits
+}
+
+// recordProgress records that n bytes of the reply to a call have arrived.
+func (p *peerClient) recordProgress(number uint64, n int) {
+	p.mu.Lock()
+	call, waits := p.pending[number]
+	p.mu.Unlock()
+	if waits {
+		duty.RecordProgress(call.ctx, n)
+	}
+}
+
 // disconnect closes the connection to the peer, if there is one, for a cause.
 func (p *peerClient) disconnect(cause error) {
 	p.mu.Lock()
