Spread the fallback to the store, and ask another zone's relay before

Cause: a follower whose configuration hasn't been confirmed for half of the bound reads the operator's keys from the store, however close its relay's reply is.

While the relay sends, or its reply is being adopted, a follower waits now. Otherwise it asks the relay of another zone first, which answers with a delta, and then reads, at a time spread by its name. TestConfigurationFromRelayOfAnotherZone fails without the question (the route isn't served when the bound has passed). The budget's test has the worst case: three reads after the last place still end within the bound.

--- a/internal/coordination/freshness/budget.go
+++ b/internal/coordination/freshness/budget.go
@@ -1,6 +1,10 @@
 package freshness
 
-import "time"
+import (
+	"time"
+
+	"gypsumvale/internal/state/clock"
+)
 
 const (
 	// relayShare and ownShare are the shares of a bound after which a zone's relay, and then every other instance, reads the operator's keys
@@ -15,6 +19,13 @@
 	// load on a store that is slow.
 	promptReads = 3
 	slowShare   = 0.25
+	// spreadShare is the share over which the reads of the instances that have lost the same relay are spread, and askShare how much earlier each
+	// of them asks the relay of another zone, whose answer is shorter than a read.
+	spreadShare = 0.07
+	askShare    = 0.1
+	// quietShare is for how long a relay may be silent that has begun to send, and patientShare is until when it is waited for nonetheless.
+	quietShare   = 0.1
+	patientShare = 0.7
 )
 
 // Budget divides the time within which a configuration must be in force among the steps until it is.
@@ -33,6 +44,23 @@
 	return b.share(ownShare)
 }
 
+// Relay is what an instance knows of the relay that it follows.
+type Relay struct {
+	// ProgressAt is when bytes of a reply last arrived, or when one that had arrived was being adopted.
+	ProgressAt clock.Instant
+	// Position is the place of the instance, from 0 to 1, among those that follow the same relay.
+	Position float64
+}
+
+// ReadAt returns when an instance that follows a relay reads the operator's keys itself. While the relay sends, that would take longer than waiting.
+func (b Budget) ReadAt(confirmedAt clock.Instant, r Relay) clock.Instant {
+	due := confirmedAt.Add(b.MaxAge(false) + b.share(spreadShare*r.Position))
+	return max(due, min(r.ProgressAt.Add(b.share(quietShare)), confirmedAt.Add(b.share(patientShare))))
+}
+
+// AskAt returns when it asks the relay of another zone, before it would read at an instant.
+func (b Budget) AskAt(readAt clock.Instant) clock.Instant { return readAt.Add(-b.share(askShare)) }
+
 // ReadTimeout returns how long such a read may take until its answer begins, and without progress from then on, after some reads have failed to confirm the configuration.
 func (b Budget) ReadTimeout(failed int) time.Duration {
 	if failed < promptReads {
--- a/internal/coordination/freshness/budget_test.go
+++ b/internal/coordination/freshness/budget_test.go
@@ -8,6 +8,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gypsumvale/internal/coordination/freshness"
+	"gypsumvale/internal/state/clock"
 )
 
 func TestBudget(t *testing.T) {
@@ -21,6 +22,30 @@
 				}
 				So(worst, ShouldBeLessThan, bound)
 			})
+			Convey("has time for these after the reads were spread, whatever an instance's position", func() {
+				confirmedAt := clock.Instant(time.Hour)
+				last := b.ReadAt(confirmedAt, freshness.Relay{Position: 1})
+				worst := last.Sub(confirmedAt)
+				for failed := range 3 {
+					worst += b.ReadTimeout(failed) + b.Pause(failed)
+				}
+				So(worst, ShouldBeLessThan, bound)
+				So(b.ReadAt(confirmedAt, freshness.Relay{}).Sub(confirmedAt), ShouldEqual, b.MaxAge(false))
+				So(b.ReadAt(confirmedAt, freshness.Relay{Position: 0.5}), ShouldBeBetween, confirmedAt.Add(b.MaxAge(false)), last)
+			})
+			Convey("waits for a relay that sends, but not for long after it has stopped, and not beyond the time for a read", func() {
+				confirmedAt := clock.Instant(time.Hour)
+				readAt := func(progress time.Duration) time.Duration {
+					return b.ReadAt(confirmedAt, freshness.Relay{ProgressAt: confirmedAt.Add(progress)}).Sub(confirmedAt)
+				}
+				So(readAt(0), ShouldEqual, b.MaxAge(false))
+				So(readAt(b.MaxAge(false)), ShouldBeBetween, b.MaxAge(false), b.MaxAge(false)+bound/5)
+				So(readAt(bound)+b.ReadTimeout(0)+b.Pause(0), ShouldBeLessThan, bound)
+			})
+			Convey("asks another zone's relay after the regular reads and before its own", func() {
+				readAt := b.ReadAt(0, freshness.Relay{})
+				So(b.AskAt(readAt), ShouldBeBetweenOrEqual, clock.Instant(b.MaxAge(true)), readAt)
+			})
 			Convey("leaves time for a regular read of the relay, which reads each quarter of the bound, and for its own read before its followers'", func() {
 				So(b.MaxAge(true), ShouldBeGreaterThan, bound/4)
 				So(b.MaxAge(false), ShouldBeGreaterThan, b.MaxAge(true))
--- a/internal/coordination/rank/rank.go
+++ b/internal/coordination/rank/rank.go
@@ -56,3 +56,11 @@
 	x *= multiplier
 	return x ^ x>>29
 }
+
+// Position returns a member's place from 0 to 1 among all members, over which these are spread evenly.
+func Position(member string) float64 {
+	return float64(score("position", member)>>positionShift) / float64(uint64(1)<<(64-positionShift))
+}
+
+// positionShift leaves as many bits of a score as a float64 holds.
+const positionShift = 11
--- a/internal/duty/progress.go
+++ b/internal/duty/progress.go
@@ -20,6 +20,7 @@
 	mu       sync.Mutex
 	transfer *transfer.Progress
 	timer    *time.Timer
+	notify   func()
 }
 
 type progressKey struct{}
@@ -46,7 +47,18 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.transfer.Record(time.Now(), n)
+	if p.transfer.Record(time.Now(), n) && p.notify != nil {
+		p.notify()
+	}
+}
+
+// NotifyProgress has a function called when the deadline of a context of WithProgress moves because of progress. It must not block.
+func NotifyProgress(ctx context.Context, notify func()) {
+	if p, ok := ctx.Value(progressKey{}).(*progress); ok {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.notify = notify
+	}
 }
 
 // check ends the context if the deadline has passed. Otherwise it has moved, and is checked again.
--- a/internal/gateway/configuration_deltas_test.go
+++ b/internal/gateway/configuration_deltas_test.go
@@ -132,7 +132,7 @@
 		relay := &deltaRelay{}
 		relay.unfit, relay.whole = encode(specWithRoute(9, "/unfit/"), 5), encode(specWithRoute(12, "/whole/"), 0)
 		relay.set(true, revisionAt(1000), revisionAt(1000))
-		s.addRelayWith("relay", relay)
+		s.addRelayWith("relay", "plateau", relay)
 		eventually("the whole configuration is in force", func() bool { return s.servesRoute(e, "/whole/") })
 		So(s.servesRoute(e, "/unfit/"), ShouldBeFalse)
 		relay.mu.Lock()
--- a/internal/gateway/confirmer.go
+++ b/internal/gateway/confirmer.go
@@ -19,6 +19,8 @@
 	node *Node
 	// failed counts the reads since the last confirmation.
 	failed int
+	// askedFor is the instant of the last confirmation when the relay of another zone was asked.
+	askedFor clock.Instant
 }
 
 func (c *confirmer) run(ctx context.Context) {
@@ -31,11 +33,23 @@
 	n := c.node
 	budget := freshness.NewBudget(n.bounds.Load().MaxApplyDelay)
 	confirmedAt, now := n.confirmation.SentAt(), clock.Now()
-	due := confirmedAt.Add(budget.MaxAge(n.relay.isRelay()))
+	due, askAt := confirmedAt.Add(budget.MaxAge(true)), clock.Instant(0)
+	if !n.relay.isRelay() {
+		due = budget.ReadAt(confirmedAt, n.relay.following(now))
+		askAt = budget.AskAt(due)
+	}
+	asked := askAt == 0 || c.askedFor == confirmedAt
 	switch {
 	case confirmedAt == 0:
 		// The reads at the start look for the first configuration.
 		return budget.MaxAge(true)
+	case now.Before(askAt):
+		c.failed = 0
+		return askAt.Sub(now)
+	case now.Before(due) && !asked:
+		c.askedFor = confirmedAt
+		n.relay.askElsewhere(ctx, due.Sub(now))
+		return 0
 	case now.Before(due):
 		c.failed = 0
 		return due.Sub(now)
--- a/internal/gateway/late_configuration_test.go
+++ b/internal/gateway/late_configuration_test.go
@@ -1,12 +1,14 @@
 package gateway_test
 
 import (
+	"encoding/json"
 	"net/http"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/settings"
 	"gypsumvale/internal/standin/hosted"
 )
@@ -57,3 +59,30 @@
 		})
 	})
 }
+
+// Guards against entries that all read a large configuration from the store at once when their relay falls silent.
+func TestConfigurationFromRelayOfAnotherZone(t *testing.T) {
+	t.Parallel()
+	Convey("an entry whose relay falls silent, and whose reads get no answer, applies a change in time that the relay of another zone has", t, func() {
+		const bound = 3 * time.Second
+		s := startSite(0)
+		e := s.addEntryWith(func(cfg *settings.Hosted) {
+			cfg.MaxApplyDelay, cfg.MaxLeavingDelay, cfg.MaxRevocationDelay = bound, bound, 5*time.Second
+		})
+		e.expectReady(true)
+		own, other := s.addRelayNamed("relay-1"), &relayStub{}
+		s.addRelayWith("relay-2", "quay", other)
+		own.set(true, revisionAt(1000), revisionAt(1000))
+		other.set(true, revisionAt(1000), revisionAt(1000))
+		time.Sleep(2 * time.Second)
+		text, err := json.Marshal(specWithRoute(9, "/added/"))
+		So(err, ShouldBeNil)
+		own.mu.Lock()
+		own.silent = true
+		own.mu.Unlock()
+		s.store.SetFault(hosted.StoreFault{SilentReads: 1000})
+		other.set(true, revisionAt(1001), revisionAt(1001), peer.Item{Key: "op/config", Data: text, Revision: uint64(revisionAt(1001))})
+		time.Sleep(bound)
+		So(s.servesRoute(e, "/added/"), ShouldBeTrue)
+	})
+}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -281,6 +283,18 @@
 	return names
 }
 
+// otherZones returns the zones of other instances than those in this one's.
+func (m *members) otherZones() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	zones := make(map[string]bool)
+	for _, e := range m.entries {
+		zones[e.Zone] = true
+	}
+	delete(zones, m.node.cfg.Zone)
+	return slices.Collect(maps.Keys(zones))
+}
+
 // peerNames returns the names of all other instances.
 func (m *members) peerNames() []string {
 	m.mu.Lock()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"gypsumvale/internal/coordination/freshness"
 	"gypsumvale/internal/coordination/rank"
 	"gypsumvale/internal/coordination/source"
 	"gypsumvale/internal/duty"
@@ -47,6 +49,10 @@
 	// published counts what this entry has read itself; changed is closed at the next publication.
 	published uint64
 	changed   chan struct{}
+
+	// progressAt is the instant at which a part of a reply last arrived or had been adopted, and adopting the number of replies that are.
+	progressAt atomic.Int64
+	adopting   atomic.Int32
 }
 
 func newRelay(n *Node) *relay {
@@ -180,52 +186,96 @@
 	syncDone
 )
 
-// sync queries a relay for updates to what is held here.
-func (r *relay) sync(ctx context.Context, name string, hold time.Duration) syncResult {
+// query returns what a query holds that concerns what the operator wrote.
+func (r *relay) query(hold time.Duration) peer.SyncRequest {
+	n := r.node
+	_, digest, _ := n.members.state()
+	query := peer.SyncRequest{
+		MaxDelay: hold, Eras: true, OperatorRevision: uint64(n.configuration.syncRevision()), SystemKeysDigest: digest,
+		Deltas: true, ConfigurationDigest: n.configuration.history.Digest(),
+	}
+	n.discovery.fillQuery(&query)
+	return query
+}
+
+// exchange sends a query, and applies the reply's part that the operator wrote. The reported ages hold as of the returned time, or an earlier one if
+// the reply was delayed. The reply is nil if the query has ended with the returned result.
+func (r *relay) exchange(ctx context.Context, name string, query *peer.SyncRequest, timeout time.Duration) (clock.Instant, *peer.SyncReply, syncResult) {
 	n := r.node
 	network, address, ok := n.members.peer(name)
 	if !ok {
-		return syncFailed
-	}
-	timeout := hold + syncTimeout
-	if !n.discovery.loaded.Load() {
-		timeout = firstSyncTimeout
+		return 0, nil, syncFailed
 	}
 	ctx, cancel := duty.WithProgress(ctx, timeout, syncTimeout)
 	defer cancel()
+	duty.NotifyProgress(ctx, r.recordProgress)
 	sent := clock.Now()
 	var update peer.SyncReply
-	_, digest, _ := n.members.state()
-	r.mu.Lock()
-	query := peer.SyncRequest{
-		Run: r.lastRun, Seen: r.lastSeen, MaxDelay: hold,
-		Eras: true, OperatorRevision: uint64(n.configuration.syncRevision()), SystemKeysDigest: digest,
-		Deltas: true, ConfigurationDigest: n.configuration.history.Digest(),
-	}
-	r.mu.Unlock()
-	n.discovery.fillQuery(&query)
 	if err := network.Call(ctx, name, address, peer.KindSync, query, &update); err != nil {
-		n.log.Info(event.QueryFailed, "query to relay failed", zap.String("relay", name), zap.Int64("hold_ms", hold.Milliseconds()),
+		n.log.Info(event.QueryFailed, "query to relay failed", zap.String("relay", name), zap.Int64("hold_ms", query.MaxDelay.Milliseconds()),
 			zap.Int64("took_ms", clock.Now().Sub(sent).Milliseconds()), zap.Error(err))
-		return syncFailed
+		return 0, nil, syncFailed
 	}
 	if !update.Ready {
 		// The relay has just started and is reading the store.
-		return syncDone
+		return 0, nil, syncDone
 	}
-	// The reported ages hold as of this time, or an earlier one if the answer was delayed.
+	r.adopting.Add(1)
+	defer r.adopting.Add(-1)
+	defer r.recordProgress()
 	asOf := sent.Add(update.Delay)
 	n.evacuations.applyRelayed(asOf, &update)
 	if kv.Revision(update.RegistrationsRevision).Era() < n.discovery.revision().Era() {
 		// The relay has not read the store since it was restored from a copy.
-		return syncFailed
+		return 0, nil, syncFailed
 	}
 	// What the operator wrote is read first, and may be current while the registrations are outdated.
 	if !n.configuration.applyRelayed(name, asOf, &update) {
 		// The next query is answered with the whole configuration.
-		return syncDone
+		return 0, nil, syncDone
 	}
 	n.learnTargetVersions(asOf, name, update.TargetVersions)
+	return asOf, &update, syncDone
+}
+
+func (r *relay) recordProgress() { r.progressAt.Store(int64(clock.Now())) }
+
+// following returns what decides when this entry stops waiting for its relay.
+func (r *relay) following(now clock.Instant) freshness.Relay {
+	f := freshness.Relay{ProgressAt: clock.Instant(r.progressAt.Load()), Position: rank.Position(r.node.cfg.Name)}
+	if r.adopting.Load() > 0 {
+		f.ProgressAt = now
+	}
+	return f
+}
+
+// askElsewhere queries the relay of another zone for what the operator wrote.
+func (r *relay) askElsewhere(ctx context.Context, timeout time.Duration) {
+	zone := rank.First(r.node.cfg.Name, r.node.members.otherZones())
+	name := rank.First("relay", r.node.members.relayCandidates(zone))
+	if name == "" {
+		return
+	}
+	query := r.query(0)
+	query.OperatorOnly = true
+	r.exchange(ctx, name, &query, timeout)
+}
+
+// sync queries a relay for updates to what is held here.
+func (r *relay) sync(ctx context.Context, name string, hold time.Duration) syncResult {
+	n := r.node
+	timeout := hold + syncTimeout
+	if !n.discovery.loaded.Load() {
+		timeout = firstSyncTimeout
+	}
+	query := r.query(hold)
+	r.mu.Lock()
+	query.Run, query.Seen = r.lastRun, r.lastSeen
+	r.mu.Unlock()
+	asOf, update, result := r.exchange(ctx, name, &query, timeout)
+	if update == nil {
+		return result
+	}
 	if update.SystemKeys != nil {
 		n.members.apply(kv.Revision(update.Revision), peer.StoreItems(update.SystemKeys))
 	}
@@ -239,7 +289,7 @@
 		}
 		return syncOutdated
 	}
-	n.discovery.applyRelayed(asOf, &update)
+	n.discovery.applyRelayed(asOf, update)
 	r.mu.Lock()
 	r.source.RecordData(asOf.Add(-update.Age), maxAge)
 	r.mu.Unlock()
@@ -302,7 +352,9 @@
 	update.Age = max(listAge, update.ConfirmAge)
 	update.ReadsStore = r.readsAllPages(now) && n.poller.lastCallSucceeded.Load()
 	revision, digest, items := n.members.state()
-	if digest != query.SystemKeysDigest {
+	if query.OperatorOnly {
+		update.Changes = nil
+	} else if digest != query.SystemKeysDigest {
 		update.Revision, update.SystemKeys = uint64(revision), peer.Items(items)
 	}
 	if !query.Eras {
--- a/internal/gateway/replaced_weights_test.go
+++ b/internal/gateway/replaced_weights_test.go
@@ -316,12 +316,12 @@
 
 func (s *site) addRelayNamed(name string) *relayStub {
 	stub := &relayStub{}
-	s.addRelayWith(name, stub)
+	s.addRelayWith(name, "plateau", stub)
 	return stub
 }
 
-// addRelayWith registers a relay whose messages are handled by a test.
-func (s *site) addRelayWith(name string, h peers.Handler) {
+// addRelayWith registers a relay of a zone whose messages are handled by a test.
+func (s *site) addRelayWith(name, zone string, h peers.Handler) {
 	address := freeAddress()
 	network := peers.New(peers.Config{
 		Name: name, Incarnation: peers.NewIncarnation(name), Address: address, Secret: s.store.Value("gypsum/secret"),
@@ -329,7 +329,7 @@
 	_, err := network.Listen()
 	So(err, ShouldBeNil)
 	runNetwork(network)
-	record, err := msgpack.Marshal(map[string]any{"addr": address, "zone": "plateau", "run": "relay#1", "cpu": 0.5, "link": 1000.0})
+	record, err := msgpack.Marshal(map[string]any{"addr": address, "zone": zone, "run": "relay#1", "cpu": 0.5, "link": 1000.0})
 	So(err, ShouldBeNil)
 	s.store.PutRaw("gypsum/entries/"+name, record)
 }
--- a/internal/protocol/peer/hosted.go
+++ b/internal/protocol/peer/hosted.go
@@ -175,6 +175,8 @@
 	// Deltas is true if the sender reads a configuration as a delta, and ConfigurationDigest is the digest of the one that it has, or zero.
 	Deltas              bool   `msgpack:",omitempty"`
 	ConfigurationDigest uint64 `msgpack:",omitempty"`
+	// OperatorOnly is true if only what the operator wrote is requested.
+	OperatorOnly bool `msgpack:",omitempty"`
 	// RegistrationsDigest is the digest of the sender's registrations.
 	RegistrationsDigest uint64 `msgpack:"Sum"`
 	// WarmupDigest is the digest of the sender's registrations with whether their endpoints are cold, or zero if the sender doesn't tell.
