Move what an entry passes on of configurations out of gateway

What holds the texts of configurations, makes and takes deltas, and counts what is passed on is internal/distribution now; the digest of the system's own keys is kv.Digest. No behaviour changes: a test has the digest that entries of earlier releases compute.

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -15,6 +15,7 @@
 	"gypsumvale/internal/coordination/document"
 	"gypsumvale/internal/coordination/freshness"
 	"gypsumvale/internal/coordination/placement"
+	"gypsumvale/internal/distribution"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/state/clock"
@@ -29,12 +30,10 @@
 	// activating is held while a configuration is put into force.
 	activating sync.Mutex
 
-	// history holds the texts of the newest configurations.
-	history document.History
+	// texts holds what peers get of the configurations.
+	texts *distribution.Configurations
 
 	mu sync.Mutex
-	// decoded is the last configuration that was decoded from a text of history.
-	decoded document.Version
 	// targets holds the weight version that each model should run.
 	targets map[string]int
 	// items holds the operator's newest items by key, and newest is the highest of their revisions.
@@ -136,11 +135,10 @@
 			continue
 		}
 		if from.document == nil && schema.IsConfiguration(item.Key) && c.isNewer(item) {
-			from.document = c.divide(item)
+			from.document = c.texts.Divide(item)
 		}
 		if from.document != nil {
-			// Peers that request the item get what differs from theirs.
-			c.history.Add(item.Revision, from.document)
+			c.texts.Add(item.Revision, from.document)
 		}
 		if !c.record(item) && !c.fillsGap(item) && !c.precedesRestoration(item) {
 			continue
@@ -164,16 +162,6 @@
 	return item.Revision > c.items[item.Key].Revision
 }
 
-// divide returns the document of a configuration, or nil for a text that can't be divided: decoding it as a whole tells why.
-func (c *configuration) divide(item kv.Item) *document.Document {
-	doc, err := c.node.deps.Schema.Split(item.Data)
-	if err != nil {
-		return nil
-	}
-	c.history.Share(doc)
-	return doc
-}
-
 // record keeps an item, so that peers can request it, and reports whether it is newer than the one held.
 func (c *configuration) record(item kv.Item) bool {
 	c.mu.Lock()
@@ -287,7 +275,7 @@
 func (c *configuration) adopt(from provenance, item kv.Item) {
 	n := c.node
 	decoding := clock.Now()
-	table, err := c.decode(from, item)
+	table, err := c.texts.Table(item, from.document)
 	decoded := clock.Now()
 	c.mu.Lock()
 	switch {
@@ -318,24 +306,6 @@
 		zap.Int64("decode_ms", decoded.Sub(decoding).Milliseconds()), zap.Int64("activate_ms", clock.Now().Sub(decoded).Milliseconds()))
 }
 
-// decode builds the table of a configuration, as far as it isn't that of the last one.
-func (c *configuration) decode(from provenance, item kv.Item) (*route.Table, error) {
-	doc := from.document
-	c.mu.Lock()
-	base := c.decoded
-	c.mu.Unlock()
-	table, err := c.node.deps.Schema.Configuration(item, doc, base)
-	if err != nil {
-		return nil, err //nolint:wrapcheck // The error is that of the schema.
-	}
-	if doc != nil {
-		c.mu.Lock()
-		c.decoded = document.Version{Document: doc, Table: table}
-		c.mu.Unlock()
-	}
-	return table, nil
-}
-
 // activate puts a configuration into force unless a newer one is, and reports whether it did. Several tasks adopt configurations side by side, and
 // each may have decoded its own for a while.
 func (c *configuration) activate(table *route.Table) bool {
@@ -415,18 +385,15 @@
 	c.recordEra(now, max(kv.Revision(update.OperatorRevision).Era(), kv.Revision(update.RegistrationsRevision).Era()))
 	items := peer.StoreItems(update.OperatorItems)
 	for i := range update.OperatorItems {
-		from := provenance{source: relay, readAt: asOf.Add(-update.ConfirmAge), deltaBytes: len(update.OperatorItems[i].Delta)}
-		if from.deltaBytes > 0 {
-			var err error
-			if from.document, err = c.applyDelta(update.OperatorItems[i].Delta); err != nil {
-				c.node.log.Warn(event.DeltaInvalid, "change of the configuration doesn't fit the one held here", zap.String("relay", relay),
-					zap.Error(err))
-				c.history.Reset()
-				return false
-			}
-			items[i].Data = from.document.Text()
+		doc, err := c.texts.Receive(&update.OperatorItems[i])
+		if err != nil {
+			c.node.log.Warn(event.DeltaInvalid, "change of the configuration doesn't fit the one held here", zap.String("relay", relay), zap.Error(err))
+			return false
+		}
+		if doc != nil {
+			items[i].Data = doc.Text()
 		}
-		c.apply(from, items[i:i+1])
+		c.apply(provenance{relay, asOf.Add(-update.ConfirmAge), doc, len(update.OperatorItems[i].Delta)}, items[i:i+1])
 	}
 	c.mu.Lock()
 	complete, outdated := kv.Revision(update.OperatorRevision) >= c.newest, c.outdated || now.Before(c.askBy)
@@ -442,18 +409,6 @@
 	return true
 }
 
-func (c *configuration) applyDelta(data []byte) (*document.Document, error) {
-	delta, err := peer.DecodeDelta(data)
-	if err != nil {
-		return nil, fmt.Errorf("read delta: %w", err)
-	}
-	doc, err := c.history.Apply(delta)
-	if err != nil {
-		return nil, fmt.Errorf("apply delta: %w", err)
-	}
-	return doc, nil
-}
-
 // syncRevision returns the revision after which the operator's writes should be requested.
 func (c *configuration) syncRevision() kv.Revision {
 	c.mu.Lock()
@@ -462,22 +417,8 @@
 }
 
 // itemsSince returns the highest revision, the operator's items after a given one with the newest decodable configuration, and whether
-// configurations may have been missed here. The newest configuration is a delta from the one that the peer has, if it reads deltas.
-func (c *configuration) itemsSince(after kv.Revision, query *peer.SyncRequest) (uint64, []peer.Item, bool) {
-	revision, list, uncertain := c.wholeItemsSince(after)
-	for i := range list {
-		if !query.Deltas || !c.node.deps.Schema.IsConfiguration(list[i].Key) {
-			continue
-		}
-		delta := c.history.Encoded(kv.Revision(list[i].Revision), query.ConfigurationDigest, peer.EncodeDelta)
-		if delta != nil {
-			list[i].Data, list[i].Delta = nil, delta
-		}
-	}
-	return revision, list, uncertain
-}
-
-func (c *configuration) wholeItemsSince(after kv.Revision) (uint64, []peer.Item, bool) {
+// configurations may have been missed here.
+func (c *configuration) itemsSince(after kv.Revision) (uint64, []peer.Item, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var items []kv.Item
--- a/internal/gateway/dependencies.go
+++ b/internal/gateway/dependencies.go
@@ -7,14 +7,13 @@
 	"net/http"
 	"time"
 
-	"gypsumvale/internal/coordination/document"
 	"gypsumvale/internal/coordination/placement"
 	"gypsumvale/internal/coordination/rollout"
+	"gypsumvale/internal/distribution"
 	"gypsumvale/internal/protocol/exchange"
 	"gypsumvale/internal/state/clock"
 	"gypsumvale/internal/state/kv"
 	"gypsumvale/internal/state/registration"
-	"gypsumvale/internal/state/route"
 )
 
 // Store is the platform's metadata store; its errors are those of package kv.
@@ -30,14 +29,11 @@
 
 // StoreSchema decodes the items that operators and endpoints write to the metadata store.
 type StoreSchema interface {
+	distribution.Schema
 	OperatorPrefix() string
 	RegistrationPrefix() string
-	IsConfiguration(key string) bool
 	IsTargetVersion(key string) bool
 	EvacuatedZone(key string) (zone string, ok bool)
-	// Split divides the text of a configuration, and Configuration decodes it, from its document if there is one.
-	Split(text []byte) (*document.Document, error)
-	Configuration(item kv.Item, doc *document.Document, base document.Version) (*route.Table, error)
 	TargetVersion(item kv.Item) (model string, version int, err error)
 	Registration(item kv.Item) (*registration.Registration, error)
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -5,12 +5,10 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
@@ -75,7 +73,7 @@
 
 // apply replaces the known state by all of this system's keys as of a revision, and reports whether they changed.
 func (m *members) apply(revision kv.Revision, items []kv.Item) bool {
-	digest := digestItems(items)
+	digest := kv.Digest(items)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if revision < m.revision || digest == m.digest {
@@ -135,16 +133,6 @@
 	m.node.running.Report(ctx, name, false)
 }
 
-// digestItems returns a digest of the keys and revisions of a set of items.
-func digestItems(items []kv.Item) uint64 {
-	h := xxhash.New()
-	for _, item := range items {
-		writeString(h, item.Key)
-		writeString(h, strconv.FormatUint(uint64(item.Revision), 10))
-	}
-	return h.Sum64()
-}
-
 // state returns the revision, the digest and the items of the known state.
 func (m *members) state() (kv.Revision, uint64, []kv.Item) {
 	m.mu.Lock()
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"gypsumvale/internal/coordination/freshness"
+	"gypsumvale/internal/distribution"
 	"gypsumvale/internal/duty"
 	"gypsumvale/internal/event"
 	"gypsumvale/internal/loadsync"
@@ -59,7 +60,7 @@
 	confirmer     *confirmer
 	relay         *relay
 	catchUp       *catchUp
-	distribution  *distribution
+	distribution  *distribution.Report
 	leaderBackoff leaderBackoff
 	dispatchDelay *dispatchDelay
 	handOver      *handOver
@@ -103,14 +104,16 @@
 	deps.Caches.Observe(n.notices.recordCall)
 	n.blocks = newBlocks(n)
 	n.retryBudgets = newRetryBudgets(cfg.RetryShare, cfg.RetryReserve)
-	n.configuration = &configuration{node: n, targets: make(map[string]int), items: make(map[string]kv.Item)}
+	n.configuration = &configuration{
+		node: n, targets: make(map[string]int), items: make(map[string]kv.Item), texts: distribution.NewConfigurations(deps.Schema),
+	}
 	n.discovery = newDiscovery(n)
 	n.members = newMembers(n)
 	n.leadership = &leadership{node: n}
 	n.follower = &follower{node: n}
 	n.relay = newRelay(n)
 	n.catchUp = newCatchUp(n)
-	n.distribution = &distribution{node: n}
+	n.distribution = distribution.NewReport(log, n.members.bytesSent)
 	n.poller = newStorePoller(n)
 	n.confirmer = &confirmer{node: n}
 	n.rollout = newWeightRollout(n)
@@ -147,7 +150,7 @@
 	for _, task := range []func(context.Context){
 		n.poller.run, n.confirmer.run, n.members.renew, n.relay.run, n.catchUp.run, n.placer.run, n.leadership.run, n.follower.run, n.follower.freeStores,
 		n.follower.logUsage, n.rollout.run, n.blocks.run, n.watchReadiness, n.sweep, n.links.run,
-		n.dispatchDelay.run, n.handOver.run, n.distribution.run, n.origins.run, n.origins.register, n.origins.writeJournal,
+		n.dispatchDelay.run, n.handOver.run, n.distribution.Run, n.origins.run, n.origins.register, n.origins.writeJournal,
 	} {
 		n.wg.Go(func() { task(background) })
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -192,7 +192,7 @@
 	_, digest, _ := n.members.state()
 	query := peer.SyncRequest{
 		MaxDelay: hold, Eras: true, OperatorRevision: uint64(n.configuration.syncRevision()), SystemKeysDigest: digest,
-		Deltas: true, ConfigurationDigest: n.configuration.history.Digest(),
+		Deltas: true, ConfigurationDigest: n.configuration.texts.Digest(),
 	}
 	n.discovery.fillQuery(&query)
 	return query
@@ -341,7 +341,8 @@
 		// A number that is out of range is taken as zero, so that everything is sent.
 		after, _ = kv.NewRevision(n.configuration.knownEra(), query.OperatorRevision)
 	}
-	update.OperatorRevision, update.OperatorItems, update.Uncertain = n.configuration.itemsSince(after, query)
+	update.OperatorRevision, update.OperatorItems, update.Uncertain = n.configuration.itemsSince(after)
+	n.configuration.texts.Shorten(update.OperatorItems, query)
 	if read := n.evacuations.readRevision(); after > kv.Revision(update.OperatorRevision) && after <= read && after.Era() == read.Era() {
 		// The peer's newest item has been removed since. One of an earlier release has the keys of evacuations among its items, and would wait
 		// for this revision until the operator's next write.
@@ -360,6 +361,6 @@
 	if !query.Eras {
 		update.RemoveEras()
 	}
-	n.distribution.recordReply(&update)
+	n.distribution.RecordReply(&update)
 	return update
 }
--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -207,7 +207,7 @@
 	}
 	n.discovery.applyListing(sent, items.revision, items.registrations)
 	n.relay.publish()
-	n.distribution.recordRead(front, clock.Now().Sub(sent))
+	n.distribution.RecordRead(front, clock.Now().Sub(sent))
 	return true, joinErr
 }
 
