Reject requests while a configuration arrives whose time has passed

An entry asked whether its configuration is complete only where a route or a key is missing.

An entry that hears from its relay while nothing has confirmed the configuration within the bound now rejects requests at once until it has adopted what arrives. One that hears nothing may be cut off, and goes on as before. TestRequestsDuringLateConfiguration fails without the change (200 for 503).

--- a/internal/coordination/freshness/budget.go
+++ b/internal/coordination/freshness/budget.go
@@ -58,6 +58,12 @@
 	return max(due, min(r.ProgressAt.Add(b.share(quietShare)), confirmedAt.Add(b.share(patientShare))))
 }
 
+// Behind reports whether requests may no longer be handled by a configuration: it hasn't been confirmed within the bound, and the instance hears from its
+// relay what may be a newer one. An instance that hears nothing may be cut off, and goes on.
+func (b Budget) Behind(now, confirmedAt clock.Instant, r Relay) bool {
+	return now.Sub(confirmedAt) >= b.bound && now.Sub(r.ProgressAt) < b.share(quietShare)
+}
+
 // AskAt returns when it asks the relay of another zone, before it would read at an instant.
 func (b Budget) AskAt(readAt clock.Instant) clock.Instant { return readAt.Add(-b.share(askShare)) }
 
--- a/internal/coordination/freshness/budget_test.go
+++ b/internal/coordination/freshness/budget_test.go
@@ -42,6 +42,13 @@
 				So(readAt(b.MaxAge(false)), ShouldBeBetween, b.MaxAge(false), b.MaxAge(false)+bound/5)
 				So(readAt(bound)+b.ReadTimeout(0)+b.Pause(0), ShouldBeLessThan, bound)
 			})
+			Convey("is exceeded by an instance that hears from its relay, and not by one that may be cut off", func() {
+				confirmedAt := clock.Instant(time.Hour)
+				late := confirmedAt.Add(bound)
+				So(b.Behind(late, confirmedAt, freshness.Relay{ProgressAt: late}), ShouldBeTrue)
+				So(b.Behind(late-1, confirmedAt, freshness.Relay{ProgressAt: late}), ShouldBeFalse)
+				So(b.Behind(late, confirmedAt, freshness.Relay{ProgressAt: confirmedAt}), ShouldBeFalse)
+			})
 			Convey("asks another zone's relay after the regular reads and before its own", func() {
 				readAt := b.ReadAt(0, freshness.Relay{})
 				So(b.AskAt(readAt), ShouldBeBetweenOrEqual, clock.Instant(b.MaxAge(true)), readAt)
--- a/internal/gateway/late_configuration_test.go
+++ b/internal/gateway/late_configuration_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -86,3 +87,42 @@
 		So(s.servesRoute(e, "/added/"), ShouldBeTrue)
 	})
 }
+
+// Guards against requests that are handled by an old configuration while a newer one, whose time has passed, is arriving.
+func TestRequestsDuringLateConfiguration(t *testing.T) {
+	t.Parallel()
+	Convey("an entry that has heard of a newer configuration and hasn't adopted it after the bound rejects requests until it has", t, func() {
+		const bound = 2 * time.Second
+		s := newSite()
+		schema := &slowSchema{version: 9, decoding: make(chan struct{}), release: make(chan struct{})}
+		s.schema = schema
+		release := sync.OnceFunc(func() { close(schema.release) })
+		s.putConfiguration(specWithRoute(7, "/first/"))
+		s.addEndpoint(hosted.EndpointConfig{ID: "llm-0", Service: "llm", Model: testModel, Version: 1, Events: 6, Work: time.Millisecond})
+		e := s.addEntryWith(func(cfg *settings.Hosted) {
+			cfg.MaxApplyDelay, cfg.MaxLeavingDelay, cfg.MaxRevocationDelay = bound, bound, time.Minute
+		})
+		Reset(release)
+		e.expectReady(true)
+		relay := s.addRelay()
+		relay.set(true, revisionAt(1000), revisionAt(1000))
+		time.Sleep(time.Second)
+		text, err := json.Marshal(specWithRoute(9, "/second/"))
+		So(err, ShouldBeNil)
+		s.store.SetFault(hosted.StoreFault{SilentReads: 1000})
+		relay.set(true, revisionAt(1001), revisionAt(1001), peer.Item{Key: "op/config", Data: text, Revision: uint64(revisionAt(1001))})
+		<-schema.decoding
+		So(s.servesRoute(e, "/first/"), ShouldBeTrue)
+		time.Sleep(bound)
+		So(s.call(e, http.MethodGet, "/first/", "").status, ShouldEqual, http.StatusServiceUnavailable)
+		release()
+		eventually("the newer configuration is in force", func() bool { return s.servesRoute(e, "/second/") })
+		Convey("and one that hears nothing goes on", func() {
+			relay.mu.Lock()
+			relay.silent = true
+			relay.mu.Unlock()
+			time.Sleep(2 * bound)
+			So(s.servesRoute(e, "/second/"), ShouldBeTrue)
+		})
+	})
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -178,10 +178,10 @@
 	}
 	path, _, _ := strings.Cut(j.target, "?")
 	j.route = j.table.Match(j.r.Host, path)
+	if n.configurationBehind(j.arrived) || j.route == nil && !n.configurationComplete(j.arrived) {
+		return unavailable("configuration_unconfirmed", j.arrived.Add(shortRetryDelay))
+	}
 	if j.route == nil {
-		if !n.configurationComplete(j.arrived) {
-			return unavailable("configuration_unconfirmed", j.arrived.Add(shortRetryDelay))
-		}
 		return &refusal{http.StatusNotFound, "no_route", 0}
 	}
 	if refused := j.authorize(j.arrived); refused != nil {
