Have the test of late configurations show what it is for

With a longer bound on leaving endpoints, the test gets 200 for 503 at line 122 on the code before, and passes with the change; a failing run no longer hangs when the site is closed.

--- a/internal/gateway/late_configuration_test.go
+++ b/internal/gateway/late_configuration_test.go
@@ -93,20 +93,25 @@
 	t.Parallel()
 	Convey("an entry that has heard of a newer configuration and hasn't adopted it after the bound rejects requests until it has", t, func() {
 		const bound = 2 * time.Second
-		s := newSite()
 		schema := &slowSchema{version: 9, decoding: make(chan struct{}), release: make(chan struct{})}
-		s.schema = schema
 		release := sync.OnceFunc(func() { close(schema.release) })
+		// The site can't be closed before.
+		Reset(release)
+		s := newSite()
+		s.schema = schema
 		s.putConfiguration(specWithRoute(7, "/first/"))
 		s.addEndpoint(hosted.EndpointConfig{ID: "llm-0", Service: "llm", Model: testModel, Version: 1, Events: 6, Work: time.Millisecond})
 		e := s.addEntryWith(func(cfg *settings.Hosted) {
-			cfg.MaxApplyDelay, cfg.MaxLeavingDelay, cfg.MaxRevocationDelay = bound, bound, time.Minute
+			cfg.MaxApplyDelay, cfg.MaxLeavingDelay, cfg.MaxRevocationDelay = bound, 4*bound, time.Minute
 		})
-		Reset(release)
 		e.expectReady(true)
 		relay := s.addRelay()
 		relay.set(true, revisionAt(1000), revisionAt(1000))
-		time.Sleep(time.Second)
+		eventually("the entry queries its relay", func() bool {
+			relay.mu.Lock()
+			defer relay.mu.Unlock()
+			return relay.reply.Seen > 0
+		})
 		text, err := json.Marshal(specWithRoute(9, "/second/"))
 		So(err, ShouldBeNil)
 		s.store.SetFault(hosted.StoreFault{SilentReads: 1000})
