Serve on in a zone that is cut off, though its relay answers

In a zone that is cut off from the store but not in itself, an entry would have rejected requests for 0.3 s after each reply once its configuration was older than the bound, and have read the store later. Only slices of a reply under way count now, and the adoption of what the operator wrote.

TestRequestsDuringLateConfiguration has the case, and fails without the change (line 131: the route isn't served).

--- a/internal/gateway/late_configuration_test.go
+++ b/internal/gateway/late_configuration_test.go
@@ -122,6 +122,16 @@
 		So(s.call(e, http.MethodGet, "/first/", "").status, ShouldEqual, http.StatusServiceUnavailable)
 		release()
 		eventually("the newer configuration is in force", func() bool { return s.servesRoute(e, "/second/") })
+		Convey("and one whose relay is cut off from the store goes on", func() {
+			relay.mu.Lock()
+			relay.reply.OperatorItems, relay.reply.ConfirmAge = nil, time.Minute
+			relay.mu.Unlock()
+			time.Sleep(2 * bound)
+			for range 20 {
+				So(s.servesRoute(e, "/second/"), ShouldBeTrue)
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
 		Convey("and one that hears nothing goes on", func() {
 			relay.mu.Lock()
 			relay.silent = true
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -220,9 +220,11 @@
 		// The relay has just started and is reading the store.
 		return 0, nil, syncDone
 	}
-	r.adopting.Add(1)
-	defer r.adopting.Add(-1)
-	defer r.recordProgress()
+	if len(update.OperatorItems) > 0 {
+		r.adopting.Add(1)
+		defer r.adopting.Add(-1)
+		defer r.recordProgress()
+	}
 	asOf := sent.Add(update.Delay)
 	n.evacuations.applyRelayed(asOf, &update)
 	if kv.Revision(update.RegistrationsRevision).Era() < n.discovery.revision().Era() {
