Keep a relay's confirmer from reading beside its regular read

Their relay's reads of 0.5 MB took 1.8 to 2.4 s of a link on which they need 0.6 s: at 0.4 of the bound its confirmer began a second read while the regular one arrived, so that both took twice as long and the next confirmation was late again.

The regular read's first page, which has what the operator wrote, counts as a source that sends: while it does, or is being adopted, the confirmer waits, until 0.7 of the bound at most. freshness.Source is what was Relay.

--- a/internal/coordination/freshness/budget.go
+++ b/internal/coordination/freshness/budget.go
@@ -23,7 +23,7 @@
 	// of them asks the relay of another zone, whose answer is shorter than a read.
 	spreadShare = 0.07
 	askShare    = 0.1
-	// quietShare is for how long a relay may be silent that has begun to send, and patientShare is until when it is waited for nonetheless.
+	// quietShare is for how long a source may be silent that has begun to send, and patientShare is until when it is waited for nonetheless.
 	quietShare   = 0.1
 	patientShare = 0.7
 )
@@ -44,24 +44,30 @@
 	return b.share(ownShare)
 }
 
-// Relay is what an instance knows of the relay that it follows.
-type Relay struct {
+// Source is what an instance knows of the one from which it hears what the operator has written: a relay, or the store if it is a relay itself.
+type Source struct {
+	// IsRelay is true for an instance that is a relay.
+	IsRelay bool
 	// ProgressAt is when bytes of a reply last arrived, or when one that had arrived was being adopted.
 	ProgressAt clock.Instant
 	// Position is the place of the instance, from 0 to 1, among those that follow the same relay.
 	Position float64
 }
 
-// ReadAt returns when an instance that follows a relay reads the operator's keys itself. While the relay sends, that would take longer than waiting.
-func (b Budget) ReadAt(confirmedAt clock.Instant, r Relay) clock.Instant {
-	due := confirmedAt.Add(b.MaxAge(false) + b.share(spreadShare*r.Position))
-	return max(due, min(r.ProgressAt.Add(b.share(quietShare)), confirmedAt.Add(b.share(patientShare))))
+// ReadAt returns when an instance reads the operator's keys apart from what its source sends. While that sends, a read would take longer than waiting,
+// over the same link.
+func (b Budget) ReadAt(confirmedAt clock.Instant, s Source) clock.Instant {
+	due := confirmedAt.Add(b.MaxAge(s.IsRelay))
+	if !s.IsRelay {
+		due = due.Add(b.share(spreadShare * s.Position))
+	}
+	return max(due, min(s.ProgressAt.Add(b.share(quietShare)), confirmedAt.Add(b.share(patientShare))))
 }
 
 // Behind reports whether requests may no longer be handled by a configuration: it hasn't been confirmed within the bound, and the instance hears from its
-// relay what may be a newer one. An instance that hears nothing may be cut off, and goes on.
-func (b Budget) Behind(now, confirmedAt clock.Instant, r Relay) bool {
-	return now.Sub(confirmedAt) >= b.bound && now.Sub(r.ProgressAt) < b.share(quietShare)
+// source what may be a newer one. An instance that hears nothing may be cut off, and goes on.
+func (b Budget) Behind(now, confirmedAt clock.Instant, s Source) bool {
+	return now.Sub(confirmedAt) >= b.bound && now.Sub(s.ProgressAt) < b.share(quietShare)
 }
 
 // AskAt returns when it asks the relay of another zone, before it would read at an instant.
--- a/internal/coordination/freshness/budget_test.go
+++ b/internal/coordination/freshness/budget_test.go
@@ -24,33 +24,37 @@
 			})
 			Convey("has time for these after the reads were spread, whatever an instance's position", func() {
 				confirmedAt := clock.Instant(time.Hour)
-				last := b.ReadAt(confirmedAt, freshness.Relay{Position: 1})
+				last := b.ReadAt(confirmedAt, freshness.Source{Position: 1})
 				worst := last.Sub(confirmedAt)
 				for failed := range 3 {
 					worst += b.ReadTimeout(failed) + b.Pause(failed)
 				}
 				So(worst, ShouldBeLessThan, bound)
-				So(b.ReadAt(confirmedAt, freshness.Relay{}).Sub(confirmedAt), ShouldEqual, b.MaxAge(false))
-				So(b.ReadAt(confirmedAt, freshness.Relay{Position: 0.5}), ShouldBeBetween, confirmedAt.Add(b.MaxAge(false)), last)
+				So(b.ReadAt(confirmedAt, freshness.Source{}).Sub(confirmedAt), ShouldEqual, b.MaxAge(false))
+				So(b.ReadAt(confirmedAt, freshness.Source{Position: 0.5}), ShouldBeBetween, confirmedAt.Add(b.MaxAge(false)), last)
 			})
 			Convey("waits for a relay that sends, but not for long after it has stopped, and not beyond the time for a read", func() {
 				confirmedAt := clock.Instant(time.Hour)
 				readAt := func(progress time.Duration) time.Duration {
-					return b.ReadAt(confirmedAt, freshness.Relay{ProgressAt: confirmedAt.Add(progress)}).Sub(confirmedAt)
+					return b.ReadAt(confirmedAt, freshness.Source{ProgressAt: confirmedAt.Add(progress)}).Sub(confirmedAt)
 				}
 				So(readAt(0), ShouldEqual, b.MaxAge(false))
 				So(readAt(b.MaxAge(false)), ShouldBeBetween, b.MaxAge(false), b.MaxAge(false)+bound/5)
 				So(readAt(bound)+b.ReadTimeout(0)+b.Pause(0), ShouldBeLessThan, bound)
+				relay := freshness.Source{IsRelay: true, Position: 1}
+				So(b.ReadAt(confirmedAt, relay).Sub(confirmedAt), ShouldEqual, b.MaxAge(true))
+				relay.ProgressAt = confirmedAt.Add(b.MaxAge(true))
+				So(b.ReadAt(confirmedAt, relay).Sub(confirmedAt), ShouldBeGreaterThan, b.MaxAge(true))
 			})
 			Convey("is exceeded by an instance that hears from its relay, and not by one that may be cut off", func() {
 				confirmedAt := clock.Instant(time.Hour)
 				late := confirmedAt.Add(bound)
-				So(b.Behind(late, confirmedAt, freshness.Relay{ProgressAt: late}), ShouldBeTrue)
-				So(b.Behind(late-1, confirmedAt, freshness.Relay{ProgressAt: late}), ShouldBeFalse)
-				So(b.Behind(late, confirmedAt, freshness.Relay{ProgressAt: confirmedAt}), ShouldBeFalse)
+				So(b.Behind(late, confirmedAt, freshness.Source{ProgressAt: late}), ShouldBeTrue)
+				So(b.Behind(late-1, confirmedAt, freshness.Source{ProgressAt: late}), ShouldBeFalse)
+				So(b.Behind(late, confirmedAt, freshness.Source{ProgressAt: confirmedAt}), ShouldBeFalse)
 			})
 			Convey("asks another zone's relay after the regular reads and before its own", func() {
-				readAt := b.ReadAt(0, freshness.Relay{})
+				readAt := b.ReadAt(0, freshness.Source{})
 				So(b.AskAt(readAt), ShouldBeBetweenOrEqual, clock.Instant(b.MaxAge(true)), readAt)
 			})
 			Convey("leaves time for a regular read of the relay, which reads each quarter of the bound, and for its own read before its followers'", func() {
--- a/internal/gateway/confirmer.go
+++ b/internal/gateway/confirmer.go
@@ -33,9 +33,9 @@
 	n := c.node
 	budget := freshness.NewBudget(n.bounds.Load().MaxApplyDelay)
 	confirmedAt, now := n.confirmation.SentAt(), clock.Now()
-	due, askAt := confirmedAt.Add(budget.MaxAge(true)), clock.Instant(0)
-	if !n.relay.isRelay() {
-		due = budget.ReadAt(confirmedAt, n.relay.following(now))
+	source := n.relay.following(now)
+	due, askAt := budget.ReadAt(confirmedAt, source), clock.Instant(0)
+	if !source.IsRelay {
 		askAt = budget.AskAt(due)
 	}
 	asked := askAt == 0 || c.askedFor == confirmedAt
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -242,9 +242,9 @@
 
 func (r *relay) recordProgress() { r.progressAt.Store(int64(clock.Now())) }
 
-// following returns what decides when this entry stops waiting for its relay.
-func (r *relay) following(now clock.Instant) freshness.Relay {
-	f := freshness.Relay{ProgressAt: clock.Instant(r.progressAt.Load()), Position: rank.Position(r.node.cfg.Name)}
+// following returns what decides when this entry stops waiting for its relay, or for its own regular read.
+func (r *relay) following(now clock.Instant) freshness.Source {
+	f := freshness.Source{IsRelay: r.isRelay(), ProgressAt: clock.Instant(r.progressAt.Load()), Position: rank.Position(r.node.cfg.Name)}
 	if r.adopting.Load() > 0 {
 		f.ProgressAt = now
 	}
--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -262,6 +262,10 @@
 	}
 	ctx, cancel := duty.WithProgress(ctx, timeout, timeout)
 	defer cancel()
+	if after == "" {
+		// What the operator wrote comes first.
+		duty.NotifyProgress(ctx, s.node.relay.recordProgress)
+	}
 	list, err := s.node.deps.Store.Range(ctx, prefix, after)
 	s.node.countStoreCall("survey", err)
 	if s.lastCallSucceeded.Swap(err == nil) && err != nil {
@@ -279,6 +283,8 @@
 // applyOperator applies the operator's items as returned by a call sent at an instant, and reports whether anything has changed.
 func (s *storePoller) applyOperator(ctx context.Context, sent clock.Instant, items *storeItems) bool {
 	n := s.node
+	n.relay.adopting.Add(1)
+	defer n.relay.adopting.Add(-1)
 	n.configuration.recordEra(clock.Now(), items.revision.Era())
 	// Evacuations come first: with a configuration that is in force, requests are sent.
 	changed := n.evacuations.applyListing(sent, items.revision, items.operator)
