Keep the configuration that an entry has when it comes a second time

A delta whose result is held already now gives the one that is held. TestHistory fails without the change.

--- a/internal/coordination/document/history.go
+++ b/internal/coordination/document/history.go
@@ -69,11 +69,15 @@
 	}
 }
 
-// Apply returns the document that a delta makes out of a version. Errors wrap ErrDelta.
+// Apply returns the document that a delta makes out of a version. If that is here already, it is the one here, whose segments are decoded. Errors wrap
+// ErrDelta.
 func (h *History) Apply(delta *Delta) (*Document, error) {
 	h.mu.Lock()
-	base := h.find(delta.Base)
+	base, held := h.find(delta.Base), h.find(delta.Digest)
 	h.mu.Unlock()
+	if held != nil {
+		return held, nil
+	}
 	return delta.Apply(base)
 }
 
