Reject requests only while a newer configuration is being adopted

Cause: made a relay's own regular read count as a source that sends, and Budget.Behind took any such source for a newer configuration. With a slow store, the entry's confirmation was 3.0 to 3.7 s old while its regular read arrived. The change had been sent at 8.0 s, so that nothing had to be in force before 11.0 s.

That bytes arrive doesn't tell what they are. Behind goes by the adoption of a newer configuration alone, which configuration.adopt counts; the two places that counted it apart are gone.

--- a/internal/coordination/freshness/budget.go
+++ b/internal/coordination/freshness/budget.go
@@ -48,8 +48,9 @@
 type Source struct {
 	// IsRelay is true for an instance that is a relay.
 	IsRelay bool
-	// ProgressAt is when bytes of a reply last arrived, or when one that had arrived was being adopted.
+	// ProgressAt is when bytes of a reply last arrived, or when a configuration was being adopted, and Adopting is true while one is.
 	ProgressAt clock.Instant
+	Adopting   bool
 	// Position is the place of the instance, from 0 to 1, among those that follow the same relay.
 	Position float64
 }
@@ -64,10 +65,10 @@
 	return max(due, min(s.ProgressAt.Add(b.share(quietShare)), confirmedAt.Add(b.share(patientShare))))
 }
 
-// Behind reports whether requests may no longer be handled by a configuration: it hasn't been confirmed within the bound, and the instance hears from its
-// source what may be a newer one. An instance that hears nothing may be cut off, and goes on.
+// Behind reports whether requests may no longer be handled by a configuration: it hasn't been confirmed within the bound, and a newer one is being
+// adopted. An instance that knows of no newer one may be cut off, or have the newest, and goes on.
 func (b Budget) Behind(now, confirmedAt clock.Instant, s Source) bool {
-	return now.Sub(confirmedAt) >= b.bound && now.Sub(s.ProgressAt) < b.share(quietShare)
+	return s.Adopting && now.Sub(confirmedAt) >= b.bound
 }
 
 // AskAt returns when it asks the relay of another zone, before it would read at an instant.
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,7 +28,8 @@
 type configuration struct {
 	node *Node
 
-	// activating is held while a configuration is put into force.
+	// adopting is the number of configurations that are being decoded or put into force; activating is held for the latter.
+	adopting   atomic.Int32
 	activating sync.Mutex
 
 	// texts holds what peers get of the configurations.
@@ -274,6 +276,10 @@
 // adopt activates a newer configuration; an older or undecodable one changes nothing.
 func (c *configuration) adopt(from provenance, item kv.Item) {
 	n := c.node
+	c.adopting.Add(1)
+	defer c.adopting.Add(-1)
+	// The next reply, or the rest of this one, confirms the configuration.
+	defer n.relay.recordProgress()
 	decoding := clock.Now()
 	table, err := c.texts.Table(item, from.document)
 	decoded := clock.Now()
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -216,7 +216,7 @@
 	return n.confirmation.Age(now) < n.bounds.Load().MaxApplyDelay && n.configurationFresh(now)
 }
 
-// configurationBehind reports whether this entry is about to get a newer configuration, later than that had to be in force.
+// configurationBehind reports whether this entry is adopting a newer configuration, later than that had to be in force.
 func (n *Node) configurationBehind(now clock.Instant) bool {
 	return freshness.NewBudget(n.bounds.Load().MaxApplyDelay).Behind(now, n.confirmation.SentAt(), n.relay.following(now))
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -50,9 +50,8 @@
 	published uint64
 	changed   chan struct{}
 
-	// progressAt is the instant at which a part of a reply last arrived or had been adopted, and adopting the number of replies that are.
+	// progressAt is the instant at which a part of a reply last arrived, or a configuration had been adopted.
 	progressAt atomic.Int64
-	adopting   atomic.Int32
 }
 
 func newRelay(n *Node) *relay {
@@ -220,11 +219,6 @@
 		// The relay has just started and is reading the store.
 		return 0, nil, syncDone
 	}
-	if len(update.OperatorItems) > 0 {
-		r.adopting.Add(1)
-		defer r.adopting.Add(-1)
-		defer r.recordProgress()
-	}
 	asOf := sent.Add(update.Delay)
 	n.evacuations.applyRelayed(asOf, &update)
 	if kv.Revision(update.RegistrationsRevision).Era() < n.discovery.revision().Era() {
@@ -245,7 +239,7 @@
 // following returns what decides when this entry stops waiting for its relay, or for its own regular read.
 func (r *relay) following(now clock.Instant) freshness.Source {
 	f := freshness.Source{IsRelay: r.isRelay(), ProgressAt: clock.Instant(r.progressAt.Load()), Position: rank.Position(r.node.cfg.Name)}
-	if r.adopting.Load() > 0 {
+	if f.Adopting = r.node.configuration.adopting.Load() > 0; f.Adopting {
 		f.ProgressAt = now
 	}
 	return f
--- a/internal/gateway/store_poller.go
+++ b/internal/gateway/store_poller.go
@@ -283,8 +283,6 @@
 // applyOperator applies the operator's items as returned by a call sent at an instant, and reports whether anything has changed.
 func (s *storePoller) applyOperator(ctx context.Context, sent clock.Instant, items *storeItems) bool {
 	n := s.node
-	n.relay.adopting.Add(1)
-	defer n.relay.adopting.Add(-1)
 	n.configuration.recordEra(clock.Now(), items.revision.Era())
 	// Evacuations come first: with a configuration that is in force, requests are sent.
 	changed := n.evacuations.applyListing(sent, items.revision, items.operator)
