Tell how long whole large frames took as well

Event 205 was logged only for frames in slices since: the queue forgot the frames that it sent whole, so that nothing told how a large reply to an entry of an earlier release went. A part now names all frames that it completes, and a connection that closes ends all that wait.

--- a/internal/coordination/transfer/queue.go
+++ b/internal/coordination/transfer/queue.go
@@ -37,20 +37,28 @@
 	sent   int
 }
 
+// End tells that the last byte was written, or for which error it won't be.
+func (f *Frame) End(err error) {
+	if f.Ended != nil {
+		f.Ended(err)
+	}
+}
+
 // Part is what is to be written next.
 type Part struct {
 	// Data is a slice of Frame or, if that is nil, a number of whole frames.
 	Data  []byte
 	Frame *Frame
-	// Number identifies the frame among those of the connection, and Last is true for its last slice.
+	// Number identifies the frame among those of the connection.
 	Number uint64
-	Last   bool
+	// Completes holds the frames whose last byte is in Data.
+	Completes []*Frame
 }
 
 // Queue holds the frames that wait for a connection. Frames that aren't sliced go first, and after each batch of them a slice of a large one, so that
 // neither waits for all of the other. The zero value is empty.
 type Queue struct {
-	whole [][]byte
+	whole []*Frame
 	large []*Frame
 	bytes int
 	// next is the position in large of the frame whose turn it is, and sliceDue is true if a slice goes before further whole frames.
@@ -67,7 +75,7 @@
 	}
 	q.bytes += len(f.Data)
 	if !f.Sliced {
-		q.whole = append(q.whole, f.Data)
+		q.whole = append(q.whole, f)
 		return nil
 	}
 	q.lastNumber++
@@ -84,25 +92,26 @@
 		return q.nextSlice(), true
 	case len(q.whole) > 0:
 		q.sliceDue = true
-		return Part{Data: q.nextWhole(limit)}, true
+		return q.nextWhole(limit), true
 	}
 	return Part{}, false
 }
 
 // nextWhole removes whole frames, at least one and further ones up to a limit.
-func (q *Queue) nextWhole(limit int) []byte {
-	data, count := q.whole[0], 1
-	for count < len(q.whole) && len(data)+len(q.whole[count]) <= limit {
-		data = append(data, q.whole[count]...)
+func (q *Queue) nextWhole(limit int) Part {
+	data, count := q.whole[0].Data, 1
+	for count < len(q.whole) && len(data)+len(q.whole[count].Data) <= limit {
+		data = append(data, q.whole[count].Data...)
 		count++
 	}
+	sent := slices.Clone(q.whole[:count])
 	clear(q.whole[:count])
 	if q.whole = q.whole[count:]; len(q.whole) == 0 {
 		// The memory of a burst is released.
 		q.whole = nil
 	}
 	q.bytes -= len(data)
-	return data
+	return Part{Data: data, Completes: sent}
 }
 
 // nextSlice removes a slice of the large frame whose turn it is.
@@ -114,19 +123,20 @@
 	data := f.Data[f.sent:min(len(f.Data), f.sent+SliceBytes)]
 	f.sent += len(data)
 	q.bytes -= len(data)
-	last := f.sent == len(f.Data)
-	if last {
-		// The next frame moves up to this position.
-		q.large = slices.Delete(q.large, q.next, q.next+1)
-	} else {
+	part := Part{Data: data, Frame: f, Number: f.number}
+	if f.sent < len(f.Data) {
 		q.next++
+		return part
 	}
-	return Part{Data: data, Frame: f, Number: f.number, Last: last}
+	// The next frame moves up to this position.
+	q.large = slices.Delete(q.large, q.next, q.next+1)
+	part.Completes = []*Frame{f}
+	return part
 }
 
-// Drain removes all frames, and returns the large ones, which won't be sent as a whole.
+// Drain removes all frames, and returns them, as they won't be sent as a whole.
 func (q *Queue) Drain() []*Frame {
-	large := q.large
+	all := slices.Concat(q.whole, q.large)
 	*q = Queue{lastNumber: q.lastNumber}
-	return large
+	return all
 }
--- a/internal/coordination/transfer/transfer_test.go
+++ b/internal/coordination/transfer/transfer_test.go
@@ -77,11 +77,24 @@
 			}
 			So(q.Push(frame('L', 1)), ShouldBeNil)
 		})
-		Convey("returns the large frames that won't be sent", func() {
+		Convey("tells which frames a part completes", func() {
+			push(frame('L', 2))
+			small('a')
+			small('b')
+			var completed []byte
+			for range 3 {
+				part, _ := q.Next(100)
+				for _, f := range part.Completes {
+					completed = append(completed, f.Data[0])
+				}
+			}
+			So(string(completed), ShouldEqual, "abL")
+		})
+		Convey("returns the frames that won't be sent", func() {
 			push(frame('L', 2))
 			q.Next(1)
 			small('a')
-			So(len(q.Drain()), ShouldEqual, 1)
+			So(len(q.Drain()), ShouldEqual, 2)
 			So(order(&q), ShouldEqual, "")
 		})
 	})
@@ -151,7 +164,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if (got != nil) != part.Last || got != nil && !bytes.Equal(got, want[part.Number]) {
+			if (got != nil) != (len(part.Completes) == 1) || got != nil && !bytes.Equal(got, want[part.Number]) {
 				t.Fatalf("frame %d: got %d bytes", part.Number, len(got))
 			}
 			if got != nil {
--- a/internal/transport/peers/conn.go
+++ b/internal/transport/peers/conn.go
@@ -126,8 +126,8 @@
 		}
 	}
 	err = c.writeAll(data)
-	if part.Last && part.Frame.Ended != nil {
-		part.Frame.Ended(err)
+	for _, f := range part.Completes {
+		f.End(err)
 	}
 	return true, err
 }
@@ -226,13 +226,13 @@
 		if compressed, ok := peer.Compress(large.Data); ok {
 			large.Data, large.Compressed = compressed, true
 		}
-		if len(data) >= MinReportedFrame {
-			report := FrameReport{Peer: c.remote.Name, Kind: f.Kind, Bytes: len(data), SentBytes: len(large.Data)}
-			started := time.Now()
-			large.Ended = func(err error) {
-				report.Took, report.Err = time.Since(started), err
-				c.observer.FrameSent(report)
-			}
+	}
+	if len(data) >= MinReportedFrame {
+		report := FrameReport{Peer: c.remote.Name, Kind: f.Kind, Bytes: len(data), SentBytes: len(large.Data)}
+		started := time.Now()
+		large.Ended = func(err error) {
+			report.Took, report.Err = time.Since(started), err
+			c.observer.FrameSent(report)
 		}
 	}
 	return c.outbox.push(large)
--- a/internal/transport/peers/outbox.go
+++ b/internal/transport/peers/outbox.go
@@ -59,8 +59,6 @@
 	frames := o.queue.Drain()
 	o.mu.Unlock()
 	for _, f := range frames {
-		if f.Ended != nil {
-			f.Ended(cause)
-		}
+		f.End(cause)
 	}
 }
