Build tables from documents outside the adapter

platform/ decided which segments to decode and whether the table in force can be changed. It translates now: a frame and an element into parts of a table. document.BuildTable decides, which the adapter's decoder needs to know nothing of. slowSchema of the tests blocks where version 9 is decoded, as before. No behaviour changes; TestConfigurationByDeltas and FuzzSplit compare both ways of decoding as before.

--- a/internal/coordination/document/document.go
+++ b/internal/coordination/document/document.go
@@ -33,7 +33,7 @@
 
 	sum     uint64
 	once    sync.Once
-	decoded any
+	decoded *route.TableParts
 	err     error
 }
 
@@ -42,9 +42,9 @@
 	return &Segment{Kind: kind, Text: text, sum: xxhash.Sum64(text)}
 }
 
-// Decoded returns what decode returns for the text, which is called once however many versions have the segment.
-func (s *Segment) Decoded(decode func(text []byte) (any, error)) (any, error) {
-	s.once.Do(func() { s.decoded, s.err = decode(s.Text) })
+// decode returns what the segment holds, which is decoded once however many versions have it.
+func (s *Segment) decode(decoder Decoder) (*route.TableParts, error) {
+	s.once.Do(func() { s.decoded, s.err = decoder.Element(s.Kind, s.Text) })
 	return s.decoded, s.err
 }
 
--- a/internal/distribution/configurations.go
+++ b/internal/distribution/configurations.go
@@ -10,11 +10,12 @@
 	"gypsumvale/internal/state/route"
 )
 
-// Schema divides and decodes configurations.
+// Schema divides and decodes configurations, by their segments or as a whole.
 type Schema interface {
+	document.Decoder
 	IsConfiguration(key string) bool
 	Split(text []byte) (*document.Document, error)
-	Configuration(item kv.Item, doc *document.Document, base document.Version) (*route.Table, error)
+	Configuration(item kv.Item) (*route.Table, error)
 }
 
 // Configurations holds the texts of the newest configurations, and the last one that was decoded. It is safe for concurrent use.
@@ -81,17 +82,18 @@
 
 // Table decodes a configuration, from its document if that isn't nil, as far as it isn't that of the last one. The error is that of the schema.
 func (c *Configurations) Table(item kv.Item, doc *document.Document) (*route.Table, error) {
+	if doc == nil {
+		return c.schema.Configuration(item) //nolint:wrapcheck // The error is that of the schema.
+	}
 	c.mu.Lock()
 	base := c.decoded
 	c.mu.Unlock()
-	table, err := c.schema.Configuration(item, doc, base)
+	table, err := document.BuildTable(doc, base, c.schema)
 	if err != nil {
-		return nil, err //nolint:wrapcheck // The error is that of the schema.
-	}
-	if doc != nil {
-		c.mu.Lock()
-		c.decoded = document.Version{Document: doc, Table: table}
-		c.mu.Unlock()
+		return nil, fmt.Errorf("%s: %w", item.Key, err)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decoded = document.Version{Document: doc, Table: table}
 	return table, nil
 }
--- a/internal/gateway/adopted_configuration_test.go
+++ b/internal/gateway/adopted_configuration_test.go
@@ -9,7 +9,6 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"gypsumvale/internal/coordination/document"
 	"gypsumvale/internal/protocol/peer"
 	"gypsumvale/internal/standin/hosted"
 	"gypsumvale/internal/state/kv"
@@ -47,16 +46,16 @@
 	release  chan struct{}
 }
 
-// Configuration decodes a configuration.
-func (s *slowSchema) Configuration(item kv.Item, doc *document.Document, base document.Version) (*route.Table, error) {
-	table, err := s.StoreSchema.Configuration(item, doc, base)
-	if err == nil && table.Version == s.version {
+// Frame decodes a configuration without its lists.
+func (s *slowSchema) Frame(text []byte) (*route.TableParts, error) {
+	parts, err := s.StoreSchema.Frame(text)
+	if err == nil && parts.Version == s.version {
 		s.once.Do(func() {
 			close(s.decoding)
 			<-s.release
 		})
 	}
-	return table, err //nolint:wrapcheck // The error is that of the schema.
+	return parts, err //nolint:wrapcheck // The error is that of the schema.
 }
 
 // Guards against a configuration that replaces a newer one, read from elsewhere while it was being decoded.
