End the native edge's pulls for want of progress

Replies with pages come in slices, each of which counts as progress now. TestReplySlowerThanTimeout has the mechanism; the pull has no test of its own.

--- a/internal/entry/watcher.go
+++ b/internal/entry/watcher.go
@@ -161,7 +161,7 @@
 	if from == w.node.cfg.Name || from == "" {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	ctx, cancel := duty.WithProgress(ctx, pullTimeout, pullTimeout)
 	defer cancel()
 	if err := w.pull(ctx, from); err != nil {
 		w.node.log.Debug(event.RevisionFailed, "pull failed", zap.String("from", from), zap.Error(err))
