List a cache store for as long as its answer arrives

TestListSlowerThanTimeout fails without the change (0.4 s of answer in calls that may stall for 0.2 s: "no progress").

--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -25,7 +25,7 @@
 	updatesPause = 250 * time.Millisecond
 	// callMargin is allowed for a call for updates in addition to its wait; it also bounds the sending of a free order.
 	callMargin = 400 * time.Millisecond
-	// listTimeout bounds reading the list of a cache store's contents.
+	// listTimeout bounds reading the list of a cache store's contents until the answer begins, and without progress from then on.
 	listTimeout = time.Second
 	// usageLogPeriod is the interval at which the leader logs the usage of the cache stores.
 	usageLogPeriod = 5 * time.Second
@@ -137,7 +137,7 @@
 }
 
 func (f *follower) listStore(ctx context.Context, c followedCache) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := duty.WithProgress(ctx, listTimeout, listTimeout)
 	defer cancel()
 	list, err := f.node.deps.Caches.List(ctx, c.address)
 	if err != nil {
