--- a/internal/gateway/origin_records.go
+++ b/internal/gateway/origin_records.go
@@ -82,11 +82,11 @@
 
 // readJournal reads the streams of earlier leaders.
 func (o *origins) readJournal(ctx context.Context, fence uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*storeReadTimeout)
-	defer cancel()
 	within, known, begun := o.streamTime(), 0, make(map[uint64]bool)
 	for after := ""; ; {
-		list, err := o.node.deps.Store.Range(ctx, streamsPrefix, after)
+		pageCtx, cancel := duty.WithProgress(ctx, storeReadTimeout, storeReadTimeout)
+		list, err := o.node.deps.Store.Range(pageCtx, streamsPrefix, after)
+		cancel()
 		o.node.countStoreCall("read_streams", err)
 		if err != nil {
 			return fmt.Errorf("read streams: %w", err)
