--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // cases are the scripts by name. Each returns held or broken.
@@ -23,6 +25,12 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	current = newSite(record)
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		fail("stopped")
+	}()
 	result := cases[os.Args[1]](current, trouble)
 	current.stop()
 	record.printf("result %d", result)
