--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Replicas say that they are brittle while more is asked for than they take; the machine that leads is killed (unless TROUBLE=0).
+# A request that crashes the replicas that run it comes again and again, while the machines are restarted in turn (unless TROUBLE=0).
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-2/rig brittle review/9
+exec target/review-2/rig poison review/9
